--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,63 @@
+//! What an instance is told once at its start and the module reads.
+use crate::ids::{KindId, LocationId};
+use crate::time::Span;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Location,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated { group: Group, memory: Span },
+    Unrepeatable,
+}
+
+#[derive(Clone, Debug)]
+pub struct Band {
+    pub name: String,
+    pub effect: Effect,
+    pub quoted: Span,
+    pub stretch: f64,
+    pub hard_limit: Span,
+    pub earnings: f64,
+    pub fresh: Span,
+    pub grace: Span,
+    pub writes: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    pub share: f64,
+    pub ramp: Span,
+    pub multiple: f64,
+    pub window: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub me: u32,
+    pub dispatchers: u32,
+    pub location: LocationId,
+    pub location_dispatchers: u32,
+    pub bands: Vec<Band>,
+    pub parent_kind: Option<KindId>,
+    pub origin_kind: Option<KindId>,
+    pub weights_told: bool,
+    pub weights_steady: bool,
+    pub pace: f64,
+    pub links: Vec<f64>,
+    pub direct: bool,
+    pub joins: bool,
+    pub second_copies: bool,
+    pub cancel: bool,
+    pub max_hand_offs: u8,
+    pub come_back_most: Span,
+    pub cold_cache: ColdStart,
+    pub cold_parent: ColdStart,
+    pub purge_done: Span,
+    pub purge_grace: Span,
+}
