Gate for fills with look first, per-object slowness for limits

Cause: fills stuck behind a slow origin took all fill places (note: no place) and the caches turned everything away. While fills wait far longer than at best, caches are asked without a fill first.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -145,6 +145,7 @@
         visit: VisitId(record.u32(4)),
         number: HandOffNo(record.u8(20)),
         took: Span(u64::from(record.u32(16))),
+        fill_wait: Some(record.u32(8)).filter(|wait| *wait != 0).map(|wait| Span(u64::from(wait))),
         last: record.u8(29) != 0,
         outcome: match record.u16(27) {
             1 => Settled,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,10 +3,10 @@
 //! decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
-use crate::containers::{rendezvous, Bucket, DueTimes, Mean};
+use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
 use crate::ids::*;
-use crate::settings::{ColdStart, Effect, Group, Settings};
-use crate::state::{Asked, BandSeen, Breaker, Host, Open, Sent};
+use crate::settings::{Band, ColdStart, Effect, Group, Settings};
+use crate::state::{Asked, BandSeen, Host, Open, Sent, Shut};
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,24 +21,34 @@
 const TOP_SHARE: f64 = 0.15;
 // Timer, final answers and further hand-offs.
 const ROUND: Span = Span::millis(10);
+const SECOND: Span = Span::millis(1_000);
 const ANSWER_MARGIN: Span = Span::millis(25);
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 12.0;
+const COME_BACK: Span = Span::millis(250);
 // Health.
 const PHI_SILENT: f64 = 8.0;
 const SILENT_LEAST: Span = Span::millis(400);
-const BAD_SHARE: f64 = 0.35;
+const GAP_LEAST: f64 = 0.02;
+const BAD_LEAST: f64 = 0.35;
 const BAD_OVER_PEERS: f64 = 2.5;
-const TRIALS_TO_CLOSE: u32 = 3;
-const REST_FIRST: Span = Span::millis(600);
+const TRIALS_TO_OPEN: u32 = 3;
+const REST_FIRST: Span = Span::millis(500);
 const REST_MOST: Span = Span::millis(4_000);
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.5;
 const COLD_BURST: f64 = 0.2;
-// Limits on what is in flight.
-const LIMIT_START: f64 = 24.0;
-const LIMIT_LEAST: f64 = 4.0;
+// Limits on what is in flight at a host, in transfers at full pace where sizes are listed.
+const LIMIT_START: f64 = 16.0;
+const LIMIT_A_TRANSFER: f64 = 2.5;
+const LIMIT_LEAST: f64 = 3.0;
 const SLOWER_BORNE: f64 = 2.5;
+const DENSE_ROOM: f64 = 1.5;
+// The gate for fills: how much longer fills wait than at best when it shuts and when it opens again.
+const GATE_START: f64 = 10.0;
+const GATE_SHUT: f64 = 4.0;
+const GATE_OPEN: f64 = 2.0;
+const FAILED_AS: f64 = 10.0;
 
 #[derive(Clone, Copy, Debug)]
 enum Due {
@@ -47,6 +57,14 @@
     Second,
 }
 
+/// What all fills of this dispatcher have in common: the parents' ways to the origin.
+#[derive(Debug, Default)]
+struct Gate {
+    shut: bool,
+    in_flight: u32,
+    wait: Gradient,
+}
+
 pub struct Brain {
     set: Settings,
     chance: Pcg64Mcg,
@@ -65,6 +83,7 @@
     waiting: VecDeque<VisitId>,
     ready: VecDeque<Decision>,
     further: Bucket,
+    gate: Gate,
 }
 
 impl Brain {
@@ -88,10 +107,12 @@
             waiting: VecDeque::new(),
             ready: VecDeque::new(),
             further: Bucket::default(),
+            gate: Gate::default(),
         };
+        brain.gate.wait.limit = GATE_START;
         brain.further.level = RETRY_BURST;
         brain.due.put(now + HALVING, Due::Halve);
-        brain.due.put(now + Span::millis(1_000), Due::Second);
+        brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
         brain
     }
@@ -106,17 +127,17 @@
             }
         }
         for entry in entries {
+            let started = entry.since.is_some();
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
-            let restarted = entry.since > host.entry.since;
-            host.entry = *entry;
-            if restarted {
-                // A process that started anew has lost what it held and what was known of it.
-                host.cold_since = entry.since;
-                host.breaker = Breaker::Closed;
-                host.bad = Mean::default();
-                host.cold = Bucket::default();
+            if started && entry.since > host.entry.since {
+                // A process that started anew has lost what it held, and what was known of it is void.
+                *host = Host { in_flight: host.in_flight, ..Host::new(*entry, now) };
             }
+            host.entry = *entry;
         }
+        let gone: Vec<HostId> =
+            self.hosts.values().filter(|h| h.entry.phase == Phase::Gone).map(|h| h.entry.host).collect();
+        gone.into_iter().for_each(|host| self.call_off(host));
     }
 
     pub fn arrived(&mut self, now: Time, visit: Visit) {
@@ -125,7 +146,8 @@
         if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
             seen.kilobytes.push(kb, 0.01);
         }
-        let open = Open { visit, hand_offs: 0, out: 0, popular, may_have_run: None, avoid: Vec::new() };
+        let open =
+            Open { visit, hand_offs: 0, out: 0, popular, looked: false, may_have_run: None, avoid: vec![] };
         self.visits.insert(visit.id, open);
         self.due.put(visit.hard_limit - ANSWER_MARGIN, Due::HardLimit(visit.id));
         self.waiting.push_back(visit.id);
@@ -151,8 +173,10 @@
         if !end.outcome.never_ran() && open.may_have_run.is_none_or(|(at, _)| sent.at < at) {
             open.may_have_run = Some((sent.at, sent.host));
         }
-        let blamed = if source_at_fault(&end) { sent.source } else { Some(sent.host) };
-        open.avoid.extend(blamed);
+        open.looked = end.outcome == Outcome::Miss && sent.source.is_none();
+        if !open.looked {
+            open.avoid.extend(if source_at_fault(&end) { sent.source } else { Some(sent.host) });
+        }
         if open.out == 0 {
             self.waiting.push_back(end.visit);
         }
@@ -243,7 +267,7 @@
         if open.out > 0 {
             return;
         }
-        let (visit, again) = (open.visit, open.hand_offs > 0);
+        let (visit, again) = (open.visit, open.hand_offs > 0 && !open.looked);
         let late = now + ANSWER_MARGIN >= visit.hard_limit;
         let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.further.take(1.0));
         if late || used_up || !self.may_go_again(now, id) {
@@ -301,7 +325,7 @@
         };
         self.finish(id);
         self.ready.push_back(if harmless {
-            let come_back = Span::millis(200 + self.chance.gen_range(0..300));
+            let come_back = COME_BACK.times(self.chance.gen_range(1.0..2.0));
             Decision::TurnBack { visit: id, come_back: come_back.min(self.set.come_back_most) }
         } else {
             Decision::WriteOff { visit: id }
@@ -322,45 +346,51 @@
     /// dispatcher's own second one; filled from the parent hashed over all listed ones.
     fn choose(&mut self, now: Time, id: VisitId) -> Option<(HostId, Option<Fill>)> {
         let open = self.visits.get(&id)?;
-        let (visit, popular) = (open.visit, open.popular);
+        let (visit, popular, looked) = (open.visit, open.popular, open.looked);
         let fits = |host: &HostId| !open.avoid.contains(host) && self.same_group(open, *host);
-        let mut caches: Vec<HostId> = self.by_hash(visit.object, |h| self.is_cache(h));
-        if popular {
-            let second = self.own_cache();
-            let busy = |id: &HostId| {
-                self.hosts.get(id).map_or(f64::MAX, |h| f64::from(h.in_flight) / h.weight(&self.set))
-            };
-            if let (Some(second), Some(first)) = (second, caches.first().copied()) {
-                if second != first && busy(&second) < busy(&first) {
-                    caches.retain(|host| *host != second);
-                    caches.insert(0, second);
-                }
+        let mut caches = self.by_hash(visit.object, |h| self.is_cache(h));
+        if let (true, Some(second), Some(first)) = (popular, self.own_cache(), caches.first()) {
+            if self.busy(second) < self.busy(*first) {
+                caches.retain(|host| *host != second);
+                caches.insert(0, second);
             }
         }
         caches.retain(fits);
-        let mut sources: Vec<HostId> = self.by_hash(visit.object, |h| self.is_parent(h));
+        let mut sources = self.by_hash(visit.object, |h| self.is_parent(h));
         sources.retain(fits);
-        let origins: Vec<HostId> = self.by_hash(visit.object, |h| self.is_origin(h));
-        let origin = origins.into_iter().find(|host| fits(host));
-        let oldest = self.oldest(now, &visit);
+        let origin = self.by_hash(visit.object, |h| self.is_origin(h)).into_iter().find(fits);
+        sources.extend(origin);
         let work = self.sending(visit.band);
+        let shut = self.gate.shut;
+        let through = !shut || looked && f64::from(self.gate.in_flight) < self.gate.wait.limit;
+        let source = if through { self.first_able(now, &sources, work) } else { None };
+        if shut && looked && source.is_none() {
+            return None;
+        }
         let rank = if popular { TOP_RANK } else { LOWEST_RANK };
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
-        let join = self.set.joins;
-        let source = self.first_open(now, &sources, work).or(origin.filter(|o| self.takes(now, *o, work)));
-        if let Some(cache) = self.first_open(now, &caches, work) {
-            // With no source in reach a cache may still hold the object; it is asked without a fill.
+        let (oldest, join) = (self.oldest(now, &visit), self.set.joins);
+        caches.retain(|cache| self.able(now, *cache, work));
+        if !caches.is_empty() {
+            let room = if self.is_dense(visit.band) { DENSE_ROOM } else { 1.0 };
+            let cache = caches.into_iter().find(|cache| self.busy(*cache) < room)?;
             let source = source.unwrap_or(cache);
             return Some((cache, Some(Fill { source, rank, oldest, join, renew })));
         }
-        if !self.set.direct {
-            return None;
-        }
-        let host = source?;
+        let host = source.filter(|_| self.set.direct)?;
         let behind = origin.unwrap_or(host);
         Some((host, Some(Fill { source: behind, rank: 0, oldest, join, renew: false })))
     }
 
+    /// Whether a band earns more for its work than bands do on average: it is shed last.
+    fn is_dense(&self, id: BandId) -> bool {
+        let density = |id: BandId| self.band(id).map_or(0.0, |b| b.earnings / self.sending(id).max(0.001));
+        let kept = (0..self.set.bands.len()).map(|n| BandId(n as u8));
+        let kept: Vec<f64> =
+            kept.filter(|id| !self.band(*id).is_some_and(|b| b.writes)).map(density).collect();
+        density(id) * kept.len() as f64 >= kept.iter().sum()
+    }
+
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, id: VisitId) -> Option<(HostId, Option<Fill>)> {
         let object = self.visits.get(&id)?.visit.object;
@@ -371,39 +401,40 @@
         let open = self.visits.get(&id)?;
         let mut caches = self.by_hash(object, |h| self.is_cache(h));
         caches.retain(|host| !open.avoid.contains(host) && self.same_group(open, *host));
-        let cache = self.first_open(now, &caches, self.sending(self.visits.get(&id)?.visit.band))?;
+        let cache = self.first_able(now, &caches, self.sending(open.visit.band))?;
         Some((cache, Some(Fill { source: origin, rank: 0, oldest: Span::ZERO, join: false, renew: false })))
     }
 
     fn hand_off(&mut self, now: Time, id: VisitId, host: HostId, fill: Option<Fill>) {
+        let gated = self.gate.shut;
         let Some(open) = self.visits.get_mut(&id) else {
             return;
         };
         let number = HandOffNo(open.hand_offs);
         open.hand_offs += 1;
         open.out += 1;
-        let (band, until) = (open.visit.band, open.visit.hard_limit - ANSWER_MARGIN);
+        open.looked = false;
+        let (band, object, until) =
+            (open.visit.band, open.visit.object, open.visit.hard_limit - ANSWER_MARGIN);
         let work = self.sending(band);
         let source = fill.map(|fill| fill.source).filter(|source| *source != host);
         for part in [Some(host), source].into_iter().flatten() {
-            let multiple = self.cold_rules(part);
             if let Some(known) = self.hosts.get_mut(&part) {
-                if known.is_cold(now, multiple.ramp) {
-                    known.cold.level -= work;
+                known.cold.level -= work;
+                if let Some(shut) = &mut known.shut {
+                    shut.next_trial = now + shut.rest;
                 }
             }
         }
-        let mut trial = false;
         if let Some(known) = self.hosts.get_mut(&host) {
             if known.in_flight == 0 {
                 known.waiting_since = now;
             }
             known.in_flight += 1;
-            if let Breaker::Trial { out, .. } = &mut known.breaker {
-                (*out, trial) = (true, true);
-            }
         }
-        self.sent.insert((id, number), Sent { at: now, host, source, band, work, trial });
+        let gated = gated && source.is_some();
+        self.gate.in_flight += u32::from(gated);
+        self.sent.insert((id, number), Sent { at: now, host, source, band, object, gated });
         self.ready.push_back(Decision::HandOff { visit: id, host, until, fill });
     }
 
@@ -442,8 +473,8 @@
 
     /// The listed ready hosts of one sort in the rendezvous order of an object.
     fn by_hash(&self, object: ObjectId, sort: impl Fn(&Host) -> bool) -> Vec<HostId> {
-        let listed = self.hosts.values().filter(|h| h.entry.phase == Phase::Ready && sort(h));
-        let value = |h: &Host| rendezvous(object, h.entry.host, h.weight(&self.set));
+        let listed = self.hosts.values().filter(|h| h.is_ready() && sort(h));
+        let value = |h: &Host| rendezvous(object, h.entry.host, self.hash_weight(h));
         let mut order: Vec<(f64, HostId)> = listed.map(|h| (value(h), h.entry.host)).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, host)| host).collect()
@@ -451,40 +482,44 @@
 
     /// The second cache of popular objects, by the dispatcher's own number.
     fn own_cache(&self) -> Option<HostId> {
-        let caches: Vec<&Host> =
-            self.hosts.values().filter(|h| h.entry.phase == Phase::Ready && self.is_cache(h)).collect();
+        let caches: Vec<&Host> = self.hosts.values().filter(|h| h.is_ready() && self.is_cache(h)).collect();
         let place = (self.set.me as usize).checked_rem(caches.len())?;
         caches.get(place).map(|h| h.entry.host)
     }
 
-    fn first_open(&mut self, now: Time, order: &[HostId], work: f64) -> Option<HostId> {
-        order.iter().copied().find(|host| self.takes(now, *host, work))
+    fn first_able(&mut self, now: Time, order: &[HostId], work: f64) -> Option<HostId> {
+        order.iter().copied().find(|host| self.able(now, *host, work))
     }
 
-    /// Whether a host is fit for one more visit now; else it is stepped over for this visit only.
-    fn takes(&mut self, now: Time, id: HostId, work: f64) -> bool {
+    /// Whether a host may be sent one more visit now: not shut, and within its budget while it is cold.
+    /// Else it is stepped over for this visit only.
+    fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
         let rules = self.cold_rules(id);
         let rate = self.cold_rate(now, id);
         let Some(host) = self.hosts.get_mut(&id) else {
             return false;
         };
-        if let Breaker::Open { until, rest } = host.breaker {
-            if now >= until {
-                host.breaker = Breaker::Trial { passed: 0, out: false, rest };
-            }
-        }
-        let breaker = match host.breaker {
-            Breaker::Closed => true,
-            Breaker::Open { .. } => false,
-            Breaker::Trial { out, .. } => !out,
-        };
         if host.is_cold(now, rules.ramp) {
             host.cold.refill(now, rate, rate * rules.window.as_seconds() * COLD_BURST);
             if host.cold.level < work {
                 return false;
             }
         }
-        breaker && f64::from(host.in_flight) < host.limit
+        host.shut.is_none_or(|shut| now >= shut.next_trial)
+    }
+
+    /// What this dispatcher has in flight at a host, as a share of its limit there.
+    fn busy(&self, id: HostId) -> f64 {
+        self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
+    }
+
+    fn limit(&self, host: &Host) -> f64 {
+        if host.load.limit > 0.0 {
+            return host.load.limit;
+        }
+        let senders = f64::from(self.set.location_dispatchers);
+        let listed = LIMIT_A_TRANSFER * host.entry.weight / senders;
+        (if self.set.weights_told { listed } else { LIMIT_START / senders }).max(LIMIT_LEAST)
     }
 
     fn cold_rules(&self, id: HostId) -> ColdStart {
@@ -502,7 +537,7 @@
         let Some(host) = self.hosts.get(&id) else {
             return 0.0;
         };
-        let Some(since) = host.cold_since else {
+        let Some(since) = host.entry.since else {
             return f64::INFINITY;
         };
         let rules = self.cold_rules(id);
@@ -519,7 +554,7 @@
         }
         let parent = self.is_parent(host);
         let links: f64 = self.set.links.iter().sum();
-        let ready = self.hosts.values().filter(|h| h.entry.phase == Phase::Ready);
+        let ready = self.hosts.values().filter(|h| h.is_ready());
         if parent && links > 0.0 && self.set.pace > 0.0 {
             let parents = ready.filter(|h| self.is_parent(h)).count();
             return links / self.set.pace / parents.max(1) as f64;
@@ -529,7 +564,15 @@
         (carried * f64::from(self.set.location_dispatchers)).max(1.0)
     }
 
-    fn band(&self, id: BandId) -> Option<&crate::settings::Band> {
+    fn hash_weight(&self, host: &Host) -> f64 {
+        if self.set.weights_steady && host.entry.weight > 0.0 {
+            host.entry.weight
+        } else {
+            1.0
+        }
+    }
+
+    fn band(&self, id: BandId) -> Option<&Band> {
         self.set.bands.get(usize::from(id.0))
     }
 
@@ -549,115 +592,147 @@
 
     fn learn(&mut self, now: Time, sent: &Sent, end: &Ended) {
         use Outcome::*;
-        let answered = matches!(end.outcome, Settled | Error | Full | Miss);
+        let host_answered = matches!(end.outcome, Settled | Error | Full | Miss);
         let failed = matches!(end.outcome, Error | TimedOut | ConnectFailed | Reset);
-        if end.outcome == Settled && end.note != Note::Filled && end.note != Note::FilledByOrigin {
+        let called_off = matches!(end.outcome, Cancelled | Moot);
+        let by_source = source_at_fault(end);
+        let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin | Note::Joined);
+        let took = end.took.as_seconds();
+        self.gate.in_flight -= u32::from(sent.gated);
+        self.learn_of_fills(sent, end);
+        let mut slower = None;
+        if end.outcome == Settled && !filled {
             if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
-                seen.sending.push(end.took.as_seconds(), 0.02);
+                seen.sending.push(took, 0.02);
             }
-        }
-        let by_source = source_at_fault(end);
-        if let Some(source) = sent.source.and_then(|source| self.hosts.get_mut(&source)) {
-            let untold = failed && end.note == Note::Untold;
-            source.bad.push(f64::from(by_source || untold), 0.08);
-        }
-        let sending = self.sending(sent.band);
-        let Some(host) = self.hosts.get_mut(&sent.host) else {
-            return;
-        };
-        host.in_flight = host.in_flight.saturating_sub(1);
-        if matches!(end.outcome, Cancelled | Moot) {
-            if let (Breaker::Trial { out, .. }, true) = (&mut host.breaker, sent.trial) {
-                *out = false;
+            if let Some(asked) = self.asked.get_mut(&sent.object) {
+                let shortest = asked.shortest.map_or(end.took, |s| s.min(end.took));
+                slower = asked.shortest.map(|_| took / shortest.as_seconds().max(0.001));
+                asked.shortest = Some(shortest);
             }
-            return;
         }
-        if answered {
-            host.gap.push((now - host.heard.max(host.waiting_since)).as_seconds(), 0.05);
-            host.heard = now;
-        }
-        let at_fault = failed && !by_source;
-        host.bad.push(f64::from(at_fault), 0.12);
-        if end.outcome == Settled {
-            host.settled_work += sending;
-            host.follow(end.took.as_seconds() / sending.max(0.001));
-        }
-        match &mut host.breaker {
-            Breaker::Trial { passed, out, rest } if sent.trial => {
-                *out = false;
-                *passed += 1;
-                if at_fault {
-                    let rest = (*rest + *rest).min(REST_MOST);
-                    host.breaker = Breaker::Open { until: now + rest, rest };
-                } else if *passed >= TRIALS_TO_CLOSE {
-                    host.breaker = Breaker::Closed;
-                    host.bad = Mean::default();
-                    self.log(format!("host {:x} back after {TRIALS_TO_CLOSE} good trials", sent.host.0));
-                }
+        let work = self.sending(sent.band);
+        let limit = self.hosts.get(&sent.host).map_or(LIMIT_LEAST, |h| self.limit(h));
+        if let Some(host) = self.hosts.get_mut(&sent.host) {
+            host.in_flight = host.in_flight.saturating_sub(1);
+            if host_answered {
+                host.gap.push(host.silence(now).as_seconds(), 0.05);
+                host.heard = now;
             }
-            Breaker::Closed => {
-                let gone = matches!(end.outcome, ConnectFailed | Reset);
-                self.judge(now, sent.host, gone);
-                if let (true, Some(source)) = (by_source || failed, sent.source) {
-                    self.judge(now, source, false);
-                }
+            if end.outcome == Settled {
+                host.settled_work += work;
+            }
+            if let Some(slower) = slower {
+                follow(&mut host.load, slower, f64::from(host.in_flight), limit);
             }
-            _ => {}
         }
-    }
-
-    /// Opens a host's breaker when it fails far more often than its peers. Guards against fast errors,
-    /// closed ports and broken paths to one host. When most peers fail alike the common part behind them
-    /// is at fault, and the plain hash goes on.
-    fn judge(&mut self, now: Time, id: HostId, gone: bool) {
-        let Some(host) = self.hosts.get(&id) else {
+        if called_off {
             return;
+        }
+        let untold = failed && end.note == Note::Untold;
+        self.judge(now, sent.host, failed && !by_source, 0.12);
+        if let Some(source) = sent.source {
+            self.judge(now, source, by_source || untold, 0.08);
+        }
+    }
+
+    /// Guards against an origin that is slow, full or fallen, and against crowded fill places: when fills
+    /// wait much longer than at best, or fail, the gate shuts. Then a cache is first asked without a fill,
+    /// and only so many fills are out at a time, by the gradient. Serves any jam behind the caches; it
+    /// costs a short hand-off a miss while it is shut.
+    fn learn_of_fills(&mut self, sent: &Sent, end: &Ended) {
+        use Note::*;
+        let wait = end.fill_wait.map(Span::as_seconds);
+        let best = self.gate.wait.shortest.unwrap_or(0.0).exp();
+        let jammed = matches!(end.note, SourceUnreached | NoPlace | OriginFailed);
+        let lost = sent.source.is_some() && end.outcome == Outcome::TimedOut;
+        let wait = match (wait, end.note) {
+            _ if jammed || lost => FAILED_AS * best,
+            (Some(wait), FilledByOrigin) => wait,
+            _ => return,
         };
-        let enough = host.bad.seen >= 4 || gone;
+        let gate = &mut self.gate;
+        gate.wait.push(wait, 0.05, 10, 0.0002);
+        let limit = gate.wait.limit;
+        follow_limit(&mut gate.wait, f64::from(gate.in_flight), limit, GATE_OPEN);
+        let (slower, was) = (gate.wait.slower(), gate.shut);
+        gate.shut = if was { slower > GATE_OPEN } else { slower > GATE_SHUT };
+        if gate.shut != was {
+            let word = if was { "opens" } else { "shuts" };
+            let line =
+                format!("gate for fills {word}: waits {slower:.1} x the best, limit {:.0}", gate.wait.limit);
+            self.log(line);
+        }
+    }
+
+    /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
+    /// trials. Guards against fast errors, closed ports and broken paths to one host. When most peers fail
+    /// alike the part behind them is at fault, or this dispatcher's own view, and the plain hash goes on.
+    fn judge(&mut self, now: Time, id: HostId, failed: bool, weight: f64) {
         let peers: Vec<f64> = self.peers(id).map(|h| h.bad.value).collect();
         let peers_bad = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
-        if enough && host.bad.value > BAD_SHARE && host.bad.value > BAD_OVER_PEERS * peers_bad {
-            let why = format!("failing {:.2}, peers {:.2}", host.bad.value, peers_bad);
-            self.open(now, id, why);
+        let Some(host) = self.hosts.get_mut(&id) else {
+            return;
+        };
+        host.bad.push(f64::from(failed), weight);
+        let bad = host.bad.value;
+        if let Some(shut) = &mut host.shut {
+            shut.passed = if failed { 0 } else { shut.passed + 1 };
+            shut.rest = if failed { (shut.rest + shut.rest).min(REST_MOST) } else { REST_FIRST };
+            if shut.passed >= TRIALS_TO_OPEN {
+                host.shut = None;
+                host.bad = Mean::default();
+                self.log(format!("host {:x} back after {TRIALS_TO_OPEN} good trials", id.0));
+            }
+        } else if failed && host.bad.seen >= 4 && bad > BAD_LEAST && bad > BAD_OVER_PEERS * peers_bad {
+            self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
         }
     }
 
     fn peers(&self, id: HostId) -> impl Iterator<Item = &Host> {
         let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
         let alike = move |h: &Host| if parent { self.is_parent(h) } else { self.is_cache(h) };
-        self.hosts.values().filter(move |h| h.entry.host != id && h.entry.phase == Phase::Ready && alike(h))
+        self.hosts.values().filter(move |h| h.entry.host != id && h.is_ready() && alike(h))
     }
 
-    fn open(&mut self, now: Time, id: HostId, why: String) {
-        let (all, shut) = self
-            .peers(id)
-            .fold((1, 1), |(all, shut), h| (all + 1, shut + u32::from(h.breaker != Breaker::Closed)));
-        if all > 1 && shut * 2 > all {
+    /// Never more than half of a sort of hosts are shut out.
+    fn shut_out(&mut self, now: Time, id: HostId, why: String) {
+        let shut = self.peers(id).filter(|h| h.shut.is_some()).count() + 1;
+        let all = self.peers(id).count() + 1;
+        let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else {
             return;
+        };
+        if all == 1 || shut * 2 <= all {
+            host.shut = Some(Shut { next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
+            self.log(format!("host {:x} shut out: {why}", id.0));
+            self.call_off(id);
         }
-        if let Some(host) = self.hosts.get_mut(&id) {
-            host.breaker = Breaker::Open { until: now + REST_FIRST, rest: REST_FIRST };
-            self.log(format!("host {:x} shut: {why}", id.0));
+    }
+
+    /// Calls off what is out at a host that is not expected to answer, where a repeat does no harm.
+    fn call_off(&mut self, id: HostId) {
+        if !self.set.cancel {
+            return;
         }
+        let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Effect::Idempotent);
+        let out = self.sent.iter().filter(|(_, sent)| sent.host == id && harmless(sent.band));
+        let out: Vec<Decision> =
+            out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }).collect();
+        self.ready.extend(out);
     }
 
     /// Phi accrual: a host is silent when its present silence is very unlikely given the gaps before.
     fn watch_silence(&mut self, now: Time) {
+        let phi =
+            |h: &Host| h.silence(now).as_seconds() / h.gap.or(1.0).max(GAP_LEAST) * std::f64::consts::LOG10_E;
         let silent = |h: &&Host| {
-            let silence = now - h.heard.max(h.waiting_since);
-            let mean = h.gap.or(1.0).max(0.02);
-            let phi = silence.as_seconds() / mean * std::f64::consts::LOG10_E;
-            h.in_flight > 0 && h.breaker == Breaker::Closed && phi > PHI_SILENT && silence > SILENT_LEAST
+            let waits = h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
+            waits && phi(h) > PHI_SILENT && !self.is_origin(h)
         };
-        let found: Vec<HostId> = self.hosts.values().filter(silent).map(|h| h.entry.host).collect();
-        for id in found {
-            self.open(now, id, "silent".to_string());
-            let shut = self.hosts.get(&id).is_some_and(|h| h.breaker != Breaker::Closed);
-            if shut && self.set.cancel {
-                let out = self.sent.iter().filter(|(_, sent)| sent.host == id);
-                let calls_off = out.map(|(&(visit, number), _)| Decision::Cancel { visit, number });
-                self.ready.extend(calls_off);
-            }
+        let found: Vec<(HostId, f64)> =
+            self.hosts.values().filter(silent).map(|h| (h.entry.host, phi(h))).collect();
+        for (id, phi) in found {
+            self.shut_out(now, id, format!("silent, phi {phi:.1}"));
         }
     }
 
@@ -669,7 +744,7 @@
             host.carried.push(host.settled_work, 0.2);
             host.settled_work = 0.0;
         }
-        self.due.put(now + Span::millis(1_000), Due::Second);
+        self.due.put(now + SECOND, Due::Second);
     }
 
     fn log(&mut self, line: String) {
@@ -677,49 +752,17 @@
     }
 }
 
-impl Host {
-    fn new(entry: Listing, now: Time) -> Host {
-        Host {
-            entry,
-            in_flight: 0,
-            heard: now,
-            waiting_since: now,
-            gap: Mean::default(),
-            bad: Mean::default(),
-            breaker: Breaker::Closed,
-            cold_since: entry.since,
-            cold: Bucket::default(),
-            carried: Mean::default(),
-            settled_work: 0.0,
-            limit: LIMIT_START,
-            slowness: Mean::default(),
-            slowness_best: f64::MAX,
-        }
-    }
-
-    fn weight(&self, set: &Settings) -> f64 {
-        if set.weights_steady && self.entry.weight > 0.0 {
-            f64::from(self.entry.weight as f32)
-        } else {
-            1.0
-        }
-    }
-
-    fn is_cold(&self, now: Time, ramp: Span) -> bool {
-        self.cold_since.is_some_and(|since| now < since + ramp)
-    }
+/// The gradient: a limit follows shortest answer time / present one.
+fn follow(load: &mut Gradient, slower: f64, in_flight: f64, limit: f64) {
+    load.push(slower, 0.05, 10, 0.0002);
+    follow_limit(load, in_flight, limit, SLOWER_BORNE);
+}
 
-    /// The gradient: the limit follows shortest answer time / present one, both against the band's mean.
-    fn follow(&mut self, slowness: f64) {
-        self.slowness.push(slowness, 0.05);
-        if self.slowness.seen >= 20 {
-            self.slowness_best = (self.slowness_best * 1.0005).min(self.slowness.value);
-        }
-        let gradient = (SLOWER_BORNE * self.slowness_best / self.slowness.value).clamp(0.5, 1.0);
-        if gradient < 1.0 || f64::from(self.in_flight) > self.limit / 2.0 {
-            let wanted = gradient * self.limit + self.limit.sqrt();
-            self.limit = (self.limit + 0.1 * (wanted - self.limit)).max(LIMIT_LEAST);
-        }
+fn follow_limit(load: &mut Gradient, in_flight: f64, limit: f64, borne: f64) {
+    let gradient = (borne / load.slower()).clamp(0.5, 1.0);
+    if gradient < 1.0 || in_flight > limit / 2.0 {
+        let wanted = gradient * limit + limit.sqrt();
+        load.limit = (limit + 0.05 * (wanted - limit)).max(LIMIT_LEAST);
     }
 }
 
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -74,6 +74,8 @@
     pub outcome: Outcome,
     pub note: Note,
     pub took: Span,
+    /// Time to the source's first byte or to the fill's failure, where it is told.
+    pub fill_wait: Option<Span>,
     pub last: bool,
 }
 
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -49,6 +49,29 @@
     }
 }
 
+/// How slow answers are now against their best, as means of logarithms, and the limit that follows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gradient {
+    pub limit: f64,
+    pub present: Mean,
+    pub shortest: Option<f64>,
+}
+
+impl Gradient {
+    pub fn push(&mut self, x: f64, weight: f64, after: u32, drift: f64) {
+        self.present.push(x.max(1e-6).ln(), weight);
+        if self.present.seen >= after {
+            let best = self.shortest.map_or(f64::MAX, |best| best + drift);
+            self.shortest = Some(best.min(self.present.value));
+        }
+    }
+
+    /// How many times slower than at best.
+    pub fn slower(&self) -> f64 {
+        self.shortest.map_or(1.0, |best| (self.present.value - best).exp())
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Bucket {
     pub level: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,14 +1,15 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
-use crate::calls::{Listing, Visit};
-use crate::containers::{Bucket, Mean};
-use crate::ids::{BandId, HostId};
+use crate::calls::{Listing, Phase, Visit};
+use crate::containers::{Bucket, Gradient, Mean};
+use crate::ids::{BandId, HostId, ObjectId};
 use crate::time::{Span, Time};
 
+/// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Breaker {
-    Closed,
-    Open { until: Time, rest: Span },
-    Trial { passed: u32, out: bool, rest: Span },
+pub struct Shut {
+    pub next_trial: Time,
+    pub rest: Span,
+    pub passed: u32,
 }
 
 #[derive(Debug)]
@@ -19,15 +20,41 @@
     pub waiting_since: Time,
     pub gap: Mean,
     pub bad: Mean,
-    pub breaker: Breaker,
-    /// When it last began cold: as listed, or as seen when it came back from silence or closed ports.
-    pub cold_since: Option<Time>,
+    pub shut: Option<Shut>,
     pub cold: Bucket,
     pub carried: Mean,
     pub settled_work: f64,
-    pub limit: f64,
-    pub slowness: Mean,
-    pub slowness_best: f64,
+    pub load: Gradient,
+}
+
+impl Host {
+    pub fn new(entry: Listing, now: Time) -> Host {
+        Host {
+            entry,
+            in_flight: 0,
+            heard: now,
+            waiting_since: now,
+            gap: Mean::default(),
+            bad: Mean::default(),
+            shut: None,
+            cold: Bucket::default(),
+            carried: Mean::default(),
+            settled_work: 0.0,
+            load: Gradient::default(),
+        }
+    }
+
+    pub fn is_cold(&self, now: Time, ramp: Span) -> bool {
+        self.entry.since.is_some_and(|since| now < since + ramp)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.entry.phase == Phase::Ready
+    }
+
+    pub fn silence(&self, now: Time) -> Span {
+        now - self.heard.max(self.waiting_since)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -37,6 +64,8 @@
     pub parts: u64,
     pub bytes: f64,
     pub admitted: bool,
+    /// The shortest answer time of a part found at a cache.
+    pub shortest: Option<Span>,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +80,8 @@
     pub hand_offs: u8,
     pub out: u32,
     pub popular: bool,
+    /// The last hand-off only looked, and the cache lacks the object.
+    pub looked: bool,
     /// The first hand-off that may have run: when it was sent and where to.
     pub may_have_run: Option<(Time, HostId)>,
     pub avoid: Vec<HostId>,
@@ -62,6 +93,6 @@
     pub host: HostId,
     pub source: Option<HostId>,
     pub band: BandId,
-    pub work: f64,
-    pub trial: bool,
+    pub object: ObjectId,
+    pub gated: bool,
 }
