--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,10 @@
 const GATE_SHUT: f64 = 4.0;
 const GATE_OPEN: f64 = 2.0;
 const FAILED_AS: f64 = 10.0;
+// Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
+// answer that may have been a hit says of the source.
+const AT_ONCE: Span = Span::millis(60);
+const MAYBE_HIT: f64 = 0.3;
 
 #[derive(Clone, Copy, Debug)]
 enum Due {
@@ -175,7 +179,8 @@
         }
         open.looked = end.outcome == Outcome::Miss && sent.source.is_none();
         if !open.looked {
-            open.avoid.extend(if source_at_fault(&end) { sent.source } else { Some(sent.host) });
+            let source = sent.source.filter(|_| source_at_fault(&end));
+            open.avoid.push(source.unwrap_or(sent.host));
         }
         if open.out == 0 {
             self.waiting.push_back(end.visit);
@@ -629,10 +634,18 @@
         if called_off {
             return;
         }
-        let untold = failed && end.note == Note::Untold;
         self.judge(now, sent.host, failed && !by_source, 0.12);
         if let Some(source) = sent.source {
-            self.judge(now, source, by_source || untold, 0.08);
+            let untold = end.note == Note::Untold;
+            let sure = filled || sent.gated || by_source;
+            let weight = if sure {
+                0.1
+            } else if untold {
+                0.1 * MAYBE_HIT
+            } else {
+                0.0
+            };
+            self.judge(now, source, by_source || failed && untold, weight);
         }
     }
 
@@ -642,17 +655,24 @@
     /// costs a short hand-off a miss while it is shut.
     fn learn_of_fills(&mut self, sent: &Sent, end: &Ended) {
         use Note::*;
-        let wait = end.fill_wait.map(Span::as_seconds);
+        let Some(source) = sent.source else {
+            return;
+        };
         let best = self.gate.wait.shortest.unwrap_or(0.0).exp();
-        let jammed = matches!(end.note, SourceUnreached | NoPlace | OriginFailed);
-        let lost = sent.source.is_some() && end.outcome == Outcome::TimedOut;
-        let wait = match (wait, end.note) {
-            _ if jammed || lost => FAILED_AS * best,
-            (Some(wait), FilledByOrigin) => wait,
+        // One source that fails alone is the breaker's matter.
+        let peers = self.peers(source).map(|h| h.bad.value).fold(0.0, f64::max);
+        let alone = self.hosts.get(&source).is_some_and(|h| h.bad.value > BAD_OVER_PEERS * peers);
+        let failed = source_at_fault(end) || end.outcome == Outcome::TimedOut;
+        let settled = end.outcome == Outcome::Settled;
+        let (wait, weight) = match (end.fill_wait, end.note) {
+            (_, NoPlace | OriginFailed) => (FAILED_AS * best, 0.05),
+            _ if failed && !alone => (FAILED_AS * best, 0.05),
+            (Some(wait), FilledByOrigin) => (wait.as_seconds(), 0.05),
+            (_, Untold) if settled => (best, 0.05 * if sent.gated { 1.0 } else { MAYBE_HIT }),
             _ => return,
         };
         let gate = &mut self.gate;
-        gate.wait.push(wait, 0.05, 10, 0.0002);
+        gate.wait.push(wait, weight, 10, 0.0002);
         let limit = gate.wait.limit;
         follow_limit(&mut gate.wait, f64::from(gate.in_flight), limit, GATE_OPEN);
         let (slower, was) = (gate.wait.slower(), gate.shut);
@@ -695,14 +715,15 @@
         self.hosts.values().filter(move |h| h.entry.host != id && h.is_ready() && alike(h))
     }
 
-    /// Never more than half of a sort of hosts are shut out.
+    /// Never more than half of the caches are shut out. Parents may all be, since the origin stands in.
     fn shut_out(&mut self, now: Time, id: HostId, why: String) {
         let shut = self.peers(id).filter(|h| h.shut.is_some()).count() + 1;
         let all = self.peers(id).count() + 1;
+        let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
         let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else {
             return;
         };
-        if all == 1 || shut * 2 <= all {
+        if parent || all == 1 || shut * 2 <= all {
             host.shut = Some(Shut { next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
             self.log(format!("host {:x} shut out: {why}", id.0));
             self.call_off(id);
@@ -766,8 +787,10 @@
     }
 }
 
-/// Whether the notes lay a failure on the source of the fill rather than on the host that was asked.
+/// Whether a failure lies with the source of the fill rather than with the host that was asked: by the
+/// notes, and without them by the time that a turn-away took.
 fn source_at_fault(end: &Ended) -> bool {
     use Note::*;
-    matches!(end.note, SourceRefused | SourceUnreached | SourceLacks | OriginFailed)
+    let late = end.outcome == Outcome::Full && end.note == Untold && end.took > AT_ONCE;
+    late || matches!(end.note, SourceRefused | SourceUnreached | SourceLacks | OriginFailed)
 }
