--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,7 +44,10 @@
 const LIMIT_LEAST: f64 = 3.0;
 const SLOWER_BORNE: f64 = 2.5;
 const DENSE_ROOM: f64 = 1.5;
-// The gate for fills: how much longer fills wait than at best when it shuts and when it opens again.
+// Fills: how many likely ones may be out at a parent for each of its transfers; for all together, how
+// much longer they wait than at best when the gate shuts and when it opens again.
+const FILLS_A_TRANSFER: f64 = 1.5;
+const MISSES_START: f64 = 0.5;
 const GATE_START: f64 = 10.0;
 const GATE_SHUT: f64 = 4.0;
 const GATE_OPEN: f64 = 2.0;
@@ -61,7 +64,7 @@
     Second,
 }
 
-/// What all fills of this dispatcher have in common: the parents' ways to the origin.
+/// What all fills of this dispatcher have in common: the ways to the origin.
 #[derive(Debug, Default)]
 struct Gate {
     shut: bool,
@@ -113,8 +116,8 @@
             further: Bucket::default(),
             gate: Gate::default(),
         };
-        brain.gate.wait.limit = GATE_START;
         brain.further.level = RETRY_BURST;
+        brain.gate.wait.limit = GATE_START;
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
@@ -366,10 +369,13 @@
         let origin = self.by_hash(visit.object, |h| self.is_origin(h)).into_iter().find(fits);
         sources.extend(origin);
         let work = self.sending(visit.band);
-        let shut = self.gate.shut;
-        let through = !shut || looked && f64::from(self.gate.in_flight) < self.gate.wait.limit;
-        let source = if through { self.first_able(now, &sources, work) } else { None };
-        if shut && looked && source.is_none() {
+        // Guards against any jam behind the caches (a slow, full or fallen origin, crowded parents, no
+        // places for fills): while the gate is shut a cache is first asked without a fill, so that hits
+        // go on, and only misses wait for a place. Costs a short hand-off a miss while it lasts.
+        let through = !self.gate.shut || looked && f64::from(self.gate.in_flight) < self.gate.wait.limit;
+        sources.retain(|s| through && self.has_room(*s));
+        let source = self.first_able(now, &sources, work);
+        if looked && source.is_none() {
             return None;
         }
         let rank = if popular { TOP_RANK } else { LOWEST_RANK };
@@ -411,10 +417,11 @@
     }
 
     fn hand_off(&mut self, now: Time, id: VisitId, host: HostId, fill: Option<Fill>) {
-        let gated = self.gate.shut;
+        let misses = self.hosts.get(&host).map_or(MISSES_START, |h| h.misses.or(MISSES_START));
         let Some(open) = self.visits.get_mut(&id) else {
             return;
         };
+        let sure = open.looked || fill.is_some_and(|fill| fill.rank == 0);
         let number = HandOffNo(open.hand_offs);
         open.hand_offs += 1;
         open.out += 1;
@@ -423,23 +430,33 @@
             (open.visit.band, open.visit.object, open.visit.hard_limit - ANSWER_MARGIN);
         let work = self.sending(band);
         let source = fill.map(|fill| fill.source).filter(|source| *source != host);
-        for part in [Some(host), source].into_iter().flatten() {
-            if let Some(known) = self.hosts.get_mut(&part) {
-                known.cold.level -= work;
+        let fill_share = if source.is_none() {
+            0.0
+        } else if sure {
+            1.0
+        } else {
+            misses
+        };
+        for (part, share) in [(Some(host), 1.0), (source, fill_share)] {
+            if let Some(known) = part.and_then(|part| self.hosts.get_mut(&part)) {
+                known.cold.level -= work * share;
                 if let Some(shut) = &mut known.shut {
                     shut.next_trial = now + shut.rest;
                 }
             }
         }
+        if let Some(source) = source.and_then(|source| self.hosts.get_mut(&source)) {
+            source.fills += fill_share;
+        }
         if let Some(known) = self.hosts.get_mut(&host) {
             if known.in_flight == 0 {
                 known.waiting_since = now;
             }
             known.in_flight += 1;
         }
-        let gated = gated && source.is_some();
+        let gated = self.gate.shut && source.is_some();
         self.gate.in_flight += u32::from(gated);
-        self.sent.insert((id, number), Sent { at: now, host, source, band, object, gated });
+        self.sent.insert((id, number), Sent { at: now, host, source, band, object, fill_share, gated });
         self.ready.push_back(Decision::HandOff { visit: id, host, until, fill });
     }
 
@@ -518,13 +535,23 @@
         self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
     }
 
+    /// Whether a source may be named for one more fill. Guards against parents crowded by refills; the
+    /// origin has no figure of its own, the gate guards it.
+    fn has_room(&self, id: HostId) -> bool {
+        let Some(host) = self.hosts.get(&id) else {
+            return false;
+        };
+        let most = FILLS_A_TRANSFER * self.capacity(host) / f64::from(self.set.dispatchers);
+        !self.is_parent(host) || host.fills < most.max(LIMIT_LEAST)
+    }
+
     fn limit(&self, host: &Host) -> f64 {
         if host.load.limit > 0.0 {
             return host.load.limit;
         }
-        let senders = f64::from(self.set.location_dispatchers);
-        let listed = LIMIT_A_TRANSFER * host.entry.weight / senders;
-        (if self.set.weights_told { listed } else { LIMIT_START / senders }).max(LIMIT_LEAST)
+        let listed = LIMIT_A_TRANSFER * host.entry.weight;
+        let whole = if self.set.weights_told { listed } else { LIMIT_START };
+        (whole / f64::from(self.set.location_dispatchers)).max(LIMIT_LEAST)
     }
 
     fn cold_rules(&self, id: HostId) -> ColdStart {
@@ -599,14 +626,12 @@
         use Outcome::*;
         let host_answered = matches!(end.outcome, Settled | Error | Full | Miss);
         let failed = matches!(end.outcome, Error | TimedOut | ConnectFailed | Reset);
-        let called_off = matches!(end.outcome, Cancelled | Moot);
-        let by_source = source_at_fault(end);
+        let settled = end.outcome == Settled;
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin | Note::Joined);
+        let untold = end.note == Note::Untold;
         let took = end.took.as_seconds();
-        self.gate.in_flight -= u32::from(sent.gated);
-        self.learn_of_fills(sent, end);
         let mut slower = None;
-        if end.outcome == Settled && !filled {
+        if settled && !filled {
             if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
                 seen.sending.push(took, 0.02);
             }
@@ -624,59 +649,64 @@
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
             }
-            if end.outcome == Settled {
+            if settled {
                 host.settled_work += work;
             }
+            if settled && !untold || end.outcome == Miss {
+                host.misses.push(f64::from(filled || end.outcome == Miss), 0.05);
+            }
             if let Some(slower) = slower {
-                follow(&mut host.load, slower, f64::from(host.in_flight), limit);
+                host.load.push(slower, 0.05, 10, 0.0002);
+                follow_limit(&mut host.load, f64::from(host.in_flight), limit, SLOWER_BORNE);
             }
         }
-        if called_off {
-            return;
+        self.learn_of_source(now, sent, end, filled);
+        if !matches!(end.outcome, Cancelled | Moot) {
+            self.judge(now, sent.at, sent.host, failed && !source_at_fault(end), 0.12);
         }
-        self.judge(now, sent.host, failed && !by_source, 0.12);
-        if let Some(source) = sent.source {
-            let untold = end.note == Note::Untold;
-            let sure = filled || sent.gated || by_source;
-            let weight = if sure {
-                0.1
-            } else if untold {
-                0.1 * MAYBE_HIT
-            } else {
-                0.0
-            };
-            self.judge(now, source, by_source || failed && untold, weight);
-        }
-    }
-
-    /// Guards against an origin that is slow, full or fallen, and against crowded fill places: when fills
-    /// wait much longer than at best, or fail, the gate shuts. Then a cache is first asked without a fill,
-    /// and only so many fills are out at a time, by the gradient. Serves any jam behind the caches; it
-    /// costs a short hand-off a miss while it is shut.
-    fn learn_of_fills(&mut self, sent: &Sent, end: &Ended) {
+    }
+
+    /// What an answer says of the source that was named, and of all fills: when they wait much longer than
+    /// at best, or fail, the gate shuts, and its limit follows the gradient.
+    fn learn_of_source(&mut self, now: Time, sent: &Sent, end: &Ended, filled: bool) {
         use Note::*;
-        let Some(source) = sent.source else {
+        self.gate.in_flight -= u32::from(sent.gated);
+        let work = self.sending(sent.band);
+        let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else {
             return;
         };
-        let best = self.gate.wait.shortest.unwrap_or(0.0).exp();
-        // One source that fails alone is the breaker's matter.
-        let peers = self.peers(source).map(|h| h.bad.value).fold(0.0, f64::max);
-        let alone = self.hosts.get(&source).is_some_and(|h| h.bad.value > BAD_OVER_PEERS * peers);
-        let failed = source_at_fault(end) || end.outcome == Outcome::TimedOut;
+        source.fills = (source.fills - sent.fill_share).max(0.0);
+        let (untold, by_source) = (end.note == Untold, source_at_fault(end));
         let settled = end.outcome == Outcome::Settled;
-        let (wait, weight) = match (end.fill_wait, end.note) {
-            (_, NoPlace | OriginFailed) => (FAILED_AS * best, 0.05),
-            _ if failed && !alone => (FAILED_AS * best, 0.05),
-            (Some(wait), FilledByOrigin) => (wait.as_seconds(), 0.05),
-            (_, Untold) if settled => (best, 0.05 * if sent.gated { 1.0 } else { MAYBE_HIT }),
+        let lost = matches!(end.outcome, Outcome::Error | Outcome::TimedOut) && untold;
+        if !untold {
+            source.cold.level -= (f64::from(filled || by_source) - sent.fill_share) * work;
+        }
+        let sure =
+            filled || by_source || sent.fill_share == 1.0 && !matches!(end.outcome, Outcome::Cancelled);
+        let weight = if sure { 0.1 } else { 0.1 * MAYBE_HIT };
+        let id = source.entry.host;
+        let bad = source.bad.value;
+        if sure || lost || settled && untold {
+            self.judge(now, sent.at, id, by_source || lost, weight);
+        }
+        // One source that fails alone is the breaker's matter.
+        let alone = bad > BAD_OVER_PEERS * self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
+        let best = self.gate.wait.shortest.unwrap_or(0.0).exp();
+        let wait = match (end.fill_wait, end.note) {
+            (_, NoPlace | OriginFailed) => FAILED_AS * best,
+            _ if (by_source || end.outcome == Outcome::TimedOut) && !alone => FAILED_AS * best,
+            (Some(wait), FilledByOrigin) => wait.as_seconds(),
+            (_, Untold) if settled => best,
             _ => return,
         };
         let gate = &mut self.gate;
+        let (limit, was) = (gate.wait.limit, gate.shut);
+        let weight = if untold && !sure { 0.05 * MAYBE_HIT } else { 0.05 };
         gate.wait.push(wait, weight, 10, 0.0002);
-        let limit = gate.wait.limit;
         follow_limit(&mut gate.wait, f64::from(gate.in_flight), limit, GATE_OPEN);
-        let (slower, was) = (gate.wait.slower(), gate.shut);
-        gate.shut = if was { slower > GATE_OPEN } else { slower > GATE_SHUT };
+        let slower = gate.wait.slower();
+        gate.shut = slower > if was { GATE_OPEN } else { GATE_SHUT };
         if gate.shut != was {
             let word = if was { "opens" } else { "shuts" };
             let line =
@@ -688,7 +718,7 @@
     /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
     /// trials. Guards against fast errors, closed ports and broken paths to one host. When most peers fail
     /// alike the part behind them is at fault, or this dispatcher's own view, and the plain hash goes on.
-    fn judge(&mut self, now: Time, id: HostId, failed: bool, weight: f64) {
+    fn judge(&mut self, now: Time, sent: Time, id: HostId, failed: bool, weight: f64) {
         let peers: Vec<f64> = self.peers(id).map(|h| h.bad.value).collect();
         let peers_bad = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
         let Some(host) = self.hosts.get_mut(&id) else {
@@ -697,6 +727,9 @@
         host.bad.push(f64::from(failed), weight);
         let bad = host.bad.value;
         if let Some(shut) = &mut host.shut {
+            if sent < shut.since {
+                return;
+            }
             shut.passed = if failed { 0 } else { shut.passed + 1 };
             shut.rest = if failed { (shut.rest + shut.rest).min(REST_MOST) } else { REST_FIRST };
             if shut.passed >= TRIALS_TO_OPEN {
@@ -724,7 +757,7 @@
             return;
         };
         if parent || all == 1 || shut * 2 <= all {
-            host.shut = Some(Shut { next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
+            host.shut = Some(Shut { since: now, next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
             self.log(format!("host {:x} shut out: {why}", id.0));
             self.call_off(id);
         }
@@ -774,11 +807,6 @@
 }
 
 /// The gradient: a limit follows shortest answer time / present one.
-fn follow(load: &mut Gradient, slower: f64, in_flight: f64, limit: f64) {
-    load.push(slower, 0.05, 10, 0.0002);
-    follow_limit(load, in_flight, limit, SLOWER_BORNE);
-}
-
 fn follow_limit(load: &mut Gradient, in_flight: f64, limit: f64, borne: f64) {
     let gradient = (borne / load.slower()).clamp(0.5, 1.0);
     if gradient < 1.0 || in_flight > limit / 2.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 /// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shut {
+    pub since: Time,
     pub next_trial: Time,
     pub rest: Span,
     pub passed: u32,
@@ -25,6 +26,9 @@
     pub carried: Mean,
     pub settled_work: f64,
     pub load: Gradient,
+    /// Fills that are likely out at this source.
+    pub fills: f64,
+    pub misses: Mean,
 }
 
 impl Host {
@@ -41,6 +45,8 @@
             carried: Mean::default(),
             settled_work: 0.0,
             load: Gradient::default(),
+            fills: 0.0,
+            misses: Mean::default(),
         }
     }
 
@@ -94,5 +100,7 @@
     pub source: Option<HostId>,
     pub band: BandId,
     pub object: ObjectId,
+    /// How likely the hand-off was held to need a fill.
+    pub fill_share: f64,
     pub gated: bool,
 }
