--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,8 @@
 const SILENT_LEAST: Span = Span::millis(400);
 const GAP_LEAST: f64 = 0.02;
 const BAD_LEAST: f64 = 0.35;
-const BAD_OVER_PEERS: f64 = 2.5;
+const BAD_OVER_PEERS: f64 = 5.0;
+const BAD_ALONE: f64 = 0.75;
 const TRIALS_TO_OPEN: u32 = 3;
 const REST_FIRST: Span = Span::millis(500);
 const REST_MOST: Span = Span::millis(4_000);
@@ -55,7 +56,7 @@
 // Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
 // answer that may have been a hit says of the source.
 const AT_ONCE: Span = Span::millis(60);
-const MAYBE_HIT: f64 = 0.3;
+const MAYBE_HIT: f64 = 0.1;
 
 #[derive(Clone, Copy, Debug)]
 enum Due {
@@ -542,7 +543,7 @@
             return false;
         };
         let most = FILLS_A_TRANSFER * self.capacity(host) / f64::from(self.set.dispatchers);
-        !self.is_parent(host) || host.fills < most.max(LIMIT_LEAST)
+        !self.set.weights_told || !self.is_parent(host) || host.fills < most.max(LIMIT_LEAST)
     }
 
     fn limit(&self, host: &Host) -> f64 {
@@ -684,7 +685,7 @@
         }
         let sure =
             filled || by_source || sent.fill_share == 1.0 && !matches!(end.outcome, Outcome::Cancelled);
-        let weight = if sure { 0.1 } else { 0.1 * MAYBE_HIT };
+        let weight = if sure || lost { 0.15 } else { 0.15 * MAYBE_HIT };
         let id = source.entry.host;
         let bad = source.bad.value;
         if sure || lost || settled && untold {
@@ -719,8 +720,9 @@
     /// trials. Guards against fast errors, closed ports and broken paths to one host. When most peers fail
     /// alike the part behind them is at fault, or this dispatcher's own view, and the plain hash goes on.
     fn judge(&mut self, now: Time, sent: Time, id: HostId, failed: bool, weight: f64) {
-        let peers: Vec<f64> = self.peers(id).map(|h| h.bad.value).collect();
+        let peers: Vec<f64> = self.peers(id).filter(|h| h.shut.is_none()).map(|h| h.bad.value).collect();
         let peers_bad = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
+        let least = if peers.is_empty() { BAD_ALONE } else { BAD_LEAST };
         let Some(host) = self.hosts.get_mut(&id) else {
             return;
         };
@@ -737,7 +739,7 @@
                 host.bad = Mean::default();
                 self.log(format!("host {:x} back after {TRIALS_TO_OPEN} good trials", id.0));
             }
-        } else if failed && host.bad.seen >= 4 && bad > BAD_LEAST && bad > BAD_OVER_PEERS * peers_bad {
+        } else if failed && host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad {
             self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
         }
     }
