--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -21,7 +21,8 @@
 
 #[derive(Default)]
 struct Link {
-    instances: BTreeMap<u16, Brain>,
+    /// Each instance with the place of its link's report among the columns.
+    instances: BTreeMap<u16, (Brain, Option<usize>)>,
     sheets: BTreeMap<u16, Vec<Listing>>,
 }
 
@@ -46,7 +47,7 @@
         }
         let mut reply = Reply::default();
         for instance in touched {
-            if let Some(brain) = self.instances.get_mut(&instance) {
+            if let Some((brain, _)) = self.instances.get_mut(&instance) {
                 while let Some(decision) = brain.next(now) {
                     encode(&mut reply, instance, decision);
                 }
@@ -59,7 +60,8 @@
         if code == 256 {
             let env = frame.tail(record, 12, 1)?;
             let set = settings::read(env).map_err(|what| frame.fault(what))?;
-            self.instances.insert(who, Brain::start(set, record.u64(4), now));
+            let column = settings::link_column(env);
+            self.instances.insert(who, (Brain::start(set, record.u64(4), now), column));
             return Ok(());
         }
         if !(257..=266).contains(&code) {
@@ -69,7 +71,7 @@
         if code == 265 {
             return self.instances.remove(&who).map(drop).ok_or_else(unknown);
         }
-        let brain = self.instances.get_mut(&who).ok_or_else(unknown)?;
+        let (brain, link_column) = self.instances.get_mut(&who).ok_or_else(unknown)?;
         match code {
             257 => {
                 let whole = match record.u8(4) {
@@ -84,7 +86,7 @@
                 brain.listed(now, sheet, whole);
             }
             258 => brain.arrived(now, visit(record)),
-            260 => brain.ended(now, ended(frame, record)?),
+            260 => brain.ended(now, ended(frame, record, *link_column)?),
             261 => brain.left(VisitId(record.u32(4))),
             262 => brain.woken(now),
             266 => {
@@ -138,14 +140,16 @@
     }
 }
 
-fn ended(frame: &Frame, record: Fields) -> Result<Ended, Error> {
+fn ended(frame: &Frame, record: Fields, column: Option<usize>) -> Result<Ended, Error> {
     use Note::*;
     use Outcome::*;
     Ok(Ended {
         visit: VisitId(record.u32(4)),
         number: HandOffNo(record.u8(20)),
         took: Span(u64::from(record.u32(16))),
-        fill_wait: Some(record.u32(8)).filter(|wait| *wait != 0).map(|wait| Span(u64::from(wait))),
+        link_full: column
+            .filter(|place| *place < usize::from(record.u8(30)))
+            .map(|place| f64::from(record.f32(31 + 4 * place))),
         last: record.u8(29) != 0,
         outcome: match record.u16(27) {
             1 => Settled,
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -103,3 +103,9 @@
         purge_grace: span(&all, "/domain/obey_after"),
     })
 }
+
+/// Where a load report tells how full the link for fills is.
+pub fn link_column(bytes: &[u8]) -> Option<usize> {
+    let all: Value = serde_json::from_slice(bytes).ok()?;
+    all.pointer("/stats/columns")?.as_array()?.iter().position(|name| name == "x1")
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,13 +45,14 @@
 const LIMIT_LEAST: f64 = 3.0;
 const SLOWER_BORNE: f64 = 2.5;
 const DENSE_ROOM: f64 = 1.5;
-// Fills: how many likely ones may be out at a parent for each of its transfers; for all together, how
-// much longer they wait than at best when the gate shuts and when it opens again.
+// Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
+// link; how much slower than at best they may be, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.5;
+const FILLS_START: f64 = 24.0;
+const FILLS_SLOWER_BORNE: f64 = 2.0;
+const LINK_FULL: f64 = 1.5;
+const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: f64 = 0.5;
-const GATE_START: f64 = 10.0;
-const GATE_SHUT: f64 = 4.0;
-const GATE_OPEN: f64 = 2.0;
 const FAILED_AS: f64 = 10.0;
 // Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
 // answer that may have been a hit says of the source.
@@ -65,12 +66,15 @@
     Second,
 }
 
-/// What all fills of this dispatcher have in common: the ways to the origin.
+/// What all fills of this dispatcher have in common: its location's link and the ways to the origin.
 #[derive(Debug, Default)]
 struct Gate {
-    shut: bool,
-    in_flight: u32,
-    wait: Gradient,
+    fills: f64,
+    load: Gradient,
+    /// How full the location's link was last reported.
+    link: Option<(Time, f64)>,
+    looks: u32,
+    holds_back: bool,
 }
 
 pub struct Brain {
@@ -118,7 +122,11 @@
             gate: Gate::default(),
         };
         brain.further.level = RETRY_BURST;
-        brain.gate.wait.limit = GATE_START;
+        let transfers =
+            brain.set.links.get(usize::from(brain.set.location.0)).map_or(0.0, |kb| kb / brain.set.pace);
+        let told = transfers > 0.0 && transfers.is_finite();
+        let fills = if told { FILLS_A_TRANSFER * transfers } else { FILLS_START };
+        brain.gate.load.limit = (fills / f64::from(brain.set.location_dispatchers)).max(LIMIT_LEAST);
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
@@ -169,6 +177,10 @@
         let Some(sent) = self.sent.remove(&(end.visit, end.number)) else {
             return;
         };
+        let by_cache = self.hosts.get(&sent.host).is_some_and(|h| self.is_cache(h));
+        if let (true, Some(full)) = (by_cache, end.link_full) {
+            self.gate.link = Some((now, full));
+        }
         self.learn(now, &sent, &end);
         if end.last {
             self.finish(end.visit);
@@ -370,10 +382,11 @@
         let origin = self.by_hash(visit.object, |h| self.is_origin(h)).into_iter().find(fits);
         sources.extend(origin);
         let work = self.sending(visit.band);
-        // Guards against any jam behind the caches (a slow, full or fallen origin, crowded parents, no
-        // places for fills): while the gate is shut a cache is first asked without a fill, so that hits
-        // go on, and only misses wait for a place. Costs a short hand-off a miss while it lasts.
-        let through = !self.gate.shut || looked && f64::from(self.gate.in_flight) < self.gate.wait.limit;
+        // Guards against any jam behind the caches (a full link, a slow, full or fallen origin, crowded
+        // parents, no places for fills): with no room for a fill a cache is first asked without one, so
+        // that hits go on, and only misses wait for room. Costs a short hand-off a miss while it lasts.
+        let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
+        let through = !crowded && self.gate.fills < self.gate.load.limit;
         sources.retain(|s| through && self.has_room(*s));
         let source = self.first_able(now, &sources, work);
         if looked && source.is_none() {
@@ -386,6 +399,7 @@
         if !caches.is_empty() {
             let room = if self.is_dense(visit.band) { DENSE_ROOM } else { 1.0 };
             let cache = caches.into_iter().find(|cache| self.busy(*cache) < room)?;
+            self.gate.looks += u32::from(source.is_none());
             let source = source.unwrap_or(cache);
             return Some((cache, Some(Fill { source, rank, oldest, join, renew })));
         }
@@ -455,9 +469,8 @@
             }
             known.in_flight += 1;
         }
-        let gated = self.gate.shut && source.is_some();
-        self.gate.in_flight += u32::from(gated);
-        self.sent.insert((id, number), Sent { at: now, host, source, band, object, fill_share, gated });
+        self.gate.fills += fill_share;
+        self.sent.insert((id, number), Sent { at: now, host, source, band, object, fill_share });
         self.ready.push_back(Decision::HandOff { visit: id, host, until, fill });
     }
 
@@ -671,7 +684,7 @@
     /// at best, or fail, the gate shuts, and its limit follows the gradient.
     fn learn_of_source(&mut self, now: Time, sent: &Sent, end: &Ended, filled: bool) {
         use Note::*;
-        self.gate.in_flight -= u32::from(sent.gated);
+        self.gate.fills = (self.gate.fills - sent.fill_share).max(0.0);
         let work = self.sending(sent.band);
         let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else {
             return;
@@ -693,27 +706,18 @@
         }
         // One source that fails alone is the breaker's matter.
         let alone = bad > BAD_OVER_PEERS * self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
-        let best = self.gate.wait.shortest.unwrap_or(0.0).exp();
-        let wait = match (end.fill_wait, end.note) {
-            (_, NoPlace | OriginFailed) => FAILED_AS * best,
-            _ if (by_source || end.outcome == Outcome::TimedOut) && !alone => FAILED_AS * best,
-            (Some(wait), FilledByOrigin) => wait.as_seconds(),
-            (_, Untold) if settled => best,
+        let gate = &mut self.gate;
+        let best = gate.load.shortest.unwrap_or(0.0).exp();
+        let jammed = matches!(end.note, NoPlace | OriginFailed);
+        let slower = match end.note {
+            _ if jammed || (by_source || end.outcome == Outcome::TimedOut) && !alone => FAILED_AS * best,
+            _ if settled && (filled || untold) => end.took.as_seconds() / work.max(0.001),
             _ => return,
         };
-        let gate = &mut self.gate;
-        let (limit, was) = (gate.wait.limit, gate.shut);
         let weight = if untold && !sure { 0.05 * MAYBE_HIT } else { 0.05 };
-        gate.wait.push(wait, weight, 10, 0.0002);
-        follow_limit(&mut gate.wait, f64::from(gate.in_flight), limit, GATE_OPEN);
-        let slower = gate.wait.slower();
-        gate.shut = slower > if was { GATE_OPEN } else { GATE_SHUT };
-        if gate.shut != was {
-            let word = if was { "opens" } else { "shuts" };
-            let line =
-                format!("gate for fills {word}: waits {slower:.1} x the best, limit {:.0}", gate.wait.limit);
-            self.log(line);
-        }
+        gate.load.push(slower, weight, 10, 0.0002);
+        let (fills, limit) = (gate.fills, gate.load.limit);
+        follow_limit(&mut gate.load, fills, limit, FILLS_SLOWER_BORNE);
     }
 
     /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
@@ -800,6 +804,16 @@
             host.carried.push(host.settled_work, 0.2);
             host.settled_work = 0.0;
         }
+        let gate = &mut self.gate;
+        let (looks, was) = (std::mem::take(&mut gate.looks), gate.holds_back);
+        gate.holds_back = looks > 0;
+        if gate.holds_back != was {
+            let word = if was { "flow again" } else { "held back" };
+            let (limit, slower, link) = (gate.load.limit, gate.load.slower(), gate.link.map_or(0.0, |l| l.1));
+            self.log(format!(
+                "fills {word}: limit {limit:.0}, {slower:.1} x slower, link {link:.1}, {looks} looks"
+            ));
+        }
         self.due.put(now + SECOND, Due::Second);
     }
 
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -75,7 +75,8 @@
     pub note: Note,
     pub took: Span,
     /// Time to the source's first byte or to the fill's failure, where it is told.
-    pub fill_wait: Option<Span>,
+    /// How full the asked host's link for fills is, where its report tells: transfers over those that fit.
+    pub link_full: Option<f64>,
     pub last: bool,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,5 +102,4 @@
     pub object: ObjectId,
     /// How likely the hand-off was held to need a fill.
     pub fill_share: f64,
-    pub gated: bool,
 }
