--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,8 +49,8 @@
 // link; how much slower than at best they may be, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.5;
 const FILLS_START: f64 = 24.0;
-const FILLS_SLOWER_BORNE: f64 = 2.0;
-const LINK_FULL: f64 = 1.5;
+const FILLS_SLOWER_BORNE: f64 = 1.5;
+const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: f64 = 0.5;
 const FAILED_AS: f64 = 10.0;
