--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,16 +40,16 @@
 const COLD_SPEND: f64 = 0.5;
 const COLD_BURST: f64 = 0.2;
 // Limits on what is in flight at a host, in transfers at full pace where sizes are listed.
-const LIMIT_START: f64 = 16.0;
-const LIMIT_A_TRANSFER: f64 = 2.5;
-const LIMIT_LEAST: f64 = 3.0;
-const SLOWER_BORNE: f64 = 2.5;
+const LIMIT_START: f64 = 12.0;
+const LIMIT_A_TRANSFER: f64 = 2.0;
+const LIMIT_LEAST: f64 = 2.0;
+const SLOWER_BORNE: f64 = 1.1;
 const DENSE_ROOM: f64 = 1.5;
 // Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
 // link; how much slower than at best they may be, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.5;
 const FILLS_START: f64 = 24.0;
-const FILLS_SLOWER_BORNE: f64 = 1.5;
+const FILLS_SLOWER_BORNE: f64 = 1.3;
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: f64 = 0.5;
