Leaner module: popularity sums and purge times as plain containers, one cold budget

No change of behaviour but one: a cold host's burst is never less than one mean visit, else its bucket could never pay for one.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,8 +5,9 @@
 use crate::calls::*;
 use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
 use crate::ids::*;
-use crate::settings::{Band, ColdStart, Effect, Group, Settings};
-use crate::state::{Asked, BandSeen, Host, Open, Sent, Shut};
+use crate::popularity::Popularity;
+use crate::settings::{Band, Effect, Group, Settings};
+use crate::state::{BandSeen, Gate, Host, Open, Purges, Sent, Shut};
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -66,30 +67,14 @@
     Second,
 }
 
-/// What all fills of this dispatcher have in common: its location's link and the ways to the origin.
-#[derive(Debug, Default)]
-struct Gate {
-    fills: f64,
-    load: Gradient,
-    /// How full the location's link was last reported.
-    link: Option<(Time, f64)>,
-    looks: u32,
-    holds_back: bool,
-}
-
 pub struct Brain {
     set: Settings,
     chance: Pcg64Mcg,
     hosts: BTreeMap<HostId, Host>,
     visits: BTreeMap<VisitId, Open>,
     sent: BTreeMap<(VisitId, HandOffNo), Sent>,
-    asked: BTreeMap<ObjectId, Asked>,
-    bytes_asked: f64,
-    admitted: u32,
-    admitted_count: f64,
-    admitted_bytes: f64,
-    purged_objects: BTreeMap<ObjectId, Time>,
-    purged_groups: BTreeMap<GroupId, Time>,
+    popularity: Popularity,
+    purges: Purges,
     bands: Vec<BandSeen>,
     due: DueTimes<Due>,
     waiting: VecDeque<VisitId>,
@@ -107,13 +92,8 @@
             hosts: BTreeMap::new(),
             visits: BTreeMap::new(),
             sent: BTreeMap::new(),
-            asked: BTreeMap::new(),
-            bytes_asked: 0.0,
-            admitted: 0,
-            admitted_count: 0.0,
-            admitted_bytes: 0.0,
-            purged_objects: BTreeMap::new(),
-            purged_groups: BTreeMap::new(),
+            popularity: Popularity::default(),
+            purges: Purges::default(),
             bands,
             due: DueTimes::default(),
             waiting: VecDeque::new(),
@@ -151,13 +131,12 @@
             }
             host.entry = *entry;
         }
-        let gone: Vec<HostId> =
-            self.hosts.values().filter(|h| h.entry.phase == Phase::Gone).map(|h| h.entry.host).collect();
+        let gone: Vec<HostId> = self.hosts.values().filter(|h| h.is_gone()).map(|h| h.entry.host).collect();
         gone.into_iter().for_each(|host| self.call_off(host));
     }
 
     pub fn arrived(&mut self, now: Time, visit: Visit) {
-        let popular = self.count(now, &visit);
+        let popular = self.is_popular(now, &visit);
         self.further.level = (self.further.level + RETRY_SHARE).min(RETRY_BURST);
         if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
             seen.kilobytes.push(kb, 0.01);
@@ -174,9 +153,7 @@
     }
 
     pub fn ended(&mut self, now: Time, end: Ended) {
-        let Some(sent) = self.sent.remove(&(end.visit, end.number)) else {
-            return;
-        };
+        let Some(sent) = self.sent.remove(&(end.visit, end.number)) else { return };
         let by_cache = self.hosts.get(&sent.host).is_some_and(|h| self.is_cache(h));
         if let (true, Some(full)) = (by_cache, end.link_full) {
             self.gate.link = Some((now, full));
@@ -186,9 +163,7 @@
             self.finish(end.visit);
             return;
         }
-        let Some(open) = self.visits.get_mut(&end.visit) else {
-            return;
-        };
+        let Some(open) = self.visits.get_mut(&end.visit) else { return };
         open.out = open.out.saturating_sub(1);
         if !end.outcome.never_ran() && open.may_have_run.is_none_or(|(at, _)| sent.at < at) {
             open.may_have_run = Some((sent.at, sent.host));
@@ -205,19 +180,17 @@
 
     /// A purge of one object, or of a whole group, that happened so long ago.
     pub fn purged(&mut self, now: Time, group: GroupId, object: Option<ObjectId>, ago: Span) {
-        let at = now - ago;
-        let known = match object {
-            Some(object) => self.purged_objects.entry(object).or_insert(at),
-            None => self.purged_groups.entry(group).or_insert(at),
-        };
-        *known = (*known).max(at);
+        self.purges.note(group, object, now - ago);
     }
 
     pub fn woken(&mut self, now: Time) {
         while let Some(due) = self.due.pop(now) {
             match due {
                 Due::HardLimit(id) => self.give_up(id),
-                Due::Halve => self.halve(now),
+                Due::Halve => {
+                    self.popularity.halve(now - FORGET);
+                    self.due.put(now + HALVING, Due::Halve);
+                }
                 Due::Second => self.each_second(now),
             }
         }
@@ -238,53 +211,26 @@
 
     /// Counts r_i and tells whether the object is popular: r_i > α·r_ave over the admitted set, or the set
     /// is empty. The set's bytes are held to a share of all that is remembered.
-    fn count(&mut self, now: Time, visit: &Visit) -> bool {
+    fn is_popular(&mut self, now: Time, visit: &Visit) -> bool {
         let bytes = visit.kilobytes.unwrap_or_else(|| self.sending(visit.band) * self.set.pace);
-        let asked = self.asked.entry(visit.object).or_default();
-        asked.count += 1.0;
-        asked.last = now;
-        let part = 1u64 << visit.part.min(63);
-        let fresh_bytes = if asked.parts & part == 0 { bytes } else { 0.0 };
-        asked.parts |= part;
-        asked.bytes += fresh_bytes;
-        self.bytes_asked += fresh_bytes;
-        if asked.admitted {
-            self.admitted_count += 1.0;
-            self.admitted_bytes += fresh_bytes;
-        }
-        let mean = self.admitted_count / f64::from(self.admitted.max(1));
-        if self.admitted > 0 && asked.count <= ALPHA * mean {
+        let known = &mut self.popularity;
+        known.count(now, visit.object, visit.part, bytes);
+        let Some(asked) = known.asked.get(&visit.object) else { return false };
+        if known.admitted > 0 && asked.count <= ALPHA * known.mean() {
             return false;
         }
-        let room = self.admitted == 0 || self.admitted_bytes + asked.bytes <= TOP_SHARE * self.bytes_asked;
-        if !asked.admitted && room {
-            asked.admitted = true;
-            self.admitted += 1;
-            self.admitted_count += asked.count;
-            self.admitted_bytes += asked.bytes;
-        }
-        asked.admitted
-    }
-
-    fn halve(&mut self, now: Time) {
-        self.asked.retain(|_, asked| now - asked.last < FORGET);
-        for asked in self.asked.values_mut() {
-            asked.count /= 2.0;
+        let room = known.admitted_bytes + asked.bytes <= TOP_SHARE * known.bytes;
+        let admitted = asked.admitted || known.admitted == 0 || room;
+        if admitted {
+            known.admit(visit.object);
         }
-        let kept = || self.asked.values().filter(|asked| asked.admitted);
-        let (admitted, count) = (kept().count() as u32, kept().map(|a| a.count).sum());
-        let bytes = kept().map(|a| a.bytes).sum();
-        (self.admitted, self.admitted_count, self.admitted_bytes) = (admitted, count, bytes);
-        self.bytes_asked = self.asked.values().map(|a| a.bytes).sum();
-        self.due.put(now + HALVING, Due::Halve);
+        admitted
     }
 
     // ---- deciding a visit ----
 
     fn decide(&mut self, now: Time, id: VisitId) {
-        let Some(open) = self.visits.get(&id) else {
-            return;
-        };
+        let Some(open) = self.visits.get(&id) else { return };
         if open.out > 0 {
             return;
         }
@@ -305,12 +251,8 @@
 
     /// The one place that says whether a visit may be handed off again after what is known of its effects.
     fn may_go_again(&self, now: Time, id: VisitId) -> bool {
-        let Some(open) = self.visits.get(&id) else {
-            return false;
-        };
-        let Some((first, _)) = open.may_have_run else {
-            return true;
-        };
+        let Some(open) = self.visits.get(&id) else { return false };
+        let Some((first, _)) = open.may_have_run else { return true };
         match self.band(open.visit.band).map(|band| band.effect) {
             Some(Effect::Idempotent) => true,
             Some(Effect::Deduplicated { memory, .. }) => now + ANSWER_MARGIN < first + memory,
@@ -320,12 +262,8 @@
 
     /// A deduplicated visit that may have run goes only to hosts that drop its repeats.
     fn same_group(&self, open: &Open, host: HostId) -> bool {
-        let Some((_, first)) = open.may_have_run else {
-            return true;
-        };
-        let (Some(a), Some(b)) = (self.hosts.get(&first), self.hosts.get(&host)) else {
-            return false;
-        };
+        let Some((_, first)) = open.may_have_run else { return true };
+        let (Some(a), Some(b)) = (self.hosts.get(&first), self.hosts.get(&host)) else { return false };
         match self.band(open.visit.band).map(|band| band.effect) {
             Some(Effect::Deduplicated { group: Group::Location, .. }) => a.entry.location == b.entry.location,
             Some(Effect::Deduplicated { group: Group::Cell, .. }) => a.entry.cell == b.entry.cell,
@@ -335,9 +273,7 @@
 
     /// The final answer where none came by itself: turned back where that is harmless, else written off.
     fn give_up(&mut self, id: VisitId) {
-        let Some(open) = self.visits.get(&id) else {
-            return;
-        };
+        let Some(open) = self.visits.get(&id) else { return };
         let may_have_run = open.may_have_run.is_some() || open.out > 0;
         let harmless = match self.band(open.visit.band).map(|band| band.effect) {
             Some(Effect::Idempotent) => true,
@@ -433,9 +369,7 @@
 
     fn hand_off(&mut self, now: Time, id: VisitId, host: HostId, fill: Option<Fill>) {
         let misses = self.hosts.get(&host).map_or(MISSES_START, |h| h.misses.or(MISSES_START));
-        let Some(open) = self.visits.get_mut(&id) else {
-            return;
-        };
+        let Some(open) = self.visits.get_mut(&id) else { return };
         let sure = open.looked || fill.is_some_and(|fill| fill.rank == 0);
         let number = HandOffNo(open.hand_offs);
         open.hand_offs += 1;
@@ -477,11 +411,8 @@
     /// The oldest copy that will do. After a purge it is the time since, until no older copy is left
     /// anywhere; zero would mean any age, so it is never given then.
     fn oldest(&self, now: Time, visit: &Visit) -> Span {
-        let object = self.purged_objects.get(&visit.object);
-        let purge = object.max(self.purged_groups.get(&visit.group)).copied();
-        let Some(purge) = purge.filter(|at| now < *at + self.purge_memory()) else {
-            return Span::ZERO;
-        };
+        let purge = self.purges.last(visit.group, visit.object);
+        let Some(purge) = purge.filter(|at| now < *at + self.purge_memory()) else { return Span::ZERO };
         let since = (now - purge).max(Span(1));
         match self.band(visit.band).map(|band| band.fresh) {
             Some(fresh) if fresh > Span::ZERO => since.min(fresh),
@@ -527,16 +458,13 @@
         order.iter().copied().find(|host| self.able(now, *host, work))
     }
 
-    /// Whether a host may be sent one more visit now: not shut, and within its budget while it is cold.
+    /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
     /// Else it is stepped over for this visit only.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
-        let rules = self.cold_rules(id);
-        let rate = self.cold_rate(now, id);
-        let Some(host) = self.hosts.get_mut(&id) else {
-            return false;
-        };
-        if host.is_cold(now, rules.ramp) {
-            host.cold.refill(now, rate, rate * rules.window.as_seconds() * COLD_BURST);
+        let budget = self.cold_budget(now, id);
+        let Some(host) = self.hosts.get_mut(&id) else { return false };
+        if let Some((rate, burst)) = budget {
+            host.cold.refill(now, rate, burst.max(work));
             if host.cold.level < work {
                 return false;
             }
@@ -544,6 +472,23 @@
         host.shut.is_none_or(|shut| now >= shut.next_trial)
     }
 
+    /// Guards rule 4. What this dispatcher may send a cold host each second and at once, in seconds of
+    /// sending time: its part of multiple x present capacity, which rises in a line from the cold share.
+    fn cold_budget(&self, now: Time, id: HostId) -> Option<(f64, f64)> {
+        let host = self.hosts.get(&id)?;
+        let (rules, senders) = match self.is_parent(host) {
+            true => (self.set.cold_parent, self.set.dispatchers),
+            false => (self.set.cold_cache, self.set.location_dispatchers),
+        };
+        let age = now - host.entry.since?;
+        if age >= rules.ramp {
+            return None;
+        }
+        let warm = rules.share + (1.0 - rules.share) * age.as_seconds() / rules.ramp.as_seconds();
+        let rate = COLD_SPEND * rules.multiple * warm * self.capacity(host) / f64::from(senders.max(1));
+        Some((rate, rate * rules.window.as_seconds() * COLD_BURST))
+    }
+
     /// What this dispatcher has in flight at a host, as a share of its limit there.
     fn busy(&self, id: HostId) -> f64 {
         self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
@@ -552,9 +497,7 @@
     /// Whether a source may be named for one more fill. Guards against parents crowded by refills; the
     /// origin has no figure of its own, the gate guards it.
     fn has_room(&self, id: HostId) -> bool {
-        let Some(host) = self.hosts.get(&id) else {
-            return false;
-        };
+        let Some(host) = self.hosts.get(&id) else { return false };
         let most = FILLS_A_TRANSFER * self.capacity(host) / f64::from(self.set.dispatchers);
         !self.set.weights_told || !self.is_parent(host) || host.fills < most.max(LIMIT_LEAST)
     }
@@ -568,31 +511,6 @@
         (whole / f64::from(self.set.location_dispatchers)).max(LIMIT_LEAST)
     }
 
-    fn cold_rules(&self, id: HostId) -> ColdStart {
-        let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
-        if parent {
-            self.set.cold_parent
-        } else {
-            self.set.cold_cache
-        }
-    }
-
-    /// Guards rule 4. What this dispatcher may send a cold host each second, in seconds of sending time:
-    /// its part of multiple x present capacity, where capacity rises in a line from the cold share.
-    fn cold_rate(&self, now: Time, id: HostId) -> f64 {
-        let Some(host) = self.hosts.get(&id) else {
-            return 0.0;
-        };
-        let Some(since) = host.entry.since else {
-            return f64::INFINITY;
-        };
-        let rules = self.cold_rules(id);
-        let part = ((now - since).as_seconds() / rules.ramp.as_seconds().max(0.001)).min(1.0);
-        let warm = rules.share + (1.0 - rules.share) * part;
-        let senders = if self.is_parent(host) { self.set.dispatchers } else { self.set.location_dispatchers };
-        COLD_SPEND * rules.multiple * warm * self.capacity(host) / f64::from(senders.max(1))
-    }
-
     /// A host's full capacity in transfers at full pace: as listed, else what its peers were seen to carry.
     fn capacity(&self, host: &Host) -> f64 {
         if self.set.weights_told {
@@ -625,9 +543,7 @@
     /// The band's mean sending time in seconds: by size where that is told, else by answers; before any is
     /// known the quoted time stands for it, which is more.
     fn sending(&self, id: BandId) -> f64 {
-        let (Some(band), Some(seen)) = (self.band(id), self.bands.get(usize::from(id.0))) else {
-            return 1.0;
-        };
+        let (Some(band), Some(seen)) = (self.band(id), self.bands.get(usize::from(id.0))) else { return 1.0 };
         if seen.kilobytes.seen > 0 && self.set.pace > 0.0 {
             return seen.kilobytes.value / self.set.pace;
         }
@@ -649,7 +565,7 @@
             if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
                 seen.sending.push(took, 0.02);
             }
-            if let Some(asked) = self.asked.get_mut(&sent.object) {
+            if let Some(asked) = self.popularity.asked.get_mut(&sent.object) {
                 let shortest = asked.shortest.map_or(end.took, |s| s.min(end.took));
                 slower = asked.shortest.map(|_| took / shortest.as_seconds().max(0.001));
                 asked.shortest = Some(shortest);
@@ -686,9 +602,7 @@
         use Note::*;
         self.gate.fills = (self.gate.fills - sent.fill_share).max(0.0);
         let work = self.sending(sent.band);
-        let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else {
-            return;
-        };
+        let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else { return };
         source.fills = (source.fills - sent.fill_share).max(0.0);
         let (untold, by_source) = (end.note == Untold, source_at_fault(end));
         let settled = end.outcome == Outcome::Settled;
@@ -727,9 +641,7 @@
         let peers: Vec<f64> = self.peers(id).filter(|h| h.shut.is_none()).map(|h| h.bad.value).collect();
         let peers_bad = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
         let least = if peers.is_empty() { BAD_ALONE } else { BAD_LEAST };
-        let Some(host) = self.hosts.get_mut(&id) else {
-            return;
-        };
+        let Some(host) = self.hosts.get_mut(&id) else { return };
         host.bad.push(f64::from(failed), weight);
         let bad = host.bad.value;
         if let Some(shut) = &mut host.shut {
@@ -759,9 +671,7 @@
         let shut = self.peers(id).filter(|h| h.shut.is_some()).count() + 1;
         let all = self.peers(id).count() + 1;
         let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
-        let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else {
-            return;
-        };
+        let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else { return };
         if parent || all == 1 || shut * 2 <= all {
             host.shut = Some(Shut { since: now, next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
             self.log(format!("host {:x} shut out: {why}", id.0));
@@ -797,9 +707,7 @@
     }
 
     fn each_second(&mut self, now: Time) {
-        let memory = self.purge_memory();
-        self.purged_objects.retain(|_, at| now < *at + memory);
-        self.purged_groups.retain(|_, at| now < *at + memory);
+        self.purges.forget(now - self.purge_memory());
         for host in self.hosts.values_mut() {
             host.carried.push(host.settled_work, 0.2);
             host.settled_work = 0.0;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod calls;
 pub mod containers;
 pub mod ids;
+pub mod popularity;
 pub mod settings;
 pub mod state;
 pub mod time;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,9 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
 use crate::calls::{Listing, Phase, Visit};
 use crate::containers::{Bucket, Gradient, Mean};
-use crate::ids::{BandId, HostId, ObjectId};
+use crate::ids::{BandId, GroupId, HostId, ObjectId};
 use crate::time::{Span, Time};
+use std::collections::BTreeMap;
 
 /// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,30 +51,19 @@
         }
     }
 
-    pub fn is_cold(&self, now: Time, ramp: Span) -> bool {
-        self.entry.since.is_some_and(|since| now < since + ramp)
-    }
-
     pub fn is_ready(&self) -> bool {
         self.entry.phase == Phase::Ready
     }
 
+    pub fn is_gone(&self) -> bool {
+        self.entry.phase == Phase::Gone
+    }
+
     pub fn silence(&self, now: Time) -> Span {
         now - self.heard.max(self.waiting_since)
     }
 }
 
-#[derive(Debug, Default)]
-pub struct Asked {
-    pub count: f64,
-    pub last: Time,
-    pub parts: u64,
-    pub bytes: f64,
-    pub admitted: bool,
-    /// The shortest answer time of a part found at a cache.
-    pub shortest: Option<Span>,
-}
-
 #[derive(Debug, Default)]
 pub struct BandSeen {
     pub sending: Mean,
@@ -103,3 +93,40 @@
     /// How likely the hand-off was held to need a fill.
     pub fill_share: f64,
 }
+
+/// What all fills of this dispatcher have in common: its location's link and the ways to the origin.
+#[derive(Debug, Default)]
+pub struct Gate {
+    pub fills: f64,
+    pub load: Gradient,
+    /// How full the location's link was last reported.
+    pub link: Option<(Time, f64)>,
+    pub looks: u32,
+    pub holds_back: bool,
+}
+
+/// When objects and whole groups were last purged.
+#[derive(Debug, Default)]
+pub struct Purges {
+    objects: BTreeMap<ObjectId, Time>,
+    groups: BTreeMap<GroupId, Time>,
+}
+
+impl Purges {
+    pub fn note(&mut self, group: GroupId, object: Option<ObjectId>, at: Time) {
+        let known = match object {
+            Some(object) => self.objects.entry(object).or_insert(at),
+            None => self.groups.entry(group).or_insert(at),
+        };
+        *known = (*known).max(at);
+    }
+
+    pub fn last(&self, group: GroupId, object: ObjectId) -> Option<Time> {
+        self.objects.get(&object).max(self.groups.get(&group)).copied()
+    }
+
+    pub fn forget(&mut self, before: Time) {
+        self.objects.retain(|_, at| *at >= before);
+        self.groups.retain(|_, at| *at >= before);
+    }
+}
