--- a/src/brain.rs
+++ b/src/brain.rs
@@ -107,6 +107,7 @@
         let told = transfers > 0.0 && transfers.is_finite();
         let fills = if told { FILLS_A_TRANSFER * transfers } else { FILLS_START };
         brain.gate.load.limit = (fills / f64::from(brain.set.location_dispatchers)).max(LIMIT_LEAST);
+        brain.gate.most = if told { brain.gate.load.limit } else { f64::INFINITY };
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
@@ -632,6 +633,7 @@
         gate.load.push(slower, weight, 10, 0.0002);
         let (fills, limit) = (gate.fills, gate.load.limit);
         follow_limit(&mut gate.load, fills, limit, FILLS_SLOWER_BORNE);
+        gate.load.limit = gate.load.limit.min(gate.most);
     }
 
     /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,6 +98,7 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     pub fills: f64,
+    pub most: f64,
     pub load: Gradient,
     /// How full the location's link was last reported.
     pub link: Option<(Time, f64)>,
