--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,7 +7,7 @@
 use crate::ids::*;
 use crate::popularity::Popularity;
 use crate::settings::{Band, Effect, Group, Settings};
-use crate::state::{BandSeen, Gate, Host, Open, Purges, Sent, Shut};
+use crate::state::{BandSeen, Copy, CopyId, Gate, Host, Open, Purges, Sent, Shut};
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -48,12 +48,13 @@
 const DENSE_ROOM: f64 = 1.5;
 // Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
 // link; how much slower than at best they may be, and how full a link may be reported.
-const FILLS_A_TRANSFER: f64 = 1.5;
+const FILLS_A_TRANSFER: f64 = 1.75;
 const FILLS_START: f64 = 24.0;
 const FILLS_SLOWER_BORNE: f64 = 1.3;
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
-const MISSES_START: f64 = 0.5;
+const MISSES_START: [f64; 2] = [0.7, 0.1];
+const FOLLOW: f64 = 0.5;
 const FAILED_AS: f64 = 10.0;
 // Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
 // answer that may have been a hit says of the source.
@@ -63,10 +64,18 @@
 #[derive(Clone, Copy, Debug)]
 enum Due {
     HardLimit(VisitId),
+    Release(VisitId),
     Halve,
     Second,
 }
 
+/// What is to become of a visit now.
+enum Choice {
+    HandOff(HostId, Option<Fill>),
+    Wait,
+    GiveUp,
+}
+
 pub struct Brain {
     set: Settings,
     chance: Pcg64Mcg,
@@ -75,6 +84,7 @@
     sent: BTreeMap<(VisitId, HandOffNo), Sent>,
     popularity: Popularity,
     purges: Purges,
+    copies: BTreeMap<CopyId, Copy>,
     bands: Vec<BandSeen>,
     due: DueTimes<Due>,
     waiting: VecDeque<VisitId>,
@@ -94,6 +104,7 @@
             sent: BTreeMap::new(),
             popularity: Popularity::default(),
             purges: Purges::default(),
+            copies: BTreeMap::new(),
             bands,
             due: DueTimes::default(),
             waiting: VecDeque::new(),
@@ -142,8 +153,16 @@
         if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
             seen.kilobytes.push(kb, 0.01);
         }
-        let open =
-            Open { visit, hand_offs: 0, out: 0, popular, looked: false, may_have_run: None, avoid: vec![] };
+        let open = Open {
+            visit,
+            hand_offs: 0,
+            out: 0,
+            popular,
+            looked: false,
+            followed: false,
+            may_have_run: None,
+            avoid: vec![],
+        };
         self.visits.insert(visit.id, open);
         self.due.put(visit.hard_limit - ANSWER_MARGIN, Due::HardLimit(visit.id));
         self.waiting.push_back(visit.id);
@@ -160,6 +179,13 @@
             self.gate.link = Some((now, full));
         }
         self.learn(now, &sent, &end);
+        if let Some(copy) = self.copies.get_mut(&sent.copy) {
+            copy.leads -= u32::from(sent.leads);
+            self.waiting.extend(copy.followers.drain(..));
+        }
+        if end.outcome == Outcome::Settled && sent.host == sent.copy.2 {
+            self.copies.entry(sent.copy).or_default().settled = Some(now);
+        }
         if end.last {
             self.finish(end.visit);
             return;
@@ -188,8 +214,10 @@
         while let Some(due) = self.due.pop(now) {
             match due {
                 Due::HardLimit(id) => self.give_up(id),
+                Due::Release(id) => self.waiting.push_back(id),
                 Due::Halve => {
                     self.popularity.halve(now - FORGET);
+                    self.copies.retain(|_, c| c.leads > 0 || c.settled.is_some_and(|at| now < at + FORGET));
                     self.due.put(now + HALVING, Due::Halve);
                 }
                 Due::Second => self.each_second(now),
@@ -243,10 +271,11 @@
             return;
         }
         let writes = self.band(visit.band).is_some_and(|band| band.writes);
-        let choice = if writes { self.choose_for_write(now, id) } else { self.choose(now, id) };
+        let choice = if writes { self.choose_for_write(now, visit) } else { self.choose(now, visit) };
         match choice {
-            Some((host, fill)) => self.hand_off(now, id, host, fill),
-            None => self.give_up(id),
+            Choice::HandOff(host, fill) => self.hand_off(now, id, host, fill),
+            Choice::Wait => {}
+            Choice::GiveUp => self.give_up(id),
         }
     }
 
@@ -302,9 +331,9 @@
 
     /// The ordinary path: the designated cache, or for a popular object the less busy of that and the
     /// dispatcher's own second one; filled from the parent hashed over all listed ones.
-    fn choose(&mut self, now: Time, id: VisitId) -> Option<(HostId, Option<Fill>)> {
-        let open = self.visits.get(&id)?;
-        let (visit, popular, looked) = (open.visit, open.popular, open.looked);
+    fn choose(&mut self, now: Time, visit: Visit) -> Choice {
+        let Some(open) = self.visits.get(&visit.id) else { return Choice::Wait };
+        let (popular, looked, followed) = (open.popular, open.looked, open.followed);
         let fits = |host: &HostId| !open.avoid.contains(host) && self.same_group(open, *host);
         let mut caches = self.by_hash(visit.object, |h| self.is_cache(h));
         if let (true, Some(second), Some(first)) = (popular, self.own_cache(), caches.first()) {
@@ -319,30 +348,62 @@
         let origin = self.by_hash(visit.object, |h| self.is_origin(h)).into_iter().find(fits);
         sources.extend(origin);
         let work = self.sending(visit.band);
+        let rank = if popular { TOP_RANK } else { LOWEST_RANK };
+        let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
+        let (oldest, join) = (self.oldest(now, &visit), self.set.joins);
+        let room = if self.is_dense(visit.band) { DENSE_ROOM } else { 1.0 };
+        caches.retain(|cache| self.able(now, *cache, work));
+        let cache = caches.iter().copied().find(|cache| self.busy(*cache) < room);
+        if !caches.is_empty() && cache.is_none() {
+            return Choice::GiveUp;
+        }
+        // A fill under way for the same part: it is joined where that is allowed, else waited for once.
+        let copy = cache.map(|cache| (visit.object, visit.part, cache));
+        let led = copy.is_some_and(|copy| {
+            !self.knows(now, copy) && self.copies.get(&copy).is_some_and(|c| c.leads > 0)
+        });
+        if let (true, false, false, Some(copy)) = (led, join, followed, copy) {
+            self.follow(now, visit, copy);
+            return Choice::Wait;
+        }
         // Guards against any jam behind the caches (a full link, a slow, full or fallen origin, crowded
         // parents, no places for fills): with no room for a fill a cache is first asked without one, so
         // that hits go on, and only misses wait for room. Costs a short hand-off a miss while it lasts.
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
-        let through = !crowded && self.gate.fills < self.gate.load.limit;
+        let through = led && join || !crowded && self.gate.fills < self.gate.load.limit;
         sources.retain(|s| through && self.has_room(*s));
         let source = self.first_able(now, &sources, work);
-        if looked && source.is_none() {
-            return None;
-        }
-        let rank = if popular { TOP_RANK } else { LOWEST_RANK };
-        let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
-        let (oldest, join) = (self.oldest(now, &visit), self.set.joins);
-        caches.retain(|cache| self.able(now, *cache, work));
-        if !caches.is_empty() {
-            let room = if self.is_dense(visit.band) { DENSE_ROOM } else { 1.0 };
-            let cache = caches.into_iter().find(|cache| self.busy(*cache) < room)?;
-            self.gate.looks += u32::from(source.is_none());
-            let source = source.unwrap_or(cache);
-            return Some((cache, Some(Fill { source, rank, oldest, join, renew })));
+        match (cache, source) {
+            (_, None) if looked => Choice::GiveUp,
+            (Some(cache), source) => {
+                self.gate.looks += u32::from(source.is_none());
+                let source = source.unwrap_or(cache);
+                Choice::HandOff(cache, Some(Fill { source, rank, oldest, join, renew }))
+            }
+            (None, Some(host)) if self.set.direct => {
+                let source = origin.unwrap_or(host);
+                Choice::HandOff(host, Some(Fill { source, rank: 0, oldest, join, renew: false }))
+            }
+            _ => Choice::GiveUp,
         }
-        let host = source.filter(|_| self.set.direct)?;
-        let behind = origin.unwrap_or(host);
-        Some((host, Some(Fill { source: behind, rank: 0, oldest, join, renew: false })))
+    }
+
+    /// Whether a cache was seen to hold a part since it started, since the part's last purge, and lately.
+    fn knows(&self, now: Time, copy: CopyId) -> bool {
+        let settled = self.copies.get(&copy).and_then(|c| c.settled);
+        let started = self.hosts.get(&copy.2).and_then(|h| h.entry.since);
+        settled.is_some_and(|at| now < at + FORGET && Some(at) > started)
+    }
+
+    /// Holds a visit back while another of this dispatcher's fills the same part at the same cache, for a
+    /// part of its quoted time at most. Guards against the same bytes coming in twice (a new object that
+    /// many ask for, a purge, an empty cache). Harms where fills fail slowly: it then costs that time.
+    fn follow(&mut self, now: Time, visit: Visit, copy: CopyId) {
+        let quoted = self.band(visit.band).map_or(Span::ZERO, |band| band.quoted);
+        let Some(open) = self.visits.get_mut(&visit.id) else { return };
+        open.followed = true;
+        self.due.put(now + quoted.times(FOLLOW), Due::Release(visit.id));
+        self.copies.entry(copy).or_default().followers.push(visit.id);
     }
 
     /// Whether a band earns more for its work than bands do on average: it is shed last.
@@ -355,32 +416,36 @@
     }
 
     /// Writes run at the origin: straight where that is allowed, else through a cache.
-    fn choose_for_write(&mut self, now: Time, id: VisitId) -> Option<(HostId, Option<Fill>)> {
-        let object = self.visits.get(&id)?.visit.object;
-        let origin = self.by_hash(object, |h| self.is_origin(h)).first().copied()?;
+    fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
+        let origin = self.by_hash(visit.object, |h| self.is_origin(h)).first().copied();
+        let (Some(source), Some(open)) = (origin, self.visits.get(&visit.id)) else { return Choice::GiveUp };
         if self.set.direct {
-            return Some((origin, None));
+            return Choice::HandOff(source, None);
         }
-        let open = self.visits.get(&id)?;
-        let mut caches = self.by_hash(object, |h| self.is_cache(h));
+        let mut caches = self.by_hash(visit.object, |h| self.is_cache(h));
         caches.retain(|host| !open.avoid.contains(host) && self.same_group(open, *host));
-        let cache = self.first_able(now, &caches, self.sending(open.visit.band))?;
-        Some((cache, Some(Fill { source: origin, rank: 0, oldest: Span::ZERO, join: false, renew: false })))
+        let fill = Fill { source, rank: 0, oldest: Span::ZERO, join: false, renew: false };
+        let cache = self.first_able(now, &caches, self.sending(visit.band));
+        cache.map_or(Choice::GiveUp, |cache| Choice::HandOff(cache, Some(fill)))
     }
 
     fn hand_off(&mut self, now: Time, id: VisitId, host: HostId, fill: Option<Fill>) {
-        let misses = self.hosts.get(&host).map_or(MISSES_START, |h| h.misses.or(MISSES_START));
+        let Some(visit) = self.visits.get(&id).map(|open| open.visit) else { return };
+        let copy = (visit.object, visit.part, host);
+        let known = self.knows(now, copy);
+        let start = MISSES_START[usize::from(known)];
+        let misses = self.hosts.get(&host).map_or(start, |h| h.misses[usize::from(known)].or(start));
+        let joins = self.set.joins && !known && self.copies.get(&copy).is_some_and(|c| c.leads > 0);
         let Some(open) = self.visits.get_mut(&id) else { return };
         let sure = open.looked || fill.is_some_and(|fill| fill.rank == 0);
         let number = HandOffNo(open.hand_offs);
         open.hand_offs += 1;
         open.out += 1;
         open.looked = false;
-        let (band, object, until) =
-            (open.visit.band, open.visit.object, open.visit.hard_limit - ANSWER_MARGIN);
+        let (band, until) = (visit.band, visit.hard_limit - ANSWER_MARGIN);
         let work = self.sending(band);
         let source = fill.map(|fill| fill.source).filter(|source| *source != host);
-        let fill_share = if source.is_none() {
+        let fill_share = if source.is_none() || joins {
             0.0
         } else if sure {
             1.0
@@ -405,7 +470,11 @@
             known.in_flight += 1;
         }
         self.gate.fills += fill_share;
-        self.sent.insert((id, number), Sent { at: now, host, source, band, object, fill_share });
+        let leads = !known && fill_share > 0.0;
+        if leads {
+            self.copies.entry(copy).or_default().leads += 1;
+        }
+        self.sent.insert((id, number), Sent { at: now, host, source, band, copy, known, leads, fill_share });
         self.ready.push_back(Decision::HandOff { visit: id, host, until, fill });
     }
 
@@ -566,7 +635,7 @@
             if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
                 seen.sending.push(took, 0.02);
             }
-            if let Some(asked) = self.popularity.asked.get_mut(&sent.object) {
+            if let Some(asked) = self.popularity.asked.get_mut(&sent.copy.0) {
                 let shortest = asked.shortest.map_or(end.took, |s| s.min(end.took));
                 slower = asked.shortest.map(|_| took / shortest.as_seconds().max(0.001));
                 asked.shortest = Some(shortest);
@@ -584,7 +653,7 @@
                 host.settled_work += work;
             }
             if settled && !untold || end.outcome == Miss {
-                host.misses.push(f64::from(filled || end.outcome == Miss), 0.05);
+                host.misses[usize::from(sent.known)].push(f64::from(filled || end.outcome == Miss), 0.05);
             }
             if let Some(slower) = slower {
                 host.load.push(slower, 0.05, 10, 0.0002);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
 use crate::calls::{Listing, Phase, Visit};
 use crate::containers::{Bucket, Gradient, Mean};
-use crate::ids::{BandId, GroupId, HostId, ObjectId};
+use crate::ids::{BandId, GroupId, HostId, ObjectId, VisitId};
 use crate::time::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -29,7 +29,8 @@
     pub load: Gradient,
     /// Fills that are likely out at this source.
     pub fills: f64,
-    pub misses: Mean,
+    /// Share of fills among answers: for parts it was not seen to hold, and for those it was.
+    pub misses: [Mean; 2],
 }
 
 impl Host {
@@ -47,7 +48,7 @@
             settled_work: 0.0,
             load: Gradient::default(),
             fills: 0.0,
-            misses: Mean::default(),
+            misses: Default::default(),
         }
     }
 
@@ -64,6 +65,17 @@
     }
 }
 
+/// What this dispatcher knows of one part of an object at one cache.
+#[derive(Debug, Default)]
+pub struct Copy {
+    pub settled: Option<Time>,
+    /// Hand-offs out that likely fill it, and visits that wait behind them.
+    pub leads: u32,
+    pub followers: Vec<VisitId>,
+}
+
+pub type CopyId = (ObjectId, u32, HostId);
+
 #[derive(Debug, Default)]
 pub struct BandSeen {
     pub sending: Mean,
@@ -78,6 +90,8 @@
     pub popular: bool,
     /// The last hand-off only looked, and the cache lacks the object.
     pub looked: bool,
+    /// It has waited behind a fill once already.
+    pub followed: bool,
     /// The first hand-off that may have run: when it was sent and where to.
     pub may_have_run: Option<(Time, HostId)>,
     pub avoid: Vec<HostId>,
@@ -89,7 +103,9 @@
     pub host: HostId,
     pub source: Option<HostId>,
     pub band: BandId,
-    pub object: ObjectId,
+    pub copy: CopyId,
+    pub known: bool,
+    pub leads: bool,
     /// How likely the hand-off was held to need a fill.
     pub fill_share: f64,
 }
