--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
-use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
+use crate::containers::{rendezvous, Bucket, DueTimes, Mean};
 use crate::ids::*;
 use crate::popularity::Popularity;
 use crate::settings::{Band, Effect, Group, Settings};
@@ -19,7 +19,7 @@
 const FORGET: Span = Span::millis(30_000);
 const TOP_RANK: u8 = 3;
 const LOWEST_RANK: u8 = 1;
-const TOP_SHARE: f64 = 0.15;
+const TOP_SHARE: f64 = 0.02;
 // Timer, final answers and further hand-offs.
 const ROUND: Span = Span::millis(10);
 const SECOND: Span = Span::millis(1_000);
@@ -47,14 +47,14 @@
 const SLOWER_BORNE: f64 = 1.1;
 const DENSE_ROOM: f64 = 1.5;
 // Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
-// link; how much slower than at best they may be, and how full a link may be reported.
+// link; what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
 const FILLS_START: f64 = 24.0;
-const FILLS_SLOWER_BORNE: f64 = 1.3;
+const FILLS_LATE: f64 = 0.7;
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
-const FOLLOW: f64 = 0.5;
+const FOLLOW: f64 = 0.25;
 const FAILED_AS: f64 = 10.0;
 // Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
 // answer that may have been a hit says of the source.
@@ -117,8 +117,8 @@
             brain.set.links.get(usize::from(brain.set.location.0)).map_or(0.0, |kb| kb / brain.set.pace);
         let told = transfers > 0.0 && transfers.is_finite();
         let fills = if told { FILLS_A_TRANSFER * transfers } else { FILLS_START };
-        brain.gate.load.limit = (fills / f64::from(brain.set.location_dispatchers)).max(LIMIT_LEAST);
-        brain.gate.most = if told { brain.gate.load.limit } else { f64::INFINITY };
+        brain.gate.limit = (fills / f64::from(brain.set.location_dispatchers)).max(LIMIT_LEAST);
+        brain.gate.most = if told { brain.gate.limit } else { f64::INFINITY };
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
@@ -370,7 +370,7 @@
         // parents, no places for fills): with no room for a fill a cache is first asked without one, so
         // that hits go on, and only misses wait for room. Costs a short hand-off a miss while it lasts.
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
-        let through = led && join || !crowded && self.gate.fills < self.gate.load.limit;
+        let through = led && join || !crowded && self.gate.fills < self.gate.limit;
         sources.retain(|s| through && self.has_room(*s));
         let source = self.first_able(now, &sources, work);
         match (cache, source) {
@@ -657,7 +657,8 @@
             }
             if let Some(slower) = slower {
                 host.load.push(slower, 0.05, 10, 0.0002);
-                follow_limit(&mut host.load, f64::from(host.in_flight), limit, SLOWER_BORNE);
+                let in_flight = f64::from(host.in_flight);
+                host.load.limit = follow_limit(limit, host.load.slower(), in_flight, SLOWER_BORNE);
             }
         }
         self.learn_of_source(now, sent, end, filled);
@@ -690,19 +691,17 @@
         }
         // One source that fails alone is the breaker's matter.
         let alone = bad > BAD_OVER_PEERS * self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
+        let quoted = self.band(sent.band).map_or(1.0, |b| b.quoted.as_seconds() + b.stretch * work);
         let gate = &mut self.gate;
-        let best = gate.load.shortest.unwrap_or(0.0).exp();
         let jammed = matches!(end.note, NoPlace | OriginFailed);
-        let slower = match end.note {
-            _ if jammed || (by_source || end.outcome == Outcome::TimedOut) && !alone => FAILED_AS * best,
-            _ if settled && (filled || untold) => end.took.as_seconds() / work.max(0.001),
+        let late = match end.note {
+            _ if jammed || (by_source || end.outcome == Outcome::TimedOut) && !alone => FAILED_AS,
+            _ if settled && (filled || untold) => end.took.as_seconds() / quoted,
             _ => return,
         };
         let weight = if untold && !sure { 0.05 * MAYBE_HIT } else { 0.05 };
-        gate.load.push(slower, weight, 10, 0.0002);
-        let (fills, limit) = (gate.fills, gate.load.limit);
-        follow_limit(&mut gate.load, fills, limit, FILLS_SLOWER_BORNE);
-        gate.load.limit = gate.load.limit.min(gate.most);
+        gate.late.push(late.max(0.001).ln(), weight);
+        gate.limit = follow_limit(gate.limit, gate.late.value.exp(), gate.fills, FILLS_LATE).min(gate.most);
     }
 
     /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
@@ -788,9 +787,9 @@
         gate.holds_back = looks > 0;
         if gate.holds_back != was {
             let word = if was { "flow again" } else { "held back" };
-            let (limit, slower, link) = (gate.load.limit, gate.load.slower(), gate.link.map_or(0.0, |l| l.1));
+            let (limit, late, link) = (gate.limit, gate.late.value.exp(), gate.link.map_or(0.0, |l| l.1));
             self.log(format!(
-                "fills {word}: limit {limit:.0}, {slower:.1} x slower, link {link:.1}, {looks} looks"
+                "fills {word}: limit {limit:.0}, at {late:.1} of the quoted time, link {link:.1}, {looks} looks"
             ));
         }
         self.due.put(now + SECOND, Due::Second);
@@ -802,12 +801,13 @@
 }
 
 /// The gradient: a limit follows shortest answer time / present one.
-fn follow_limit(load: &mut Gradient, in_flight: f64, limit: f64, borne: f64) {
-    let gradient = (borne / load.slower()).clamp(0.5, 1.0);
-    if gradient < 1.0 || in_flight > limit / 2.0 {
-        let wanted = gradient * limit + limit.sqrt();
-        load.limit = (limit + 0.05 * (wanted - limit)).max(LIMIT_LEAST);
+fn follow_limit(limit: f64, slower: f64, in_flight: f64, borne: f64) -> f64 {
+    let gradient = (borne / slower).clamp(0.5, 1.0);
+    if gradient == 1.0 && in_flight <= limit / 2.0 {
+        return limit;
     }
+    let wanted = gradient * limit + limit.sqrt();
+    (limit + 0.05 * (wanted - limit)).max(LIMIT_LEAST)
 }
 
 /// Whether a failure lies with the source of the fill rather than with the host that was asked: by the
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,7 +115,9 @@
 pub struct Gate {
     pub fills: f64,
     pub most: f64,
-    pub load: Gradient,
+    pub limit: f64,
+    /// Logarithm of what part of the quoted time fills take.
+    pub late: Mean,
     /// How full the location's link was last reported.
     pub link: Option<(Time, f64)>,
     pub looks: u32,
