--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,7 +19,7 @@
 const FORGET: Span = Span::millis(30_000);
 const TOP_RANK: u8 = 3;
 const LOWEST_RANK: u8 = 1;
-const TOP_SHARE: f64 = 0.02;
+const TOP_SHARE: f64 = 0.15;
 // Timer, final answers and further hand-offs.
 const ROUND: Span = Span::millis(10);
 const SECOND: Span = Span::millis(1_000);
@@ -54,7 +54,7 @@
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
-const FOLLOW: f64 = 0.25;
+const FOLLOW: f64 = 0.5;
 const FAILED_AS: f64 = 10.0;
 // Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
 // answer that may have been a hit says of the source.
