--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,7 +19,7 @@
 const FORGET: Span = Span::millis(30_000);
 const TOP_RANK: u8 = 3;
 const LOWEST_RANK: u8 = 1;
-const TOP_SHARE: f64 = 0.15;
+const TOP_SHARE: f64 = 0.2;
 // Timer, final answers and further hand-offs.
 const ROUND: Span = Span::millis(10);
 const SECOND: Span = Span::millis(1_000);
@@ -50,7 +50,7 @@
 // link; what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
 const FILLS_START: f64 = 24.0;
-const FILLS_LATE: f64 = 0.7;
+const FILLS_LATE: f64 = 0.5;
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
@@ -352,6 +352,7 @@
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
         let (oldest, join) = (self.oldest(now, &visit), self.set.joins);
         let room = if self.is_dense(visit.band) { DENSE_ROOM } else { 1.0 };
+        let no_caches = caches.is_empty();
         caches.retain(|cache| self.able(now, *cache, work));
         let cache = caches.iter().copied().find(|cache| self.busy(*cache) < room);
         if !caches.is_empty() && cache.is_none() {
@@ -380,7 +381,7 @@
                 let source = source.unwrap_or(cache);
                 Choice::HandOff(cache, Some(Fill { source, rank, oldest, join, renew }))
             }
-            (None, Some(host)) if self.set.direct => {
+            (None, Some(host)) if self.set.direct && no_caches => {
                 let source = origin.unwrap_or(host);
                 Choice::HandOff(host, Some(Fill { source, rank: 0, oldest, join, renew: false }))
             }
