--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,15 +3,13 @@
 //! decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
-use crate::containers::{rendezvous, Bucket, DueTimes, Mean};
+use crate::containers::{rendezvous, Mean};
 use crate::ids::*;
-use crate::popularity::Popularity;
 use crate::settings::{Band, Effect, Group, Settings};
-use crate::state::{BandSeen, Copy, CopyId, Gate, Host, Open, Purges, Sent, Shut};
+pub use crate::state::Brain;
+use crate::state::{Choice, CopyId, Due, Host, Open, Sent, Shut};
 use crate::time::{Span, Time};
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use rand::Rng;
 
 // The design's open values.
 const ALPHA: f64 = 1.0;
@@ -45,7 +43,6 @@
 const LIMIT_A_TRANSFER: f64 = 2.0;
 const LIMIT_LEAST: f64 = 2.0;
 const SLOWER_BORNE: f64 = 1.1;
-const DENSE_ROOM: f64 = 1.5;
 // Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
 // link; what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
@@ -61,57 +58,9 @@
 const AT_ONCE: Span = Span::millis(60);
 const MAYBE_HIT: f64 = 0.1;
 
-#[derive(Clone, Copy, Debug)]
-enum Due {
-    HardLimit(VisitId),
-    Release(VisitId),
-    Halve,
-    Second,
-}
-
-/// What is to become of a visit now.
-enum Choice {
-    HandOff(HostId, Option<Fill>),
-    Wait,
-    GiveUp,
-}
-
-pub struct Brain {
-    set: Settings,
-    chance: Pcg64Mcg,
-    hosts: BTreeMap<HostId, Host>,
-    visits: BTreeMap<VisitId, Open>,
-    sent: BTreeMap<(VisitId, HandOffNo), Sent>,
-    popularity: Popularity,
-    purges: Purges,
-    copies: BTreeMap<CopyId, Copy>,
-    bands: Vec<BandSeen>,
-    due: DueTimes<Due>,
-    waiting: VecDeque<VisitId>,
-    ready: VecDeque<Decision>,
-    further: Bucket,
-    gate: Gate,
-}
-
 impl Brain {
     pub fn start(set: Settings, seed: u64, now: Time) -> Brain {
-        let bands = set.bands.iter().map(|_| BandSeen::default()).collect();
-        let mut brain = Brain {
-            set,
-            chance: Pcg64Mcg::seed_from_u64(seed),
-            hosts: BTreeMap::new(),
-            visits: BTreeMap::new(),
-            sent: BTreeMap::new(),
-            popularity: Popularity::default(),
-            purges: Purges::default(),
-            copies: BTreeMap::new(),
-            bands,
-            due: DueTimes::default(),
-            waiting: VecDeque::new(),
-            ready: VecDeque::new(),
-            further: Bucket::default(),
-            gate: Gate::default(),
-        };
+        let mut brain = Brain::empty(set, seed);
         brain.further.level = RETRY_BURST;
         let transfers =
             brain.set.links.get(usize::from(brain.set.location.0)).map_or(0.0, |kb| kb / brain.set.pace);
@@ -180,7 +129,7 @@
         }
         self.learn(now, &sent, &end);
         if let Some(copy) = self.copies.get_mut(&sent.copy) {
-            copy.leads -= u32::from(sent.leads);
+            copy.leads = copy.leads.saturating_sub(u32::from(sent.leads));
             self.waiting.extend(copy.followers.drain(..));
         }
         if end.outcome == Outcome::Settled && sent.host == sent.copy.2 {
@@ -351,10 +300,9 @@
         let rank = if popular { TOP_RANK } else { LOWEST_RANK };
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
         let (oldest, join) = (self.oldest(now, &visit), self.set.joins);
-        let room = if self.is_dense(visit.band) { DENSE_ROOM } else { 1.0 };
         let no_caches = caches.is_empty();
         caches.retain(|cache| self.able(now, *cache, work));
-        let cache = caches.iter().copied().find(|cache| self.busy(*cache) < room);
+        let cache = caches.iter().copied().find(|cache| self.busy(*cache) < 1.0);
         if !caches.is_empty() && cache.is_none() {
             return Choice::GiveUp;
         }
@@ -407,15 +355,6 @@
         self.copies.entry(copy).or_default().followers.push(visit.id);
     }
 
-    /// Whether a band earns more for its work than bands do on average: it is shed last.
-    fn is_dense(&self, id: BandId) -> bool {
-        let density = |id: BandId| self.band(id).map_or(0.0, |b| b.earnings / self.sending(id).max(0.001));
-        let kept = (0..self.set.bands.len()).map(|n| BandId(n as u8));
-        let kept: Vec<f64> =
-            kept.filter(|id| !self.band(*id).is_some_and(|b| b.writes)).map(density).collect();
-        density(id) * kept.len() as f64 >= kept.iter().sum()
-    }
-
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
         let origin = self.by_hash(visit.object, |h| self.is_origin(h)).first().copied();
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,13 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
-use crate::calls::{Listing, Phase, Visit};
-use crate::containers::{Bucket, Gradient, Mean};
-use crate::ids::{BandId, GroupId, HostId, ObjectId, VisitId};
+use crate::calls::{Decision, Fill, Listing, Phase, Visit};
+use crate::containers::{Bucket, DueTimes, Gradient, Mean};
+use crate::ids::{BandId, GroupId, HandOffNo, HostId, ObjectId, VisitId};
+use crate::popularity::Popularity;
+use crate::settings::Settings;
 use crate::time::{Span, Time};
-use std::collections::BTreeMap;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
 
 /// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -149,3 +153,56 @@
         self.groups.retain(|_, at| *at >= before);
     }
 }
+
+#[derive(Clone, Copy, Debug)]
+pub enum Due {
+    HardLimit(VisitId),
+    Release(VisitId),
+    Halve,
+    Second,
+}
+
+/// What is to become of a visit now.
+pub enum Choice {
+    HandOff(HostId, Option<Fill>),
+    Wait,
+    GiveUp,
+}
+
+pub struct Brain {
+    pub(crate) set: Settings,
+    pub(crate) chance: Pcg64Mcg,
+    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) visits: BTreeMap<VisitId, Open>,
+    pub(crate) sent: BTreeMap<(VisitId, HandOffNo), Sent>,
+    pub(crate) popularity: Popularity,
+    pub(crate) purges: Purges,
+    pub(crate) copies: BTreeMap<CopyId, Copy>,
+    pub(crate) bands: Vec<BandSeen>,
+    pub(crate) due: DueTimes<Due>,
+    pub(crate) waiting: VecDeque<VisitId>,
+    pub(crate) ready: VecDeque<Decision>,
+    pub(crate) further: Bucket,
+    pub(crate) gate: Gate,
+}
+
+impl Brain {
+    pub(crate) fn empty(set: Settings, seed: u64) -> Brain {
+        Brain {
+            bands: set.bands.iter().map(|_| BandSeen::default()).collect(),
+            set,
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            hosts: Default::default(),
+            visits: Default::default(),
+            sent: Default::default(),
+            popularity: Default::default(),
+            purges: Default::default(),
+            copies: Default::default(),
+            due: Default::default(),
+            waiting: Default::default(),
+            ready: Default::default(),
+            further: Default::default(),
+            gate: Default::default(),
+        }
+    }
+}
