--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,12 +62,10 @@
     pub fn start(set: Settings, seed: u64, now: Time) -> Brain {
         let mut brain = Brain::empty(set, seed);
         brain.further.level = RETRY_BURST;
-        let transfers =
-            brain.set.links.get(usize::from(brain.set.location.0)).map_or(0.0, |kb| kb / brain.set.pace);
-        let told = transfers > 0.0 && transfers.is_finite();
-        let fills = if told { FILLS_A_TRANSFER * transfers } else { FILLS_START };
+        let link = brain.set.link_transfers();
+        let fills = link.map_or(FILLS_START, |transfers| FILLS_A_TRANSFER * transfers);
         brain.gate.limit = (fills / f64::from(brain.set.location_dispatchers)).max(LIMIT_LEAST);
-        brain.gate.most = if told { brain.gate.limit } else { f64::INFINITY };
+        brain.gate.most = link.map_or(f64::INFINITY, |_| brain.gate.limit);
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
@@ -102,17 +100,7 @@
         if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
             seen.kilobytes.push(kb, 0.01);
         }
-        let open = Open {
-            visit,
-            hand_offs: 0,
-            out: 0,
-            popular,
-            looked: false,
-            followed: false,
-            may_have_run: None,
-            avoid: vec![],
-        };
-        self.visits.insert(visit.id, open);
+        self.visits.insert(visit.id, Open::new(visit, popular));
         self.due.put(visit.hard_limit - ANSWER_MARGIN, Due::HardLimit(visit.id));
         self.waiting.push_back(visit.id);
     }
@@ -299,7 +287,7 @@
         let work = self.sending(visit.band);
         let rank = if popular { TOP_RANK } else { LOWEST_RANK };
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
-        let (oldest, join) = (self.oldest(now, &visit), self.set.joins);
+        let join = self.set.joins;
         let no_caches = caches.is_empty();
         caches.retain(|cache| self.able(now, *cache, work));
         let cache = caches.iter().copied().find(|cache| self.busy(*cache) < 1.0);
@@ -309,7 +297,7 @@
         // A fill under way for the same part: it is joined where that is allowed, else waited for once.
         let copy = cache.map(|cache| (visit.object, visit.part, cache));
         let led = copy.is_some_and(|copy| {
-            !self.knows(now, copy) && self.copies.get(&copy).is_some_and(|c| c.leads > 0)
+            !self.knows(now, &visit, copy.2) && self.copies.get(&copy).is_some_and(|c| c.leads > 0)
         });
         if let (true, false, false, Some(copy)) = (led, join, followed, copy) {
             self.follow(now, visit, copy);
@@ -322,6 +310,7 @@
         let through = led && join || !crowded && self.gate.fills < self.gate.limit;
         sources.retain(|s| through && self.has_room(*s));
         let source = self.first_able(now, &sources, work);
+        let oldest = self.oldest(now, &visit, source.is_some());
         match (cache, source) {
             (_, None) if looked => Choice::GiveUp,
             (Some(cache), source) => {
@@ -338,10 +327,11 @@
     }
 
     /// Whether a cache was seen to hold a part since it started, since the part's last purge, and lately.
-    fn knows(&self, now: Time, copy: CopyId) -> bool {
-        let settled = self.copies.get(&copy).and_then(|c| c.settled);
-        let started = self.hosts.get(&copy.2).and_then(|h| h.entry.since);
-        settled.is_some_and(|at| now < at + FORGET && Some(at) > started)
+    fn knows(&self, now: Time, visit: &Visit, cache: HostId) -> bool {
+        let copy = self.copies.get(&(visit.object, visit.part, cache));
+        let void = self.purges.last(visit.group, visit.object);
+        let void = void.max(self.hosts.get(&cache).and_then(|h| h.entry.since));
+        copy.and_then(|c| c.settled).is_some_and(|at| now < at + FORGET && Some(at) > void)
     }
 
     /// Holds a visit back while another of this dispatcher's fills the same part at the same cache, for a
@@ -372,7 +362,7 @@
     fn hand_off(&mut self, now: Time, id: VisitId, host: HostId, fill: Option<Fill>) {
         let Some(visit) = self.visits.get(&id).map(|open| open.visit) else { return };
         let copy = (visit.object, visit.part, host);
-        let known = self.knows(now, copy);
+        let known = self.knows(now, &visit, host);
         let start = MISSES_START[usize::from(known)];
         let misses = self.hosts.get(&host).map_or(start, |h| h.misses[usize::from(known)].or(start));
         let joins = self.set.joins && !known && self.copies.get(&copy).is_some_and(|c| c.leads > 0);
@@ -385,13 +375,8 @@
         let (band, until) = (visit.band, visit.hard_limit - ANSWER_MARGIN);
         let work = self.sending(band);
         let source = fill.map(|fill| fill.source).filter(|source| *source != host);
-        let fill_share = if source.is_none() || joins {
-            0.0
-        } else if sure {
-            1.0
-        } else {
-            misses
-        };
+        let share = if sure { 1.0 } else { misses };
+        let fill_share = if source.is_none() || joins { 0.0 } else { share };
         for (part, share) in [(Some(host), 1.0), (source, fill_share)] {
             if let Some(known) = part.and_then(|part| self.hosts.get_mut(&part)) {
                 known.cold.level -= work * share;
@@ -419,15 +404,15 @@
     }
 
     /// The oldest copy that will do. After a purge it is the time since, until no older copy is left
-    /// anywhere; zero would mean any age, so it is never given then.
-    fn oldest(&self, now: Time, visit: &Visit) -> Span {
+    /// anywhere; zero would mean the default, so it is never given then. A copy past its fresh time will
+    /// do only where no fill can be had: it earns less, yet more than nothing.
+    fn oldest(&self, now: Time, visit: &Visit, filled: bool) -> Span {
+        let Some(band) = self.band(visit.band) else { return Span::ZERO };
+        let most = if filled { band.fresh } else { band.fresh + band.grace };
+        let most = Some(most).filter(|_| band.fresh > Span::ZERO);
         let purge = self.purges.last(visit.group, visit.object);
-        let Some(purge) = purge.filter(|at| now < *at + self.purge_memory()) else { return Span::ZERO };
-        let since = (now - purge).max(Span(1));
-        match self.band(visit.band).map(|band| band.fresh) {
-            Some(fresh) if fresh > Span::ZERO => since.min(fresh),
-            _ => since,
-        }
+        let since = purge.filter(|at| now < *at + self.purge_memory()).map(|at| (now - at).max(Span(1)));
+        since.into_iter().chain(most).min().unwrap_or(Span::ZERO)
     }
 
     fn purge_memory(&self) -> Span {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -61,3 +61,11 @@
     pub purge_done: Span,
     pub purge_grace: Span,
 }
+
+impl Settings {
+    /// How many transfers at full pace the own location's link carries, where that is told.
+    pub fn link_transfers(&self) -> Option<f64> {
+        let link = self.links.get(usize::from(self.location.0))?;
+        Some(link / self.pace).filter(|n| n.is_finite() && *n > 0.0)
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,21 @@
     pub avoid: Vec<HostId>,
 }
 
+impl Open {
+    pub fn new(visit: Visit, popular: bool) -> Open {
+        Open {
+            visit,
+            hand_offs: 0,
+            out: 0,
+            popular,
+            looked: false,
+            followed: false,
+            may_have_run: None,
+            avoid: Vec::new(),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Sent {
     pub at: Time,
