--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -46,7 +46,6 @@
         quoted: Span(need(own, "/aim")? as u64),
         stretch: number(own, "/aim_stretch").unwrap_or(0.0),
         hard_limit: Span(need(own, "/deadline")? as u64),
-        earnings: number(own, "/worth").unwrap_or(1.0),
         fresh: span(all, &format!("/domain/class_fresh/{place}")),
         grace: span(all, &format!("/domain/stale_for/{place}")),
         writes: flag(all, &format!("/domain/goes_through/{place}")),
@@ -79,7 +78,6 @@
         links,
         direct: flag(&all, "/domain/may_pass_by"),
         joins: flag(&all, "/domain/joins"),
-        second_copies: flag(&all, "/bounds/second_copies"),
         cancel: flag(&all, "/bounds/cancel"),
         max_hand_offs: number(&all, "/bounds/max_attempts").unwrap_or(1.0).clamp(1.0, 255.0) as u8,
         come_back_most: if flag(&all, "/bounds/retry_after") {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 const REST_FIRST: Span = Span::millis(500);
 const REST_MOST: Span = Span::millis(4_000);
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
-const COLD_SPEND: f64 = 0.5;
+const COLD_SPEND: f64 = 0.75;
 const COLD_BURST: f64 = 0.2;
 // Limits on what is in flight at a host, in transfers at full pace where sizes are listed.
 const LIMIT_START: f64 = 12.0;
@@ -243,8 +243,7 @@
         let Some(open) = self.visits.get(&id) else { return };
         let may_have_run = open.may_have_run.is_some() || open.out > 0;
         let harmless = match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Idempotent) => true,
-            Some(Effect::Deduplicated { group: Group::All, .. }) => true,
+            Some(Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. }) => true,
             _ => !may_have_run,
         };
         self.finish(id);
@@ -511,24 +510,16 @@
         if self.set.weights_told {
             return host.entry.weight;
         }
-        let parent = self.is_parent(host);
-        let links: f64 = self.set.links.iter().sum();
-        let ready = self.hosts.values().filter(|h| h.is_ready());
-        if parent && links > 0.0 && self.set.pace > 0.0 {
-            let parents = ready.filter(|h| self.is_parent(h)).count();
-            return links / self.set.pace / parents.max(1) as f64;
+        let peers = || self.peers(host.entry.host);
+        if let (true, Some(transfers)) = (self.is_parent(host), self.set.all_links_transfers()) {
+            return transfers / (peers().count() + 1) as f64;
         }
-        let peers = ready.filter(|h| self.is_parent(h) == parent && self.is_cache(h) != parent);
-        let carried = peers.map(|h| h.carried.value).fold(0.0, f64::max);
+        let carried = peers().map(|h| h.carried.value).fold(0.0, f64::max);
         (carried * f64::from(self.set.location_dispatchers)).max(1.0)
     }
 
     fn hash_weight(&self, host: &Host) -> f64 {
-        if self.set.weights_steady && host.entry.weight > 0.0 {
-            host.entry.weight
-        } else {
-            1.0
-        }
+        Some(host.entry.weight).filter(|weight| self.set.weights_steady && *weight > 0.0).unwrap_or(1.0)
     }
 
     fn band(&self, id: BandId) -> Option<&Band> {
@@ -645,6 +636,7 @@
             }
             shut.passed = if failed { 0 } else { shut.passed + 1 };
             shut.rest = if failed { (shut.rest + shut.rest).min(REST_MOST) } else { REST_FIRST };
+            shut.next_trial = if failed { now + shut.rest } else { now };
             if shut.passed >= TRIALS_TO_OPEN {
                 host.shut = None;
                 host.bad = Mean::default();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -23,7 +23,6 @@
     pub quoted: Span,
     pub stretch: f64,
     pub hard_limit: Span,
-    pub earnings: f64,
     pub fresh: Span,
     pub grace: Span,
     pub writes: bool,
@@ -52,7 +51,6 @@
     pub links: Vec<f64>,
     pub direct: bool,
     pub joins: bool,
-    pub second_copies: bool,
     pub cancel: bool,
     pub max_hand_offs: u8,
     pub come_back_most: Span,
@@ -65,7 +63,15 @@
 impl Settings {
     /// How many transfers at full pace the own location's link carries, where that is told.
     pub fn link_transfers(&self) -> Option<f64> {
-        let link = self.links.get(usize::from(self.location.0))?;
-        Some(link / self.pace).filter(|n| n.is_finite() && *n > 0.0)
+        self.transfers(*self.links.get(usize::from(self.location.0))?)
+    }
+
+    /// The same for the links of all locations together.
+    pub fn all_links_transfers(&self) -> Option<f64> {
+        self.transfers(self.links.iter().sum())
+    }
+
+    fn transfers(&self, kilobytes_a_second: f64) -> Option<f64> {
+        Some(kilobytes_a_second / self.pace).filter(|n| n.is_finite() && *n > 0.0)
     }
 }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,358 @@
+//! Plays the scenarios in `tests/scenarios/`. One command a line, words apart by blanks, `#` starts a comment:
+//!
+//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` and `fleet` (six hosts, band video)
+//! come first, then
+//! `at MS` (time passes, the timer fires), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
+//! `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
+//! `answer NAME|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
+//! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
+//! `expect ID to|from|rank|oldest|over|final WORD` and `expect sent|filled|cold NAME OP NUMBER`.
+//!
+//! Always checked: one final answer a visit, nothing after it, and never two hand-offs out at once.
+use cherrypass::brain::Brain;
+use cherrypass::calls::*;
+use cherrypass::ids::*;
+use cherrypass::settings::*;
+use cherrypass::time::{Span, Time};
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const START: u64 = 1_000_000_000;
+
+#[derive(Default)]
+struct Seen {
+    number: u8,
+    to: Option<HostId>,
+    fill: Option<Fill>,
+    at: u64,
+    out: u32,
+    finals: Vec<&'static str>,
+}
+
+struct Play {
+    set: Settings,
+    names: BTreeMap<String, HostId>,
+    listings: BTreeMap<HostId, Listing>,
+    brain: Option<Brain>,
+    now: u64,
+    wake: u64,
+    visits: BTreeMap<u32, Seen>,
+    answers: BTreeMap<String, (String, String, u64)>,
+    pending: BTreeMap<(u64, u32, u8), (String, String)>,
+    sent: BTreeMap<HostId, f64>,
+    filled: BTreeMap<HostId, f64>,
+}
+
+fn ms(word: &str) -> u64 {
+    word.parse::<u64>().unwrap_or_else(|_| panic!("not a number: {word}")) * 1000
+}
+
+fn pairs<'a>(words: &[&'a str]) -> BTreeMap<&'a str, &'a str> {
+    words.iter().map(|word| word.split_once('=').unwrap_or((word, "1"))).collect()
+}
+
+impl Play {
+    fn new() -> Play {
+        let cold = |share: f64, seconds: u64| ColdStart {
+            share,
+            ramp: Span::millis(seconds * 1000),
+            multiple: 2.0,
+            window: Span::millis(2000),
+        };
+        let set = Settings {
+            me: 0,
+            dispatchers: 2,
+            location: LocationId(2),
+            location_dispatchers: 1,
+            bands: Vec::new(),
+            parent_kind: Some(KindId(1)),
+            origin_kind: Some(KindId(2)),
+            weights_told: true,
+            weights_steady: true,
+            pace: 5000.0,
+            links: vec![0.0, 0.0, 50_000.0],
+            direct: true,
+            joins: false,
+            cancel: true,
+            max_hand_offs: 6,
+            come_back_most: Span::millis(2000),
+            cold_cache: cold(0.2, 15),
+            cold_parent: cold(0.1, 20),
+            purge_done: Span::millis(6000),
+            purge_grace: Span::millis(500),
+        };
+        Play {
+            set,
+            names: BTreeMap::new(),
+            listings: BTreeMap::new(),
+            brain: None,
+            now: START,
+            wake: START,
+            visits: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            filled: BTreeMap::new(),
+        }
+    }
+
+    fn call(&mut self, input: impl FnOnce(&mut Brain, Time)) {
+        let now = Time(self.now);
+        if self.brain.is_none() {
+            let mut brain = Brain::start(self.set.clone(), 7, now);
+            brain.listed(now, &self.listings.values().copied().collect::<Vec<_>>(), true);
+            self.brain = Some(brain);
+        }
+        input(self.brain.as_mut().unwrap(), now);
+        while let Some(decision) = self.brain.as_mut().unwrap().next(now) {
+            self.take(decision);
+        }
+    }
+
+    fn take(&mut self, decision: Decision) {
+        match decision {
+            Decision::HandOff { visit, host, fill, .. } => {
+                let seen = self.visits.get_mut(&visit.0).expect("a known visit");
+                assert!(seen.finals.is_empty(), "visit {} handed off after its final answer", visit.0);
+                assert_eq!(seen.out, 0, "visit {} has two hand-offs out", visit.0);
+                seen.number += u8::from(seen.to.is_some());
+                (seen.to, seen.fill, seen.at, seen.out) = (Some(host), fill, self.now, 1);
+                *self.sent.entry(host).or_default() += 1.0;
+                let source = fill.map(|fill| fill.source).filter(|source| *source != host);
+                if let Some(source) = source {
+                    *self.filled.entry(source).or_default() += 1.0;
+                }
+                let number = seen.number;
+                let name = |prefix: &str, id: Option<HostId>| {
+                    let known = self.names.iter().filter(|(_, host)| Some(**host) == id);
+                    let mut known = known.map(|(name, _)| format!("{prefix}{name}"));
+                    known.find_map(|name| self.answers.get(&name).cloned())
+                };
+                let answer = name("from:", source).or_else(|| name("", Some(host)));
+                if let Some((outcome, note, after)) = answer.filter(|(outcome, ..)| outcome != "silent") {
+                    self.pending.insert((self.now + after, visit.0, number), (outcome, note));
+                }
+            }
+            Decision::Cancel { visit, number } => {
+                self.pending.retain(|(_, id, no), _| (*id, *no) != (visit.0, number.0));
+                self.pending.insert((self.now, visit.0, number.0), ("cancelled".into(), "untold".into()));
+            }
+            Decision::TurnBack { visit, .. } => self.final_answer(visit.0, "turned-back"),
+            Decision::WriteOff { visit } => self.final_answer(visit.0, "written-off"),
+            Decision::Wake { after } => self.wake = self.now + after.0,
+            Decision::Log(_) => {}
+        }
+    }
+
+    fn final_answer(&mut self, id: u32, word: &'static str) {
+        let seen = self.visits.get_mut(&id).expect("a known visit");
+        seen.finals.push(word);
+        assert_eq!(seen.finals.len(), 1, "visit {id} has two final answers: {:?}", seen.finals);
+    }
+
+    fn end(&mut self, id: u32, number: u8, outcome: &str, note: &str) {
+        use Outcome::*;
+        let outcomes = [Settled, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot, Miss];
+        let names =
+            ["settled", "error", "full", "timed-out", "connect-failed", "reset", "cancelled", "moot", "miss"];
+        let notes = [Note::Untold, Note::Hit, Note::Filled, Note::FilledByOrigin, Note::SourceUnreached];
+        let note_names = ["untold", "hit", "filled", "by-origin", "unreached", "no-place", "origin-failed"];
+        let notes = [&notes[..], &[Note::NoPlace, Note::OriginFailed]].concat();
+        let outcome = outcomes[names.iter().position(|name| *name == outcome).expect("an outcome")];
+        let note = notes[note_names.iter().position(|name| *name == note).expect("a note")];
+        let seen = self.visits.get_mut(&id).expect("a known visit");
+        seen.out = 0;
+        if outcome == Settled && seen.finals.is_empty() {
+            seen.finals.push("settled");
+        }
+        let (took, last) = (Span(self.now - seen.at), !seen.finals.is_empty());
+        let (visit, number) = (VisitId(id), HandOffNo(number));
+        self.call(|brain, now| {
+            brain.ended(now, Ended { visit, number, outcome, note, took, link_full: None, last })
+        });
+    }
+
+    fn until(&mut self, then: u64) {
+        loop {
+            let answer = self.pending.keys().next().copied();
+            let next = answer.map_or(self.wake, |(at, ..)| at.min(self.wake));
+            if next > then {
+                break;
+            }
+            self.now = next.max(self.now);
+            match answer.filter(|(at, ..)| *at <= self.now) {
+                Some(key) => {
+                    let (outcome, note) = self.pending.remove(&key).unwrap();
+                    self.end(key.1, key.2, &outcome, &note);
+                }
+                None => self.call(|brain, now| brain.woken(now)),
+            }
+        }
+        self.now = then;
+    }
+
+    fn visit(&mut self, id: u32, band: &str, object: &str, limit: Option<&&str>) {
+        let place = self.set.bands.iter().position(|known| known.name == band).expect("a band");
+        let limit = limit.map_or(self.set.bands[place].hard_limit.0, |word| ms(word));
+        let (band, object) = (BandId(place as u8), ObjectId(object.parse().unwrap()));
+        let hard_limit = Time(self.now + limit);
+        self.visits.insert(id, Seen::default());
+        let visit =
+            Visit { id: VisitId(id), band, object, group: GroupId(1), part: 0, kilobytes: None, hard_limit };
+        self.call(|brain, now| brain.arrived(now, visit));
+    }
+
+    fn band(&mut self, name: &str, effect: &str, words: &[&str]) {
+        let known = pairs(words);
+        let span = |key: &str, other| Span(known.get(key).map_or(other, |word| ms(word)));
+        let effect = match effect {
+            "idempotent" => Effect::Idempotent,
+            "unrepeatable" => Effect::Unrepeatable,
+            _ => Effect::Deduplicated { group: Group::All, memory: span("memory", 6_000_000) },
+        };
+        self.set.bands.push(Band {
+            name: name.to_string(),
+            effect,
+            quoted: span("quoted", 500_000),
+            stretch: 2.0,
+            hard_limit: span("limit", 6_000_000),
+            fresh: span("fresh", 0),
+            grace: span("grace", 0),
+            writes: known.contains_key("writes"),
+        });
+    }
+
+    fn list(&mut self, name: &str, phase: &str, since: Option<&&str>) {
+        let listing = self.listings.get_mut(&self.names[name]).expect("a host");
+        listing.phase = match phase {
+            "ready" => Phase::Ready,
+            "draining" => Phase::Draining,
+            _ => Phase::Gone,
+        };
+        listing.since = since.map(|word| Time(START + ms(word))).or(listing.since);
+        let listing = *listing;
+        self.call(|brain, now| brain.listed(now, &[listing], false));
+    }
+
+    fn expect(&self, what: &str, key: &str, words: &[&str]) {
+        if let Ok(id) = what.parse::<u32>() {
+            let seen = &self.visits[&id];
+            let is = |host: Option<HostId>| host.is_some() && host == self.names.get(words[0]).copied();
+            let good = match key {
+                "to" => is(seen.to),
+                "from" => is(seen.fill.map(|fill| fill.source)),
+                "rank" => seen.fill.map(|fill| fill.rank.to_string()).as_deref() == Some(words[0]),
+                "oldest" => seen.fill.map(|fill| fill.oldest.0 / 1000) == Some(ms(words[0]) / 1000),
+                "hand-offs" => (u64::from(seen.number) + u64::from(seen.to.is_some())) * 1000 == ms(words[0]),
+                "final" => seen.finals.first().copied().unwrap_or("none") == words[0],
+                other => panic!("unknown check {other}"),
+            };
+            assert!(good, "visit {id} {key} {words:?}: to {:?} {:?} {:?}", seen.to, seen.fill, seen.finals);
+            return;
+        }
+        let counts = if what == "sent" { &self.sent } else { &self.filled };
+        let count = counts.get(&self.names[key]).copied().unwrap_or(0.0);
+        let figure: f64 = words[1].parse().unwrap();
+        let good = if words[0] == "<" { count < figure } else { count > figure };
+        assert!(good, "{what} {key}: {count}, expected {words:?}");
+    }
+
+    fn play(&mut self, words: &[&str]) {
+        match words {
+            ["band", name, effect, rest @ ..] => self.band(name, effect, rest),
+            ["fleet"] => {
+                for host in
+                    ["A cache 6", "B cache 6", "C cache 6", "P parent 20", "Q parent 20", "O origin 1"]
+                {
+                    let words: Vec<&str> = host.split(' ').collect();
+                    self.play(&["host", words[0], words[1], words[2]]);
+                }
+                self.band("video", "idempotent", &["quoted=500", "limit=6000"]);
+            }
+            ["host", name, sort, weight] => {
+                let kind =
+                    ["cache", "parent", "origin"].iter().position(|known| known == sort).expect("a sort");
+                let host = HostId(self.names.len() as u64 + 1);
+                self.names.insert(name.to_string(), host);
+                let location = LocationId(if kind == 0 { 2 } else { 0 });
+                let weight = weight.parse().unwrap();
+                let (kind, cell) = (KindId(kind as u8), CellId(0));
+                let entry = Listing { host, location, kind, cell, weight, since: None, phase: Phase::Ready };
+                self.listings.insert(host, entry);
+            }
+            ["at", time] => self.until(START + ms(time)),
+            ["list", name, phase, since @ ..] => self.list(name, phase, since.first()),
+            ["visit", id, band, object, limit @ ..] => {
+                self.visit(id.parse().unwrap(), band, object, limit.first())
+            }
+            ["purge", object, ago] => {
+                let (object, ago) = (object.parse().ok().map(ObjectId), Span(ms(ago)));
+                self.call(|brain, now| brain.purged(now, GroupId(1), object, ago));
+            }
+            ["leave", id] => {
+                let id = id.parse().unwrap();
+                self.visits.get_mut(&id).unwrap().finals.push("left");
+                self.call(|brain, _| brain.left(VisitId(id)));
+            }
+            ["end", id, outcome, note @ ..] => {
+                let id = id.parse().unwrap();
+                let number = self.visits[&id].number;
+                self.end(id, number, outcome, note.first().unwrap_or(&"untold"));
+            }
+            ["answer", name, outcome, rest @ ..] => {
+                let note = rest.first().unwrap_or(&"untold").to_string();
+                let after = rest.get(1).map_or(0, |word| ms(word));
+                self.answers.insert(name.to_string(), (outcome.to_string(), note, after));
+            }
+            ["flow", count, band, every, objects] => {
+                for n in 0..count.parse().unwrap() {
+                    let id = 1000 + self.visits.len() as u32;
+                    let object = 100 + n % objects.parse::<u32>().unwrap();
+                    self.visit(id, band, &object.to_string(), None);
+                    self.until(self.now + ms(every));
+                }
+            }
+            ["name", new, which, id] => {
+                let seen = &self.visits[&id.parse().unwrap()];
+                let host = if *which == "to" { seen.to } else { seen.fill.map(|fill| fill.source) };
+                self.names.insert(new.to_string(), host.expect("a hand-off"));
+            }
+            ["mark"] => (self.sent, self.filled) = Default::default(),
+            ["expect", what, key, rest @ ..] => self.expect(what, key, rest),
+            other => panic!("unknown command {other:?}"),
+        }
+    }
+}
+
+#[test_case(include_str!("scenarios/all_look_bad.txt"); "all_look_bad")]
+#[test_case(include_str!("scenarios/cold_cache.txt"); "cold_cache")]
+#[test_case(include_str!("scenarios/cold_parent.txt"); "cold_parent")]
+#[test_case(include_str!("scenarios/drained.txt"); "drained")]
+#[test_case(include_str!("scenarios/effects.txt"); "effects")]
+#[test_case(include_str!("scenarios/failing_parent.txt"); "failing_parent")]
+#[test_case(include_str!("scenarios/fast_errors.txt"); "fast_errors")]
+#[test_case(include_str!("scenarios/follows_a_fill.txt"); "follows_a_fill")]
+#[test_case(include_str!("scenarios/jam.txt"); "jam")]
+#[test_case(include_str!("scenarios/lost_location.txt"); "lost_location")]
+#[test_case(include_str!("scenarios/nothing_listed.txt"); "nothing_listed")]
+#[test_case(include_str!("scenarios/one_final_answer.txt"); "one_final_answer")]
+#[test_case(include_str!("scenarios/popular.txt"); "popular")]
+#[test_case(include_str!("scenarios/purge.txt"); "purge")]
+#[test_case(include_str!("scenarios/restart.txt"); "restart")]
+#[test_case(include_str!("scenarios/silent_host.txt"); "silent_host")]
+#[test_case(include_str!("scenarios/half_look_bad.txt"); "half_look_bad")]
+#[test_case(include_str!("scenarios/crowded_parent.txt"); "crowded_parent")]
+fn scenario(text: &str) {
+    let mut play = Play::new();
+    for line in text.lines() {
+        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+        if !words.is_empty() {
+            play.play(&words);
+        }
+    }
+    let last = play.now + 20_000_000;
+    play.until(last);
+    for (id, seen) in &play.visits {
+        assert_eq!(seen.finals.len(), 1, "visit {id} ends with {:?}", seen.finals);
+    }
+}
