--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,7 +7,7 @@
 use crate::ids::*;
 use crate::settings::{Band, Effect, Group, Settings};
 pub use crate::state::Brain;
-use crate::state::{Choice, CopyId, Due, Host, Open, Sent, Shut};
+use crate::state::{Choice, Due, Host, Open, Sent, Shut};
 use crate::time::{Span, Time};
 use rand::Rng;
 
@@ -51,7 +51,7 @@
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
-const FOLLOW: f64 = 0.5;
+const PATIENCE: f64 = 0.5;
 const FAILED_AS: f64 = 10.0;
 // Where nothing is told of fills: a turn-away that took longer was not the host's own, and how much an
 // answer that may have been a hit says of the source.
@@ -100,7 +100,9 @@
         if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
             seen.kilobytes.push(kb, 0.01);
         }
-        self.visits.insert(visit.id, Open::new(visit, popular));
+        let patience = now + self.band(visit.band).map_or(Span::ZERO, |band| band.quoted.times(PATIENCE));
+        self.visits.insert(visit.id, Open::new(visit, popular, patience));
+        self.due.put(patience, Due::Release(visit.id));
         self.due.put(visit.hard_limit - ANSWER_MARGIN, Due::HardLimit(visit.id));
         self.waiting.push_back(visit.id);
     }
@@ -269,7 +271,7 @@
     /// dispatcher's own second one; filled from the parent hashed over all listed ones.
     fn choose(&mut self, now: Time, visit: Visit) -> Choice {
         let Some(open) = self.visits.get(&visit.id) else { return Choice::Wait };
-        let (popular, looked, followed) = (open.popular, open.looked, open.followed);
+        let (popular, looked, patient) = (open.popular, open.looked, now < open.patience);
         let fits = |host: &HostId| !open.avoid.contains(host) && self.same_group(open, *host);
         let mut caches = self.by_hash(visit.object, |h| self.is_cache(h));
         if let (true, Some(second), Some(first)) = (popular, self.own_cache(), caches.first()) {
@@ -293,13 +295,15 @@
         if !caches.is_empty() && cache.is_none() {
             return Choice::GiveUp;
         }
-        // A fill under way for the same part: it is joined where that is allowed, else waited for once.
+        // A fill under way for the same part is joined where that is allowed, else waited for, for a part of
+        // the quoted time. Guards against the same bytes coming in twice (a new object that many ask for, a
+        // purge, an empty cache). Harms where fills fail slowly: it then costs that time.
         let copy = cache.map(|cache| (visit.object, visit.part, cache));
         let led = copy.is_some_and(|copy| {
             !self.knows(now, &visit, copy.2) && self.copies.get(&copy).is_some_and(|c| c.leads > 0)
         });
-        if let (true, false, false, Some(copy)) = (led, join, followed, copy) {
-            self.follow(now, visit, copy);
+        if let (true, false, true, Some(copy)) = (led, join, patient, copy) {
+            self.copies.entry(copy).or_default().followers.push(visit.id);
             return Choice::Wait;
         }
         // Guards against any jam behind the caches (a full link, a slow, full or fallen origin, crowded
@@ -333,17 +337,6 @@
         copy.and_then(|c| c.settled).is_some_and(|at| now < at + FORGET && Some(at) > void)
     }
 
-    /// Holds a visit back while another of this dispatcher's fills the same part at the same cache, for a
-    /// part of its quoted time at most. Guards against the same bytes coming in twice (a new object that
-    /// many ask for, a purge, an empty cache). Harms where fills fail slowly: it then costs that time.
-    fn follow(&mut self, now: Time, visit: Visit, copy: CopyId) {
-        let quoted = self.band(visit.band).map_or(Span::ZERO, |band| band.quoted);
-        let Some(open) = self.visits.get_mut(&visit.id) else { return };
-        open.followed = true;
-        self.due.put(now + quoted.times(FOLLOW), Due::Release(visit.id));
-        self.copies.entry(copy).or_default().followers.push(visit.id);
-    }
-
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
         let origin = self.by_hash(visit.object, |h| self.is_origin(h)).first().copied();
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,22 +94,22 @@
     pub popular: bool,
     /// The last hand-off only looked, and the cache lacks the object.
     pub looked: bool,
-    /// It has waited behind a fill once already.
-    pub followed: bool,
+    /// Until when it may wait for a fill, its own or another's.
+    pub patience: Time,
     /// The first hand-off that may have run: when it was sent and where to.
     pub may_have_run: Option<(Time, HostId)>,
     pub avoid: Vec<HostId>,
 }
 
 impl Open {
-    pub fn new(visit: Visit, popular: bool) -> Open {
+    pub fn new(visit: Visit, popular: bool, patience: Time) -> Open {
         Open {
             visit,
             hand_offs: 0,
             out: 0,
             popular,
             looked: false,
-            followed: false,
+            patience,
             may_have_run: None,
             avoid: Vec::new(),
         }
