--- a/src/brain.rs
+++ b/src/brain.rs
@@ -273,7 +273,13 @@
         let Some(open) = self.visits.get(&visit.id) else { return Choice::Wait };
         let (popular, looked, patient) = (open.popular, open.looked, now < open.patience);
         let fits = |host: &HostId| !open.avoid.contains(host) && self.same_group(open, *host);
-        let mut caches = self.by_hash(visit.object, |h| self.is_cache(h));
+        // Past the designated cache the parts of an object go apart, so that one large object does not take
+        // the next cache down with the first.
+        let mut caches = self.by_hash(visit.object.0, |h| self.is_cache(h));
+        let part = visit.object.0 ^ (u64::from(visit.part) + 1) << 52;
+        let next = self.by_hash(part, |h| self.is_cache(h));
+        caches.truncate(1);
+        caches.extend(next.into_iter().filter(|host| Some(host) != caches.first()).collect::<Vec<_>>());
         if let (true, Some(second), Some(first)) = (popular, self.own_cache(), caches.first()) {
             if self.busy(second) < self.busy(*first) {
                 caches.retain(|host| *host != second);
@@ -281,9 +287,9 @@
             }
         }
         caches.retain(fits);
-        let mut sources = self.by_hash(visit.object, |h| self.is_parent(h));
+        let mut sources = self.by_hash(visit.object.0, |h| self.is_parent(h));
         sources.retain(fits);
-        let origin = self.by_hash(visit.object, |h| self.is_origin(h)).into_iter().find(fits);
+        let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).into_iter().find(fits);
         sources.extend(origin);
         let work = self.sending(visit.band);
         let rank = if popular { TOP_RANK } else { LOWEST_RANK };
@@ -291,7 +297,13 @@
         let join = self.set.joins;
         let no_caches = caches.is_empty();
         caches.retain(|cache| self.able(now, *cache, work));
-        let cache = caches.iter().copied().find(|cache| self.busy(*cache) < 1.0);
+        // Where the first cache is busy, one that was seen to hold the part is better than one that would
+        // fill it anew. Guards against a few objects that many ask for.
+        let free = |cache: &HostId| self.busy(*cache) < 1.0;
+        let holds = |cache: &HostId| free(cache) && self.knows(now, &visit, *cache);
+        let cache = caches.first().copied().filter(free);
+        let cache = cache.or_else(|| caches.iter().copied().find(holds));
+        let cache = cache.or_else(|| caches.iter().copied().find(free));
         if !caches.is_empty() && cache.is_none() {
             return Choice::GiveUp;
         }
@@ -339,12 +351,12 @@
 
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
-        let origin = self.by_hash(visit.object, |h| self.is_origin(h)).first().copied();
+        let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).first().copied();
         let (Some(source), Some(open)) = (origin, self.visits.get(&visit.id)) else { return Choice::GiveUp };
         if self.set.direct {
             return Choice::HandOff(source, None);
         }
-        let mut caches = self.by_hash(visit.object, |h| self.is_cache(h));
+        let mut caches = self.by_hash(visit.object.0, |h| self.is_cache(h));
         caches.retain(|host| !open.avoid.contains(host) && self.same_group(open, *host));
         let fill = Fill { source, rank: 0, oldest: Span::ZERO, join: false, renew: false };
         let cache = self.first_able(now, &caches, self.sending(visit.band));
@@ -426,9 +438,9 @@
     }
 
     /// The listed ready hosts of one sort in the rendezvous order of an object.
-    fn by_hash(&self, object: ObjectId, sort: impl Fn(&Host) -> bool) -> Vec<HostId> {
+    fn by_hash(&self, key: u64, sort: impl Fn(&Host) -> bool) -> Vec<HostId> {
         let listed = self.hosts.values().filter(|h| h.is_ready() && sort(h));
-        let value = |h: &Host| rendezvous(object, h.entry.host, self.hash_weight(h));
+        let value = |h: &Host| rendezvous(key, h.entry.host, self.hash_weight(h));
         let mut order: Vec<(f64, HostId)> = listed.map(|h| (value(h), h.entry.host)).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, host)| host).collect()
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -1,5 +1,5 @@
 //! Plain containers: due times in order, running means, token buckets, and the rendezvous hash.
-use crate::ids::{HostId, ObjectId};
+use crate::ids::HostId;
 use crate::time::Time;
 use std::collections::BTreeMap;
 
@@ -100,9 +100,9 @@
     x ^ (x >> 31)
 }
 
-/// Weighted rendezvous hash: the host with the highest value is the object's.
-pub fn rendezvous(object: ObjectId, host: HostId, weight: f64) -> f64 {
-    let bits = mix(mix(object.0.wrapping_add(0x9e37_79b9_7f4a_7c15)) ^ mix(host.0 ^ 0x5851_f42d_4c95_7f2d));
+/// Weighted rendezvous hash: the host with the highest value is the key's.
+pub fn rendezvous(key: u64, host: HostId, weight: f64) -> f64 {
+    let bits = mix(mix(key.wrapping_add(0x9e37_79b9_7f4a_7c15)) ^ mix(host.0 ^ 0x5851_f42d_4c95_7f2d));
     let unit = ((bits >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
     -weight / unit.ln()
 }
