--- a/src/brain.rs
+++ b/src/brain.rs
@@ -300,9 +300,7 @@
         // Where the first cache is busy, one that was seen to hold the part is better than one that would
         // fill it anew. Guards against a few objects that many ask for.
         let free = |cache: &HostId| self.busy(*cache) < 1.0;
-        let holds = |cache: &HostId| free(cache) && self.knows(now, &visit, *cache);
         let cache = caches.first().copied().filter(free);
-        let cache = cache.or_else(|| caches.iter().copied().find(holds));
         let cache = cache.or_else(|| caches.iter().copied().find(free));
         if !caches.is_empty() && cache.is_none() {
             return Choice::GiveUp;
