--- a/src/brain.rs
+++ b/src/brain.rs
@@ -499,13 +499,17 @@
         !self.set.weights_told || !self.is_parent(host) || host.fills < most.max(LIMIT_LEAST)
     }
 
+    /// The limit on what is in flight at a host, held to what its listed size can serve in time: the gradient
+    /// alone can't tell where all it ever saw was overload.
     fn limit(&self, host: &Host) -> f64 {
-        if host.load.limit > 0.0 {
-            return host.load.limit;
+        let told = self.set.weights_told;
+        let whole = if told { LIMIT_A_TRANSFER * host.entry.weight } else { LIMIT_START };
+        let start = (whole / f64::from(self.set.location_dispatchers)).max(LIMIT_LEAST);
+        match host.load.limit {
+            0.0 => start,
+            known if told => known.min(start),
+            known => known,
         }
-        let listed = LIMIT_A_TRANSFER * host.entry.weight;
-        let whole = if self.set.weights_told { listed } else { LIMIT_START };
-        (whole / f64::from(self.set.location_dispatchers)).max(LIMIT_LEAST)
     }
 
     /// A host's full capacity in transfers at full pace: as listed, else what its peers were seen to carry.
