--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,7 @@
 const LIMIT_A_TRANSFER: f64 = 2.0;
 const LIMIT_LEAST: f64 = 2.0;
 const SLOWER_BORNE: f64 = 1.1;
+const LATE_BORNE: f64 = 0.5;
 // Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
 // link; what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
@@ -553,7 +554,8 @@
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin | Note::Joined);
         let untold = end.note == Note::Untold;
         let took = end.took.as_seconds();
-        let mut slower = None;
+        let (mut slower, mut late) = (None, 0.0);
+        let quoted = self.band(sent.band).map_or(SECOND, |band| band.quoted);
         if settled && !filled {
             if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
                 seen.sending.push(took, 0.02);
@@ -561,6 +563,7 @@
             if let Some(asked) = self.popularity.asked.get_mut(&sent.copy.0) {
                 let shortest = asked.shortest.map_or(end.took, |s| s.min(end.took));
                 slower = asked.shortest.map(|_| took / shortest.as_seconds().max(0.001));
+                late = took / quoted.as_seconds();
                 asked.shortest = Some(shortest);
             }
         }
@@ -580,8 +583,9 @@
             }
             if let Some(slower) = slower {
                 host.load.push(slower, 0.05, 10, 0.0002);
-                let in_flight = f64::from(host.in_flight);
-                host.load.limit = follow_limit(limit, host.load.slower(), in_flight, SLOWER_BORNE);
+                host.late.push(late.max(0.001).ln(), 0.05);
+                let worse = (host.load.slower() / SLOWER_BORNE).max(host.late.value.exp() / LATE_BORNE);
+                host.load.limit = follow_limit(limit, worse, f64::from(host.in_flight), 1.0);
             }
         }
         self.learn_of_source(now, sent, end, filled);
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,8 @@
     pub carried: Mean,
     pub settled_work: f64,
     pub load: Gradient,
+    /// Logarithm of what part of the quoted time hits take.
+    pub late: Mean,
     /// Fills that are likely out at this source.
     pub fills: f64,
     /// Share of fills among answers: for parts it was not seen to hold, and for those it was.
@@ -51,6 +53,7 @@
             carried: Mean::default(),
             settled_work: 0.0,
             load: Gradient::default(),
+            late: Mean::default(),
             fills: 0.0,
             misses: Default::default(),
         }
