--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,7 +43,7 @@
 const LIMIT_A_TRANSFER: f64 = 2.0;
 const LIMIT_LEAST: f64 = 2.0;
 const SLOWER_BORNE: f64 = 1.1;
-const LATE_BORNE: f64 = 0.5;
+const LATE_BORNE: f64 = 0.45;
 // Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
 // link; what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
@@ -73,8 +73,6 @@
         brain
     }
 
-    // ---- inputs ----
-
     /// A list of hosts, whole or only what changed. Hosts missing from a whole list are gone.
     pub fn listed(&mut self, now: Time, entries: &[Listing], whole: bool) {
         if whole {
@@ -176,8 +174,6 @@
         self.ready.pop_front()
     }
 
-    // ---- the design: popularity ----
-
     /// Counts r_i and tells whether the object is popular: r_i > α·r_ave over the admitted set, or the set
     /// is empty. The set's bytes are held to a share of all that is remembered.
     fn is_popular(&mut self, now: Time, visit: &Visit) -> bool {
@@ -196,8 +192,6 @@
         admitted
     }
 
-    // ---- deciding a visit ----
-
     fn decide(&mut self, now: Time, id: VisitId) {
         let Some(open) = self.visits.get(&id) else { return };
         if open.out > 0 {
@@ -264,8 +258,7 @@
             return;
         }
         let out = self.sent.range((id, HandOffNo(0))..=(id, HandOffNo(u8::MAX)));
-        let calls_off = out.map(|(&(visit, number), _)| Decision::Cancel { visit, number });
-        self.ready.extend(calls_off);
+        self.ready.extend(out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }));
     }
 
     /// The ordinary path: the designated cache, or for a popular object the less busy of that and the
@@ -276,16 +269,14 @@
         let fits = |host: &HostId| !open.avoid.contains(host) && self.same_group(open, *host);
         // Past the designated cache the parts of an object go apart, so that one large object does not take
         // the next cache down with the first.
-        let mut caches = self.by_hash(visit.object.0, |h| self.is_cache(h));
-        let part = visit.object.0 ^ (u64::from(visit.part) + 1) << 52;
-        let next = self.by_hash(part, |h| self.is_cache(h));
-        caches.truncate(1);
-        caches.extend(next.into_iter().filter(|host| Some(host) != caches.first()).collect::<Vec<_>>());
-        if let (true, Some(second), Some(first)) = (popular, self.own_cache(), caches.first()) {
-            if self.busy(second) < self.busy(*first) {
-                caches.retain(|host| *host != second);
-                caches.insert(0, second);
-            }
+        let home = self.by_hash(visit.object.0, |h| self.is_cache(h)).first().copied();
+        let mut caches =
+            self.by_hash(visit.object.0 ^ (u64::from(visit.part) + 1) << 52, |h| self.is_cache(h));
+        let second =
+            self.own_cache().filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
+        for host in home.into_iter().chain(second) {
+            caches.retain(|other| *other != host);
+            caches.insert(0, host);
         }
         caches.retain(fits);
         let mut sources = self.by_hash(visit.object.0, |h| self.is_parent(h));
@@ -310,9 +301,8 @@
         // the quoted time. Guards against the same bytes coming in twice (a new object that many ask for, a
         // purge, an empty cache). Harms where fills fail slowly: it then costs that time.
         let copy = cache.map(|cache| (visit.object, visit.part, cache));
-        let led = copy.is_some_and(|copy| {
-            !self.knows(now, &visit, copy.2) && self.copies.get(&copy).is_some_and(|c| c.leads > 0)
-        });
+        let leads = copy.and_then(|copy| self.copies.get(&copy)).is_some_and(|copy| copy.leads > 0);
+        let led = leads && cache.is_some_and(|cache| !self.knows(now, &visit, cache));
         if let (true, false, true, Some(copy)) = (led, join, patient, copy) {
             self.copies.entry(copy).or_default().followers.push(visit.id);
             return Choice::Wait;
@@ -414,16 +404,10 @@
         let most = if filled { band.fresh } else { band.fresh + band.grace };
         let most = Some(most).filter(|_| band.fresh > Span::ZERO);
         let purge = self.purges.last(visit.group, visit.object);
-        let since = purge.filter(|at| now < *at + self.purge_memory()).map(|at| (now - at).max(Span(1)));
+        let since = purge.filter(|at| now < *at + self.set.purge_memory()).map(|at| (now - at).max(Span(1)));
         since.into_iter().chain(most).min().unwrap_or(Span::ZERO)
     }
 
-    fn purge_memory(&self) -> Span {
-        self.set.purge_done + self.set.purge_grace
-    }
-
-    // ---- hosts ----
-
     fn is_cache(&self, host: &Host) -> bool {
         !self.is_parent(host) && !self.is_origin(host) && host.entry.location == self.set.location
     }
@@ -544,8 +528,6 @@
         seen.sending.or(band.quoted.as_seconds())
     }
 
-    // ---- learning ----
-
     fn learn(&mut self, now: Time, sent: &Sent, end: &Ended) {
         use Outcome::*;
         let host_answered = matches!(end.outcome, Settled | Error | Full | Miss);
@@ -575,9 +557,7 @@
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
             }
-            if settled {
-                host.settled_work += work;
-            }
+            host.settled_work += if settled { work } else { 0.0 };
             if settled && !untold || end.outcome == Miss {
                 host.misses[usize::from(sent.known)].push(f64::from(filled || end.outcome == Miss), 0.05);
             }
@@ -585,7 +565,7 @@
                 host.load.push(slower, 0.05, 10, 0.0002);
                 host.late.push(late.max(0.001).ln(), 0.05);
                 let worse = (host.load.slower() / SLOWER_BORNE).max(host.late.value.exp() / LATE_BORNE);
-                host.load.limit = follow_limit(limit, worse, f64::from(host.in_flight), 1.0);
+                host.load.limit = follow_limit(limit, worse, f64::from(host.in_flight));
             }
         }
         self.learn_of_source(now, sent, end, filled);
@@ -594,8 +574,8 @@
         }
     }
 
-    /// What an answer says of the source that was named, and of all fills: when they wait much longer than
-    /// at best, or fail, the gate shuts, and its limit follows the gradient.
+    /// What an answer says of the source that was named, and of all fills: when they take too much of the
+    /// quoted time, or fail, the gate's limit follows the gradient.
     fn learn_of_source(&mut self, now: Time, sent: &Sent, end: &Ended, filled: bool) {
         use Note::*;
         self.gate.fills = (self.gate.fills - sent.fill_share).max(0.0);
@@ -628,7 +608,8 @@
         };
         let weight = if untold && !sure { 0.05 * MAYBE_HIT } else { 0.05 };
         gate.late.push(late.max(0.001).ln(), weight);
-        gate.limit = follow_limit(gate.limit, gate.late.value.exp(), gate.fills, FILLS_LATE).min(gate.most);
+        let worse = gate.late.value.exp() / FILLS_LATE;
+        gate.limit = follow_limit(gate.limit, worse, gate.fills).min(gate.most);
     }
 
     /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
@@ -691,33 +672,30 @@
 
     /// Phi accrual: a host is silent when its present silence is very unlikely given the gaps before.
     fn watch_silence(&mut self, now: Time) {
-        let phi =
-            |h: &Host| h.silence(now).as_seconds() / h.gap.or(1.0).max(GAP_LEAST) * std::f64::consts::LOG10_E;
         let silent = |h: &&Host| {
             let waits = h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
-            waits && phi(h) > PHI_SILENT && !self.is_origin(h)
+            waits && h.phi(now, GAP_LEAST) > PHI_SILENT && !self.is_origin(h)
         };
-        let found: Vec<(HostId, f64)> =
-            self.hosts.values().filter(silent).map(|h| (h.entry.host, phi(h))).collect();
+        let found = self.hosts.values().filter(silent).map(|h| (h.entry.host, h.phi(now, GAP_LEAST)));
+        let found: Vec<(HostId, f64)> = found.collect();
         for (id, phi) in found {
             self.shut_out(now, id, format!("silent, phi {phi:.1}"));
         }
     }
 
     fn each_second(&mut self, now: Time) {
-        self.purges.forget(now - self.purge_memory());
+        self.purges.forget(now - self.set.purge_memory());
         for host in self.hosts.values_mut() {
             host.carried.push(host.settled_work, 0.2);
             host.settled_work = 0.0;
         }
         let gate = &mut self.gate;
-        let (looks, was) = (std::mem::take(&mut gate.looks), gate.holds_back);
-        gate.holds_back = looks > 0;
-        if gate.holds_back != was {
-            let word = if was { "flow again" } else { "held back" };
+        let held_back = std::mem::take(&mut gate.looks) > 0;
+        if std::mem::replace(&mut gate.holds_back, held_back) != held_back {
+            let word = if held_back { "held back" } else { "flow again" };
             let (limit, late, link) = (gate.limit, gate.late.value.exp(), gate.link.map_or(0.0, |l| l.1));
             self.log(format!(
-                "fills {word}: limit {limit:.0}, at {late:.1} of the quoted time, link {link:.1}, {looks} looks"
+                "fills {word}: limit {limit:.0}, at {late:.1} of the quoted time, link {link:.1}"
             ));
         }
         self.due.put(now + SECOND, Due::Second);
@@ -728,9 +706,9 @@
     }
 }
 
-/// The gradient: a limit follows shortest answer time / present one.
-fn follow_limit(limit: f64, slower: f64, in_flight: f64, borne: f64) -> f64 {
-    let gradient = (borne / slower).clamp(0.5, 1.0);
+/// The gradient: a limit follows shortest answer time / present one, here how much worse it is than borne.
+fn follow_limit(limit: f64, worse: f64, in_flight: f64) -> f64 {
+    let gradient = (1.0 / worse).clamp(0.5, 1.0);
     if gradient == 1.0 && in_flight <= limit / 2.0 {
         return limit;
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -61,6 +61,11 @@
 }
 
 impl Settings {
+    /// How long after a purge an older copy may still turn up.
+    pub fn purge_memory(&self) -> Span {
+        self.purge_done + self.purge_grace
+    }
+
     /// How many transfers at full pace the own location's link carries, where that is told.
     pub fn link_transfers(&self) -> Option<f64> {
         self.transfers(*self.links.get(usize::from(self.location.0))?)
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,12 @@
         self.entry.phase == Phase::Gone
     }
 
+    /// How unlikely the present silence is, given the gaps before (as if they were exponential).
+    pub fn phi(&self, now: Time, least_gap: f64) -> f64 {
+        let gap = self.gap.or(1.0).max(least_gap);
+        self.silence(now).as_seconds() / gap * std::f64::consts::LOG10_E
+    }
+
     pub fn silence(&self, now: Time) -> Span {
         now - self.heard.max(self.waiting_since)
     }
