--- a/src/ids.rs
+++ b/src/ids.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BandId(pub u8);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LocationId(pub u8);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,7 +28,7 @@
     pub writes: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
     pub share: f64,
     pub ramp: Span,
@@ -36,7 +36,7 @@
     pub window: Span,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub me: u32,
     pub dispatchers: u32,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -29,6 +29,7 @@
     finals: Vec<&'static str>,
 }
 
+#[derive(Default)]
 struct Play {
     set: Settings,
     names: BTreeMap<String, HostId>,
@@ -60,11 +61,9 @@
             window: Span::millis(2000),
         };
         let set = Settings {
-            me: 0,
             dispatchers: 2,
             location: LocationId(2),
             location_dispatchers: 1,
-            bands: Vec::new(),
             parent_kind: Some(KindId(1)),
             origin_kind: Some(KindId(2)),
             weights_told: true,
@@ -72,7 +71,6 @@
             pace: 5000.0,
             links: vec![0.0, 0.0, 50_000.0],
             direct: true,
-            joins: false,
             cancel: true,
             max_hand_offs: 6,
             come_back_most: Span::millis(2000),
@@ -80,20 +78,9 @@
             cold_parent: cold(0.1, 20),
             purge_done: Span::millis(6000),
             purge_grace: Span::millis(500),
+            ..Settings::default()
         };
-        Play {
-            set,
-            names: BTreeMap::new(),
-            listings: BTreeMap::new(),
-            brain: None,
-            now: START,
-            wake: START,
-            visits: BTreeMap::new(),
-            answers: BTreeMap::new(),
-            pending: BTreeMap::new(),
-            sent: BTreeMap::new(),
-            filled: BTreeMap::new(),
-        }
+        Play { set, now: START, wake: START, ..Play::default() }
     }
 
     fn call(&mut self, input: impl FnOnce(&mut Brain, Time)) {
