Visits turned back are told to come back after 50 to 100 ms, not 250 to 500

Cause: places free up every few milliseconds, and a visit that comes back after half a second has lost its quoted time. It could harm where clients come back without end; here a client has at most three tries.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 const ANSWER_MARGIN: Span = Span::millis(25);
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 12.0;
-const COME_BACK: Span = Span::millis(250);
+const COME_BACK: Span = Span::millis(50);
 // Health.
 const PHI_SILENT: f64 = 8.0;
 const SILENT_LEAST: Span = Span::millis(400);
