--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,7 @@
 const PHI_SILENT: f64 = 8.0;
 const SILENT_LEAST: Span = Span::millis(400);
 const GAP_LEAST: f64 = 0.02;
+const PAUSED: Span = Span::millis(100);
 const BAD_LEAST: f64 = 0.35;
 const BAD_OVER_PEERS: f64 = 5.0;
 const BAD_ALONE: f64 = 0.75;
@@ -106,10 +107,6 @@
         self.waiting.push_back(visit.id);
     }
 
-    pub fn left(&mut self, id: VisitId) {
-        self.finish(id);
-    }
-
     pub fn ended(&mut self, now: Time, end: Ended) {
         let Some(sent) = self.sent.remove(&(end.visit, end.number)) else { return };
         let by_cache = self.hosts.get(&sent.host).is_some_and(|h| self.is_cache(h));
@@ -125,7 +122,7 @@
             self.copies.entry(sent.copy).or_default().settled = Some(now);
         }
         if end.last {
-            self.finish(end.visit);
+            self.left(end.visit);
             return;
         }
         let Some(open) = self.visits.get_mut(&end.visit) else { return };
@@ -161,6 +158,11 @@
                 Due::Second => self.each_second(now),
             }
         }
+        // After a pause of this dispatcher itself the hosts' silence means nothing: it is counted anew.
+        if now > self.last_woken + PAUSED {
+            self.hosts.values_mut().for_each(|host| host.heard = now);
+        }
+        self.last_woken = now;
         self.watch_silence(now);
         self.ready.push_back(Decision::Wake { after: ROUND });
     }
@@ -243,7 +245,7 @@
             Some(Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. }) => true,
             _ => !may_have_run,
         };
-        self.finish(id);
+        self.left(id);
         self.ready.push_back(if harmless {
             let come_back = COME_BACK.times(self.chance.gen_range(1.0..2.0));
             Decision::TurnBack { visit: id, come_back: come_back.min(self.set.come_back_most) }
@@ -252,8 +254,8 @@
         });
     }
 
-    /// Forgets a visit that has its final answer and calls off what is still out for it.
-    fn finish(&mut self, id: VisitId) {
+    /// Forgets a visit whose client has left or has its final answer, and calls off what is still out for it.
+    pub fn left(&mut self, id: VisitId) {
         if self.visits.remove(&id).is_none() || !self.set.cancel {
             return;
         }
@@ -313,7 +315,7 @@
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
         let through = led && join || !crowded && self.gate.fills < self.gate.limit;
         sources.retain(|s| through && self.has_room(*s));
-        let source = self.first_able(now, &sources, work);
+        let source = sources.into_iter().find(|s| self.able(now, *s, work));
         let oldest = self.oldest(now, &visit, source.is_some());
         match (cache, source) {
             (_, None) if looked => Choice::GiveUp,
@@ -348,7 +350,8 @@
         let mut caches = self.by_hash(visit.object.0, |h| self.is_cache(h));
         caches.retain(|host| !open.avoid.contains(host) && self.same_group(open, *host));
         let fill = Fill { source, rank: 0, oldest: Span::ZERO, join: false, renew: false };
-        let cache = self.first_able(now, &caches, self.sending(visit.band));
+        let work = self.sending(visit.band);
+        let cache = caches.into_iter().find(|cache| self.able(now, *cache, work));
         cache.map_or(Choice::GiveUp, |cache| Choice::HandOff(cache, Some(fill)))
     }
 
@@ -436,10 +439,6 @@
         caches.get(place).map(|h| h.entry.host)
     }
 
-    fn first_able(&mut self, now: Time, order: &[HostId], work: f64) -> Option<HostId> {
-        order.iter().copied().find(|host| self.able(now, *host, work))
-    }
-
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
     /// Else it is stepped over for this visit only.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -207,6 +207,7 @@
     pub(crate) waiting: VecDeque<VisitId>,
     pub(crate) ready: VecDeque<Decision>,
     pub(crate) further: Bucket,
+    pub(crate) last_woken: Time,
     pub(crate) gate: Gate,
 }
 
@@ -226,6 +227,7 @@
             waiting: Default::default(),
             ready: Default::default(),
             further: Default::default(),
+            last_woken: Default::default(),
             gate: Default::default(),
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //!
 //! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` and `fleet` (six hosts, band video), `untold` (sizes)
 //! come first, then
-//! `at MS` (time passes, the timer fires), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
+//! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
 //! `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
 //! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
@@ -245,6 +245,7 @@
     fn play(&mut self, words: &[&str]) {
         match words {
             ["band", name, effect, rest @ ..] => self.band(name, effect, rest),
+            ["pause", time] => (self.now, self.wake) = (self.now + ms(time), self.now + ms(time)),
             ["untold"] => (self.set.weights_told, self.set.weights_steady) = (false, false),
             ["fleet"] => {
                 for host in
@@ -331,6 +332,7 @@
 #[test_case(include_str!("scenarios/half_look_bad.txt"); "half_look_bad")]
 #[test_case(include_str!("scenarios/crowded_parent.txt"); "crowded_parent")]
 #[test_case(include_str!("scenarios/cold_untold.txt"); "cold_untold")]
+#[test_case(include_str!("scenarios/own_pause.txt"); "own_pause")]
 fn scenario(text: &str) {
     let mut play = Play::new();
     for line in text.lines() {
