--- a/src/brain.rs
+++ b/src/brain.rs
@@ -590,9 +590,9 @@
         let sure =
             filled || by_source || sent.fill_share == 1.0 && !matches!(end.outcome, Outcome::Cancelled);
         let weight = if sure || lost { 0.15 } else { 0.15 * MAYBE_HIT };
-        let id = source.entry.host;
-        let bad = source.bad.value;
-        if sure || lost || settled && untold {
+        // A hit says nothing of a source on trial: only a part that was not seen at the cache counts there.
+        let (id, bad, trial) = (source.entry.host, source.bad.value, source.shut.is_some());
+        if sure || lost || settled && untold && !(trial && sent.known) {
             self.judge(now, sent.at, id, by_source || lost, weight);
         }
         // One source that fails alone is the breaker's matter.
