--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -41,11 +41,9 @@
         other => return Err(format!("the settings name an unknown effect '{other}'")),
     };
     Ok(Band {
-        name: text(own, "/name").to_string(),
         effect,
         quoted: Span(need(own, "/aim")? as u64),
         stretch: number(own, "/aim_stretch").unwrap_or(0.0),
-        hard_limit: Span(need(own, "/deadline")? as u64),
         fresh: span(all, &format!("/domain/class_fresh/{place}")),
         grace: span(all, &format!("/domain/stale_for/{place}")),
         writes: flag(all, &format!("/domain/goes_through/{place}")),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,11 +18,9 @@
 
 #[derive(Clone, Debug)]
 pub struct Band {
-    pub name: String,
     pub effect: Effect,
     pub quoted: Span,
     pub stretch: f64,
-    pub hard_limit: Span,
     pub fresh: Span,
     pub grace: Span,
     pub writes: bool,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -38,6 +38,7 @@
     now: u64,
     wake: u64,
     visits: BTreeMap<u32, Seen>,
+    bands: Vec<(String, u64)>,
     answers: BTreeMap<String, (String, String, u64)>,
     pending: BTreeMap<(u64, u32, u8), (String, String)>,
     sent: BTreeMap<HostId, f64>,
@@ -181,8 +182,8 @@
     }
 
     fn visit(&mut self, id: u32, band: &str, object: &str, limit: Option<&&str>) {
-        let place = self.set.bands.iter().position(|known| known.name == band).expect("a band");
-        let limit = limit.map_or(self.set.bands[place].hard_limit.0, |word| ms(word));
+        let place = self.bands.iter().position(|known| known.0 == band).expect("a band");
+        let limit = limit.map_or(self.bands[place].1, |word| ms(word));
         let (band, object) = (BandId(place as u8), ObjectId(object.parse().unwrap()));
         let hard_limit = Time(self.now + limit);
         self.visits.insert(id, Seen::default());
@@ -199,12 +200,11 @@
             "unrepeatable" => Effect::Unrepeatable,
             _ => Effect::Deduplicated { group: Group::All, memory: span("memory", 6_000_000) },
         };
+        self.bands.push((name.to_string(), span("limit", 6_000_000).0));
         self.set.bands.push(Band {
-            name: name.to_string(),
             effect,
             quoted: span("quoted", 500_000),
             stretch: 2.0,
-            hard_limit: span("limit", 6_000_000),
             fresh: span("fresh", 0),
             grace: span("grace", 0),
             writes: known.contains_key("writes"),
