Clean-up: one test of fit, one of a fill under way, settings parsed once

The checks of hosts tried before and of a fill under way stood twice each; the settings were parsed twice for the report's column; hosts gone with nothing out were gone through at each list.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -59,8 +59,7 @@
     fn take(&mut self, frame: &Frame, now: Time, code: u16, who: u16, record: Fields) -> Result<(), Error> {
         if code == 256 {
             let env = frame.tail(record, 12, 1)?;
-            let set = settings::read(env).map_err(|what| frame.fault(what))?;
-            let column = settings::link_column(env);
+            let (set, column) = settings::read(env).map_err(|what| frame.fault(what))?;
             self.instances.insert(who, (Brain::start(set, record.u64(4), now), column));
             return Ok(());
         }
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -50,7 +50,8 @@
     })
 }
 
-pub fn read(bytes: &[u8]) -> Result<Settings, String> {
+/// The settings, and the place among a load report's columns that tells how full the link for fills is.
+pub fn read(bytes: &[u8]) -> Result<(Settings, Option<usize>), String> {
     let all: Value = serde_json::from_slice(bytes).map_err(|e| format!("the settings aren't JSON: {e}"))?;
     let services = all.pointer("/services").and_then(Value::as_array);
     let services = services.ok_or("the settings lack the list /services")?;
@@ -62,7 +63,9 @@
     let links = all.pointer("/domain/zone_link_kb_per_s").and_then(Value::as_array);
     let links = links.map(|list| list.iter().filter_map(Value::as_f64).collect()).unwrap_or_default();
     let window = span(&all, "/rules/overload_for");
-    Ok(Settings {
+    let columns = all.pointer("/stats/columns").and_then(Value::as_array);
+    let link_column = columns.and_then(|names| names.iter().position(|name| name == "x1"));
+    let set = Settings {
         me: need(&all, "/me")? as u32,
         dispatchers,
         location: LocationId(location),
@@ -97,11 +100,6 @@
         },
         purge_done: span(&all, "/domain/purge_done"),
         purge_grace: span(&all, "/domain/obey_after"),
-    })
-}
-
-/// Where a load report tells how full the link for fills is.
-pub fn link_column(bytes: &[u8]) -> Option<usize> {
-    let all: Value = serde_json::from_slice(bytes).ok()?;
-    all.pointer("/stats/columns")?.as_array()?.iter().position(|name| name == "x1")
+    };
+    Ok((set, link_column))
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -82,15 +82,15 @@
             }
         }
         for entry in entries {
-            let started = entry.since.is_some();
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
-            if started && entry.since > host.entry.since {
+            if entry.since > host.entry.since {
                 // A process that started anew has lost what it held, and what was known of it is void.
                 *host = Host { in_flight: host.in_flight, ..Host::new(*entry, now) };
             }
             host.entry = *entry;
         }
-        let gone: Vec<HostId> = self.hosts.values().filter(|h| h.is_gone()).map(|h| h.entry.host).collect();
+        let gone = self.hosts.values().filter(|h| h.is_gone() && h.in_flight > 0);
+        let gone: Vec<HostId> = gone.map(|h| h.entry.host).collect();
         gone.into_iter().for_each(|host| self.call_off(host));
     }
 
@@ -226,8 +226,11 @@
         }
     }
 
-    /// A deduplicated visit that may have run goes only to hosts that drop its repeats.
-    fn same_group(&self, open: &Open, host: HostId) -> bool {
+    /// Whether a host has not failed the visit yet and drops its repeats, where it may have run.
+    fn fits(&self, open: &Open, host: HostId) -> bool {
+        if open.avoid.contains(&host) {
+            return false;
+        }
         let Some((_, first)) = open.may_have_run else { return true };
         let (Some(a), Some(b)) = (self.hosts.get(&first), self.hosts.get(&host)) else { return false };
         match self.band(open.visit.band).map(|band| band.effect) {
@@ -268,7 +271,7 @@
     fn choose(&mut self, now: Time, visit: Visit) -> Choice {
         let Some(open) = self.visits.get(&visit.id) else { return Choice::Wait };
         let (popular, looked, patient) = (open.popular, open.looked, now < open.patience);
-        let fits = |host: &HostId| !open.avoid.contains(host) && self.same_group(open, *host);
+        let fits = |host: &HostId| self.fits(open, *host);
         // Past the designated cache the parts of an object go apart, so that one large object does not take
         // the next cache down with the first.
         let home = self.by_hash(visit.object.0, |h| self.is_cache(h)).first().copied();
@@ -291,11 +294,7 @@
         let join = self.set.joins;
         let no_caches = caches.is_empty();
         caches.retain(|cache| self.able(now, *cache, work));
-        // Where the first cache is busy, one that was seen to hold the part is better than one that would
-        // fill it anew. Guards against a few objects that many ask for.
-        let free = |cache: &HostId| self.busy(*cache) < 1.0;
-        let cache = caches.first().copied().filter(free);
-        let cache = cache.or_else(|| caches.iter().copied().find(free));
+        let cache = caches.iter().copied().find(|cache| self.busy(*cache) < 1.0);
         if !caches.is_empty() && cache.is_none() {
             return Choice::GiveUp;
         }
@@ -303,15 +302,14 @@
         // the quoted time. Guards against the same bytes coming in twice (a new object that many ask for, a
         // purge, an empty cache). Harms where fills fail slowly: it then costs that time.
         let copy = cache.map(|cache| (visit.object, visit.part, cache));
-        let leads = copy.and_then(|copy| self.copies.get(&copy)).is_some_and(|copy| copy.leads > 0);
-        let led = leads && cache.is_some_and(|cache| !self.knows(now, &visit, cache));
+        let led = cache.is_some_and(|cache| self.is_led(now, &visit, cache));
         if let (true, false, true, Some(copy)) = (led, join, patient, copy) {
             self.copies.entry(copy).or_default().followers.push(visit.id);
             return Choice::Wait;
         }
         // Guards against any jam behind the caches (a full link, a slow, full or fallen origin, crowded
         // parents, no places for fills): with no room for a fill a cache is first asked without one, so
-        // that hits go on, and only misses wait for room. Costs a short hand-off a miss while it lasts.
+        // that hits go on, and a miss goes on only if there is room. Costs a short hand-off a miss meanwhile.
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
         let through = led && join || !crowded && self.gate.fills < self.gate.limit;
         sources.retain(|s| through && self.has_room(*s));
@@ -340,6 +338,12 @@
         copy.and_then(|c| c.settled).is_some_and(|at| now < at + FORGET && Some(at) > void)
     }
 
+    /// Whether another of this dispatcher's hand-offs likely fills the part at that cache now.
+    fn is_led(&self, now: Time, visit: &Visit, cache: HostId) -> bool {
+        let copy = self.copies.get(&(visit.object, visit.part, cache));
+        copy.is_some_and(|copy| copy.leads > 0) && !self.knows(now, visit, cache)
+    }
+
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).first().copied();
@@ -348,7 +352,7 @@
             return Choice::HandOff(source, None);
         }
         let mut caches = self.by_hash(visit.object.0, |h| self.is_cache(h));
-        caches.retain(|host| !open.avoid.contains(host) && self.same_group(open, *host));
+        caches.retain(|host| self.fits(open, *host));
         let fill = Fill { source, rank: 0, oldest: Span::ZERO, join: false, renew: false };
         let work = self.sending(visit.band);
         let cache = caches.into_iter().find(|cache| self.able(now, *cache, work));
@@ -361,7 +365,7 @@
         let known = self.knows(now, &visit, host);
         let start = MISSES_START[usize::from(known)];
         let misses = self.hosts.get(&host).map_or(start, |h| h.misses[usize::from(known)].or(start));
-        let joins = self.set.joins && !known && self.copies.get(&copy).is_some_and(|c| c.leads > 0);
+        let joins = self.set.joins && self.is_led(now, &visit, host);
         let Some(open) = self.visits.get_mut(&id) else { return };
         let sure = open.looked || fill.is_some_and(|fill| fill.rank == 0);
         let number = HandOffNo(open.hand_offs);
@@ -373,17 +377,15 @@
         let source = fill.map(|fill| fill.source).filter(|source| *source != host);
         let share = if sure { 1.0 } else { misses };
         let fill_share = if source.is_none() || joins { 0.0 } else { share };
-        for (part, share) in [(Some(host), 1.0), (source, fill_share)] {
+        for (part, share, fills) in [(Some(host), 1.0, 0.0), (source, fill_share, fill_share)] {
             if let Some(known) = part.and_then(|part| self.hosts.get_mut(&part)) {
                 known.cold.level -= work * share;
+                known.fills += fills;
                 if let Some(shut) = &mut known.shut {
                     shut.next_trial = now + shut.rest;
                 }
             }
         }
-        if let Some(source) = source.and_then(|source| self.hosts.get_mut(&source)) {
-            source.fills += fill_share;
-        }
         if let Some(known) = self.hosts.get_mut(&host) {
             if known.in_flight == 0 {
                 known.waiting_since = now;
@@ -496,7 +498,7 @@
         }
     }
 
-    /// A host's capacity in transfers: as listed, else what its peers carry, less a margin as it may be smaller.
+    /// A host's capacity in transfers: as listed, else what its peers carry, less a margin.
     fn capacity(&self, host: &Host) -> f64 {
         if self.set.weights_told {
             return host.entry.weight;
@@ -535,8 +537,8 @@
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin | Note::Joined);
         let untold = end.note == Note::Untold;
         let took = end.took.as_seconds();
-        let (mut slower, mut late) = (None, 0.0);
-        let quoted = self.band(sent.band).map_or(SECOND, |band| band.quoted);
+        let late = took / self.band(sent.band).map_or(SECOND, |band| band.quoted).as_seconds();
+        let mut slower = None;
         if settled && !filled {
             if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
                 seen.sending.push(took, 0.02);
@@ -544,7 +546,6 @@
             if let Some(asked) = self.popularity.asked.get_mut(&sent.copy.0) {
                 let shortest = asked.shortest.map_or(end.took, |s| s.min(end.took));
                 slower = asked.shortest.map(|_| took / shortest.as_seconds().max(0.001));
-                late = took / quoted.as_seconds();
                 asked.shortest = Some(shortest);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,7 +103,7 @@
     pub popular: bool,
     /// The last hand-off only looked, and the cache lacks the object.
     pub looked: bool,
-    /// Until when it may wait for a fill, its own or another's.
+    /// Until when it may wait behind a fill that is under way.
     pub patience: Time,
     /// The first hand-off that may have run: when it was sent and where to.
     pub may_have_run: Option<(Time, HostId)>,
