--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,7 +66,7 @@
         brain.further.level = RETRY_BURST;
         let link = brain.set.link_transfers();
         let fills = link.map_or(FILLS_START, |transfers| FILLS_A_TRANSFER * transfers);
-        brain.gate.limit = (fills / f64::from(brain.set.location_dispatchers)).max(LIMIT_LEAST);
+        brain.gate.limit = fills / f64::from(brain.set.location_dispatchers);
         brain.gate.most = link.map_or(f64::INFINITY, |_| brain.gate.limit);
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
@@ -311,7 +311,7 @@
         // parents, no places for fills): with no room for a fill a cache is first asked without one, so
         // that hits go on, and a miss goes on only if there is room. Costs a short hand-off a miss meanwhile.
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
-        let through = led && join || !crowded && self.gate.fills < self.gate.limit;
+        let through = led && join || !crowded && self.has_part(self.gate.limit - self.gate.fills);
         sources.retain(|s| through && self.has_room(*s));
         let source = sources.into_iter().find(|s| self.able(now, *s, work));
         let oldest = self.oldest(now, &visit, source.is_some());
@@ -477,6 +477,12 @@
         self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
     }
 
+    /// Whether a share of room takes one more. Below one it is a chance in proportion, so that the shares of
+    /// many dispatchers hold in sum.
+    fn has_part(&mut self, room: f64) -> bool {
+        self.chance.gen_bool(room.clamp(0.0, 1.0))
+    }
+
     /// Whether a source may be named for one more fill. Guards against parents crowded by refills; the
     /// origin has no figure of its own, the gate guards it.
     fn has_room(&self, id: HostId) -> bool {
@@ -565,7 +571,7 @@
                 host.load.push(slower, 0.05, 10, 0.0002);
                 host.late.push(late.max(0.001).ln(), 0.05);
                 let worse = (host.load.slower() / SLOWER_BORNE).max(host.late.value.exp() / LATE_BORNE);
-                host.load.limit = follow_limit(limit, worse, f64::from(host.in_flight));
+                host.load.limit = follow_limit(limit, worse, f64::from(host.in_flight), 1.0).max(LIMIT_LEAST);
             }
         }
         self.learn_of_source(now, sent, end, filled);
@@ -578,7 +584,8 @@
     /// quoted time, or fail, the gate's limit follows the gradient.
     fn learn_of_source(&mut self, now: Time, sent: &Sent, end: &Ended, filled: bool) {
         use Note::*;
-        self.gate.fills = (self.gate.fills - sent.fill_share).max(0.0);
+        let fills = self.gate.fills;
+        self.gate.fills = (fills - sent.fill_share).max(0.0);
         let work = self.sending(sent.band);
         let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else { return };
         source.fills = (source.fills - sent.fill_share).max(0.0);
@@ -599,6 +606,7 @@
         // One source that fails alone is the breaker's matter.
         let alone = bad > BAD_OVER_PEERS * self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
         let quoted = self.band(sent.band).map_or(1.0, |b| b.quoted.as_seconds() + b.stretch * work);
+        let sharers = f64::from(self.set.location_dispatchers);
         let gate = &mut self.gate;
         let jammed = matches!(end.note, NoPlace | OriginFailed);
         let late = match end.note {
@@ -609,7 +617,7 @@
         let weight = if untold && !sure { 0.05 * MAYBE_HIT } else { 0.05 };
         gate.late.push(late.max(0.001).ln(), weight);
         let worse = gate.late.value.exp() / FILLS_LATE;
-        gate.limit = follow_limit(gate.limit, worse, gate.fills).min(gate.most);
+        gate.limit = follow_limit(gate.limit, worse, fills, sharers).min(gate.most);
     }
 
     /// Shuts a host out when it fails far more often than its peers, and lets it back after some good
@@ -707,13 +715,14 @@
 }
 
 /// The gradient: a limit follows shortest answer time / present one, here how much worse it is than borne.
-fn follow_limit(limit: f64, worse: f64, in_flight: f64) -> f64 {
+/// It is one of several dispatchers' shares of a whole, which keeps the room for growth in sum.
+fn follow_limit(limit: f64, worse: f64, in_flight: f64, sharers: f64) -> f64 {
     let gradient = (1.0 / worse).clamp(0.5, 1.0);
     if gradient == 1.0 && in_flight <= limit / 2.0 {
         return limit;
     }
-    let wanted = gradient * limit + limit.sqrt();
-    (limit + 0.05 * (wanted - limit)).max(LIMIT_LEAST)
+    let wanted = gradient * limit + (limit / sharers).sqrt();
+    limit + 0.05 * (wanted - limit)
 }
 
 /// Whether a failure lies with the source of the fill rather than with the host that was asked: by the
