Where notes are untold, a look that settles counts as a hit too

Cause: the share of likely fills was learned from looks that missed alone, so all hand-offs soon counted as fills and the limit on fills held back a third of the visits while fills took 0.2 of the quoted time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -564,7 +564,8 @@
                 host.heard = now;
             }
             host.settled_work += if settled { work } else { 0.0 };
-            if settled && !untold || end.outcome == Miss {
+            // Untold, only a look tells: settled it was a hit. Its misses alone would make all seem fills.
+            if settled && (!untold || sent.source.is_none()) || end.outcome == Miss {
                 host.misses[usize::from(sent.known)].push(f64::from(filled || end.outcome == Miss), 0.05);
             }
             if let Some(slower) = slower {
