A source far slower than fills in general is stepped over but for a part in proportion

A source's own fills are now held against fills in general; past twice as slow they no longer speak for the gate. Also covers ageing, far and half broken parents; harms where the slow parent alone holds the objects: the next one starts empty for them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,6 +51,7 @@
 const FILLS_A_TRANSFER: f64 = 1.75;
 const FILLS_START: f64 = 24.0;
 const FILLS_LATE: f64 = 0.5;
+const SLOW_ALONE: f64 = 2.0;
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
@@ -313,6 +314,7 @@
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
         let through = led && join || !crowded && self.has_part(self.gate.limit - self.gate.fills);
         sources.retain(|s| through && self.has_room(*s));
+        sources.retain(|s| self.takes_part(*s));
         let source = sources.into_iter().find(|s| self.able(now, *s, work));
         let oldest = self.oldest(now, &visit, source.is_some());
         match (cache, source) {
@@ -483,6 +485,13 @@
         self.chance.gen_bool(room.clamp(0.0, 1.0))
     }
 
+    /// Guards against one slow source among good ones (ageing, jammed, far or half broken): while its fills take
+    /// more than so many times as long as fills in general it is stepped over, but for a part in proportion.
+    fn takes_part(&mut self, id: HostId) -> bool {
+        let slower = self.hosts.get(&id).map_or(0.0, |h| h.late.value - self.gate.late.value).exp();
+        self.has_part(SLOW_ALONE / slower)
+    }
+
     /// Whether a source may be named for one more fill. Guards against parents crowded by refills; the
     /// origin has no figure of its own, the gate guards it.
     fn has_room(&self, id: HostId) -> bool {
@@ -588,6 +597,7 @@
         let fills = self.gate.fills;
         self.gate.fills = (fills - sent.fill_share).max(0.0);
         let work = self.sending(sent.band);
+        let quoted = self.band(sent.band).map_or(1.0, |b| b.quoted.as_seconds() + b.stretch * work);
         let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else { return };
         source.fills = (source.fills - sent.fill_share).max(0.0);
         let (untold, by_source) = (end.note == Untold, source_at_fault(end));
@@ -598,25 +608,28 @@
         }
         let sure =
             filled || by_source || sent.fill_share == 1.0 && !matches!(end.outcome, Outcome::Cancelled);
-        let weight = if sure || lost { 0.15 } else { 0.15 * MAYBE_HIT };
+        let jammed = matches!(end.note, NoPlace | OriginFailed);
+        let late = match end.note {
+            _ if jammed || by_source || end.outcome == Outcome::TimedOut => Some(FAILED_AS),
+            _ if settled && (filled || untold) => Some(end.took.as_seconds() / quoted),
+            _ => None,
+        };
+        // A source far slower than fills in general is its own matter, not the gate's.
+        let late = late.map(|late| late.max(0.001).ln());
+        let part = if untold && !sure { MAYBE_HIT } else { 1.0 };
+        if let Some(late) = late.filter(|_| !jammed) {
+            source.late.push(late, 0.15 * part);
+        }
+        let alone = !jammed && source.late.value > self.gate.late.value + SLOW_ALONE.ln();
         // A hit says nothing of a source on trial: only a part that was not seen at the cache counts there.
-        let (id, bad, trial) = (source.entry.host, source.bad.value, source.shut.is_some());
+        let (id, trial) = (source.entry.host, source.shut.is_some());
         if sure || lost || settled && untold && !(trial && sent.known) {
-            self.judge(now, sent.at, id, by_source || lost, weight);
+            self.judge(now, sent.at, id, by_source || lost, if sure || lost { 0.15 } else { 0.15 * MAYBE_HIT });
         }
-        // One source that fails alone is the breaker's matter.
-        let alone = bad > BAD_OVER_PEERS * self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
-        let quoted = self.band(sent.band).map_or(1.0, |b| b.quoted.as_seconds() + b.stretch * work);
+        let (Some(late), false) = (late, alone) else { return };
         let sharers = f64::from(self.set.location_dispatchers);
         let gate = &mut self.gate;
-        let jammed = matches!(end.note, NoPlace | OriginFailed);
-        let late = match end.note {
-            _ if jammed || (by_source || end.outcome == Outcome::TimedOut) && !alone => FAILED_AS,
-            _ if settled && (filled || untold) => end.took.as_seconds() / quoted,
-            _ => return,
-        };
-        let weight = if untold && !sure { 0.05 * MAYBE_HIT } else { 0.05 };
-        gate.late.push(late.max(0.001).ln(), weight);
+        gate.late.push(late, 0.05 * part);
         let worse = gate.late.value.exp() / FILLS_LATE;
         gate.limit = follow_limit(gate.limit, worse, fills, sharers).min(gate.most);
     }
