The origin's limit binds only while its fills are late

Now it binds only while fills by the origin are late. Parents give a part away only past 1.3 times their own best, too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,7 @@
 const FILLS_START: f64 = 24.0;
 const FILLS_LATE: f64 = 0.5;
 const PARENT_LATE: f64 = 0.3;
+const SLOWER_ALONE: f64 = 1.3;
 const SEEN_LEAST: u32 = 4;
 const ONWARD_START: f64 = 0.3;
 const GATE_LEAST: f64 = 0.1;
@@ -289,7 +290,8 @@
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).into_iter().find(fits);
         // Guards against an origin that is slow, full or fallen: with no room there the parent is asked for what
         // it holds, so that its hits go on and the origin keeps its places for writes and for recovery.
-        let deep = self.has_part(self.origin.limit - self.origin.fills);
+        let late = self.origin.late.value > self.origin.borne.ln();
+        let deep = !late || self.has_part(self.origin.limit - self.origin.fills);
         sources.extend(origin.filter(|_| deep));
         let work = self.sending(visit.band);
         let rank = if popular { TOP_RANK } else { LOWEST_RANK };
@@ -460,8 +462,9 @@
     /// next one is no better: it starts empty for the object.
     fn takes_part(&mut self, id: HostId) -> bool {
         let known = self.hosts.get(&id).filter(|h| self.is_parent(h) && h.late.seen >= SEEN_LEAST);
-        let late = known.map_or(0.0, |h| h.late.value.exp());
-        self.has_part(PARENT_LATE / late)
+        let slower =
+            known.map_or(0.0, |h| h.late.value.exp() / PARENT_LATE.max(SLOWER_ALONE * h.load.best()));
+        self.has_part(1.0 / slower)
     }
 
     /// The limit on what is in flight at a host, held to what its listed size can serve in time: the gradient
@@ -565,6 +568,7 @@
         let by_parent = if sent.held { 1.0 } else { 1.0 - onward };
         if let Some(late) = late.filter(|_| !jammed && by_parent > 0.0) {
             source.late.push(late, 0.15 * part * by_parent);
+            source.load.push(late.exp(), 0.05 * part * by_parent, 10, 0.002);
         }
         // A hit says nothing of a source on trial: only a part that was not seen at the cache counts there.
         let (id, bad, trial) = (source.entry.host, source.bad.value, source.shut.is_some());
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -66,6 +66,10 @@
         }
     }
 
+    pub fn best(&self) -> f64 {
+        self.shortest.map_or(1.0, f64::exp)
+    }
+
     /// How many times slower than at best.
     pub fn slower(&self) -> f64 {
         self.shortest.map_or(1.0, |best| (self.present.value - best).exp())
