A cold host's share below one hand-off is a chance, so that many dispatchers hold in sum

Now a part of one is a chance in proportion, spent whether it comes or not; a fill costs a cold parent in full until the answer says it was a hit; 0.7 of what is permitted is spent. Scenario cold_share fails without the guard.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,7 @@
 const REST_FIRST: Span = Span::millis(500);
 const REST_MOST: Span = Span::millis(4_000);
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
-const COLD_SPEND: f64 = 0.75;
+const COLD_SPEND: f64 = 0.7;
 const COLD_BURST: f64 = 0.2;
 const SMALLER: f64 = 0.6;
 // Limits on what is in flight at a host.
@@ -53,7 +53,6 @@
 const FILLS_LATE: f64 = 0.5;
 const PARENT_LATE: f64 = 0.3;
 const SLOWER_ALONE: f64 = 1.3;
-const SEEN_LEAST: u32 = 4;
 const ONWARD_START: f64 = 0.3;
 const GATE_LEAST: f64 = 0.1;
 const LEARNED_IN: f64 = 4.0;
@@ -84,10 +83,8 @@
 
     /// A list of hosts, whole or only what changed. Hosts missing from a whole list are gone.
     pub fn listed(&mut self, now: Time, entries: &[Listing], whole: bool) {
-        if whole {
-            for host in self.hosts.values_mut() {
-                host.entry.phase = Phase::Gone;
-            }
+        for host in self.hosts.values_mut().filter(|_| whole) {
+            host.entry.phase = Phase::Gone;
         }
         for entry in entries {
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
@@ -197,10 +194,7 @@
     }
 
     fn decide(&mut self, now: Time, id: VisitId) {
-        let Some(open) = self.visits.get(&id) else { return };
-        if open.out > 0 {
-            return;
-        }
+        let Some(open) = self.visits.get(&id).filter(|open| open.out == 0) else { return };
         let (visit, again) = (open.visit, open.hand_offs > 0 && !open.looked);
         let late = now + ANSWER_MARGIN >= visit.hard_limit;
         let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.further.take(1.0));
@@ -280,16 +274,13 @@
             self.by_hash(visit.object.0 ^ (u64::from(visit.part) + 1) << 52, |h| self.is_cache(h));
         let second =
             self.own_cache().filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
-        for host in home.into_iter().chain(second) {
-            caches.retain(|other| *other != host);
-            caches.insert(0, host);
-        }
+        caches.sort_by_key(|cache| (Some(*cache) != second, Some(*cache) != home));
         caches.retain(fits);
         let mut sources = self.by_hash(visit.object.0, |h| self.is_parent(h));
         sources.retain(fits);
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).into_iter().find(fits);
-        // Guards against an origin that is slow, full or fallen: with no room there the parent is asked for what
-        // it holds, so that its hits go on and the origin keeps its places for writes and for recovery.
+        // Guards against an origin that is slow, full or fallen: with no room there the parent is asked for
+        // what it holds, so that its hits go on and the origin keeps its places for writes and recovery.
         let late = self.origin.late.value > self.origin.borne.ln();
         let deep = !late || self.has_part(self.origin.limit - self.origin.fills);
         sources.extend(origin.filter(|_| deep));
@@ -376,9 +367,9 @@
         let lacks = std::mem::take(&mut open.lacks);
         let share = if sure { 1.0 } else { misses };
         let fill_share = if source.is_none() || joins { 0.0 } else { share };
-        for (part, share) in [(Some(host), 1.0), (source, fill_share)] {
+        for part in [Some(host), source] {
             if let Some(known) = part.and_then(|part| self.hosts.get_mut(&part)) {
-                known.cold.level -= work * share;
+                known.cold.level -= work;
                 if let Some(shut) = &mut known.shut {
                     shut.next_trial = now + shut.rest;
                 }
@@ -418,15 +409,19 @@
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
     /// Else it is stepped over for this visit only.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
-        let budget = self.cold_budget(now, id);
-        let Some(host) = self.hosts.get_mut(&id) else { return false };
-        if let Some((rate, burst)) = budget {
-            host.cold.refill(now, rate, burst.max(work));
-            if host.cold.level < work {
+        if let Some((rate, burst)) = self.cold_budget(now, id) {
+            // Less than one hand-off is a chance in proportion, and spent whether it comes or not, so that
+            // the parts of many dispatchers hold in sum.
+            let level = self.hosts.get_mut(&id).map_or(0.0, |h| h.cold.refill(now, rate, burst));
+            let comes = self.has_part(level / work);
+            if let Some(host) = self.hosts.get_mut(&id).filter(|_| level < work) {
+                host.cold.level = if comes { work } else { level.min(0.0) };
+            }
+            if !comes {
                 return false;
             }
         }
-        host.shut.is_none_or(|shut| now >= shut.next_trial)
+        self.hosts.get(&id).is_some_and(|h| h.shut.is_none_or(|shut| now >= shut.next_trial))
     }
 
     /// Guards rule 4. What this dispatcher may send a cold host each second and at once, in seconds of
@@ -454,14 +449,14 @@
     /// Whether a share of room takes one more. Below one it is a chance in proportion, so that the shares of
     /// many dispatchers hold in sum.
     fn has_part(&mut self, room: f64) -> bool {
-        self.chance.gen_bool(room.clamp(0.0, 1.0))
+        room >= 1.0 || room > 0.0 && self.chance.gen_bool(room)
     }
 
-    /// Guards against slow parents (ageing, crowded, cold, half broken, one or all): one whose fills take too much
-    /// of the quoted time is named for a part in proportion, and the next source for the rest. Harms where the
-    /// next one is no better: it starts empty for the object.
+    /// Guards against slow parents (ageing, crowded, cold, half broken, one or all): one whose fills take too
+    /// much of the quoted time, and more than at its best, is named for a part in proportion, and the next
+    /// source for the rest. Harms where the next one is no better: it starts empty for the object.
     fn takes_part(&mut self, id: HostId) -> bool {
-        let known = self.hosts.get(&id).filter(|h| self.is_parent(h) && h.late.seen >= SEEN_LEAST);
+        let known = self.hosts.get(&id).filter(|h| self.is_parent(h));
         let slower =
             known.map_or(0.0, |h| h.late.value.exp() / PARENT_LATE.max(SLOWER_ALONE * h.load.best()));
         self.has_part(1.0 / slower)
@@ -544,7 +539,7 @@
         let (settled, lacks) = (end.outcome == Settled, sent.held && end.outcome == Miss);
         let lost = matches!(end.outcome, Error | TimedOut) && untold;
         if !untold {
-            source.cold.level -= (f64::from(filled || by_source || lacks) - sent.fill_share) * work;
+            source.cold.level += f64::from(!filled && !by_source && !lacks) * work;
         }
         let sure = filled || by_source || lost || sent.fill_share == 1.0 && end.outcome != Cancelled;
         let part = if sure { 1.0 } else { MAYBE_HIT };
@@ -582,8 +577,8 @@
         }
     }
 
-    /// One more fill that took, or has taken by now, such a part of the quoted time (as a logarithm): the limits
-    /// follow. Few answers weigh more each, so that dispatchers of all sizes take about the same time.
+    /// One more fill that took, or has taken by now, such a part of the quoted time (as a logarithm): the
+    /// limits follow. Few answers weigh more each, so that dispatchers of all sizes take about the same time.
     fn learn_of_fill(&mut self, now: Time, late: f64, part: f64, onward: f64) {
         let sharers = f64::from(self.set.location_dispatchers);
         for (gate, share) in [(&mut self.gate, 1.0 - onward), (&mut self.origin, onward)] {
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -83,10 +83,11 @@
 }
 
 impl Bucket {
-    pub fn refill(&mut self, now: Time, per_second: f64, most: f64) {
+    pub fn refill(&mut self, now: Time, per_second: f64, most: f64) -> f64 {
         let gained = per_second * (now - self.at).as_seconds();
         self.level = (self.level + gained).min(most);
         self.at = now;
+        self.level
     }
 
     pub fn take(&mut self, amount: f64) -> bool {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Plays the scenarios in `tests/scenarios/`. One command a line, words apart by blanks, `#` starts a comment:
 //!
-//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` and `fleet` (six hosts, band video), `untold` (sizes)
+//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` `fleet` (six hosts, band video), `untold` (sizes) and `dispatchers N`
 //! come first, then
 //! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
 //! `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
@@ -252,6 +252,7 @@
         match words {
             ["band", name, effect, rest @ ..] => self.band(name, effect, rest),
             ["pause", time] => (self.now, self.wake) = (self.now + ms(time), self.now + ms(time)),
+            ["dispatchers", count] => self.set.dispatchers = count.parse().unwrap(),
             ["untold"] => (self.set.weights_told, self.set.weights_steady) = (false, false),
             ["fleet"] => {
                 for host in
@@ -338,6 +339,7 @@
 #[test_case(include_str!("scenarios/half_look_bad.txt"); "half_look_bad")]
 #[test_case(include_str!("scenarios/slow_parent.txt"); "slow_parent")]
 #[test_case(include_str!("scenarios/cold_untold.txt"); "cold_untold")]
+#[test_case(include_str!("scenarios/cold_share.txt"); "cold_share")]
 #[test_case(include_str!("scenarios/own_pause.txt"); "own_pause")]
 fn scenario(text: &str) {
     let mut play = Play::new();
