No parent holds more than half of the fills that may be out; parents' times learned faster

Now each answer counts twice as much, and a parent with half of the fills that may be out is stepped over.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,6 +51,7 @@
 const FILLS_A_TRANSFER: f64 = 1.75;
 const FILLS_START: f64 = 24.0;
 const FILLS_LATE: f64 = 0.5;
+const FILLS_AT_ONE: f64 = 0.5;
 const PARENT_LATE: f64 = 0.3;
 const SLOWER_ALONE: f64 = 1.3;
 const ONWARD_START: f64 = 0.3;
@@ -459,7 +460,8 @@
         let known = self.hosts.get(&id).filter(|h| self.is_parent(h));
         let slower =
             known.map_or(0.0, |h| h.late.value.exp() / PARENT_LATE.max(SLOWER_ALONE * h.load.best()));
-        self.has_part(1.0 / slower)
+        let crowded = known.is_some_and(|h| h.fills >= 1.0 && h.fills > FILLS_AT_ONE * self.gate.limit);
+        !crowded && self.has_part(1.0 / slower)
     }
 
     /// The limit on what is in flight at a host, held to what its listed size can serve in time: the gradient
@@ -562,7 +564,7 @@
         let late = Some(late.max(0.001).ln()).filter(|_| late > 0.0);
         let by_parent = if sent.held { 1.0 } else { 1.0 - onward };
         if let Some(late) = late.filter(|_| !jammed && by_parent > 0.0) {
-            source.late.push(late, 0.15 * part * by_parent);
+            source.late.push(late, 0.3 * part * by_parent);
             source.load.push(late.exp(), 0.05 * part * by_parent, 10, 0.002);
         }
         // A hit says nothing of a source on trial: only a part that was not seen at the cache counts there.
@@ -646,12 +648,10 @@
 
     /// Phi accrual: a host is silent when its present silence is very unlikely given the gaps before.
     fn watch_silence(&mut self, now: Time) {
-        let silent = |h: &&Host| {
-            let waits = h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
-            waits && h.phi(now, GAP_LEAST) > PHI_SILENT && !self.is_origin(h)
-        };
-        let found = self.hosts.values().filter(silent).map(|h| (h.entry.host, h.phi(now, GAP_LEAST)));
-        let found: Vec<(HostId, f64)> = found.collect();
+        let phi = |h: &Host| h.phi(now, GAP_LEAST);
+        let waits = |h: &&Host| h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
+        let found = self.hosts.values().filter(waits).filter(|h| phi(h) > PHI_SILENT && !self.is_origin(h));
+        let found: Vec<(HostId, f64)> = found.map(|h| (h.entry.host, phi(h))).collect();
         for (id, phi) in found {
             self.shut_out(now, id, format!("silent, phi {phi:.1}"));
         }
