Few gaps count as wider ones; the share scenario at two thousand dispatchers

Harms: a host that dies right after a dispatcher's start is found later, by its failures or the list. The scenario cold_share hung on chance; now it doesn't.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,7 @@
 const PHI_SILENT: f64 = 8.0;
 const SILENT_LEAST: Span = Span::millis(400);
 const GAP_LEAST: f64 = 0.02;
+const GAP_UNSURE: f64 = 0.6;
 const PAUSED: Span = Span::millis(100);
 const BAD_LEAST: f64 = 0.35;
 const BAD_OVER_PEERS: f64 = 5.0;
@@ -648,7 +649,7 @@
 
     /// Phi accrual: a host is silent when its present silence is very unlikely given the gaps before.
     fn watch_silence(&mut self, now: Time) {
-        let phi = |h: &Host| h.phi(now, GAP_LEAST);
+        let phi = |h: &Host| h.phi(now, GAP_LEAST.max(GAP_UNSURE / f64::from(h.gap.seen.max(1))));
         let waits = |h: &&Host| h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
         let found = self.hosts.values().filter(waits).filter(|h| phi(h) > PHI_SILENT && !self.is_origin(h));
         let found: Vec<(HostId, f64)> = found.map(|h| (h.entry.host, phi(h))).collect();
