--- a/src/brain.rs
+++ b/src/brain.rs
@@ -523,7 +523,7 @@
                 host.late.push(late.max(0.001).ln(), 0.05);
                 let worse = (host.load.slower() / SLOWER_BORNE).max(host.late.value.exp() / LATE_BORNE);
                 let out = f64::from(host.in_flight) - 1.0;
-                host.load.limit = follow_limit(limit, worse.min(2.0), out, 1.0, 0.05).max(LIMIT_LEAST);
+                host.load.limit = follow_limit(limit, worse, out, 1.0, 0.05).max(LIMIT_LEAST);
             }
         }
         self.learn_of_source(now, sent, end, filled);
@@ -558,15 +558,16 @@
         }
         let jammed = matches!(end.note, NoPlace | OriginFailed);
         let late = match end.note {
-            _ if jammed || by_source || end.outcome == TimedOut => FAILED_AS,
-            _ if settled && (filled || untold) => end.took.as_seconds() / quoted,
-            _ => 0.0,
+            _ if jammed || by_source || end.outcome == TimedOut => Some(FAILED_AS.ln()),
+            _ if settled && (filled || untold) => Some((end.took.as_seconds() / quoted).max(0.001).ln()),
+            _ => None,
         };
-        let late = Some(late.max(0.001).ln()).filter(|_| late > 0.0);
-        let by_parent = if sent.held { 1.0 } else { 1.0 - onward };
+        // Where it is not told which way a fill took, it speaks for both; those asked for alone tell then.
+        let by_parent = f64::from(sent.held || onward < 1.0);
+        let by_origin = f64::from(!sent.held && onward > 0.0);
         if let Some(late) = late.filter(|_| !jammed && by_parent > 0.0) {
-            source.late.push(late, 0.3 * part * by_parent);
-            source.load.push(late.exp(), 0.05 * part * by_parent, 10, 0.002);
+            source.late.push(late, 0.3 * part);
+            source.load.push(late.exp(), 0.05 * part, 10, 0.002);
         }
         // A hit says nothing of a source on trial: only a part that was not seen at the cache counts there.
         let (id, bad, trial) = (source.entry.host, source.bad.value, source.shut.is_some());
@@ -576,17 +577,17 @@
         // One source that fails alone is the breaker's matter.
         let peers_bad = self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
         if let Some(late) = late.filter(|_| jammed || settled || bad <= BAD_OVER_PEERS * peers_bad) {
-            self.learn_of_fill(now, late, part, 1.0 - by_parent);
+            self.learn_of_fill(now, late, part, (by_parent, by_origin));
         }
     }
 
     /// One more fill that took, or has taken by now, such a part of the quoted time (as a logarithm): the
     /// limits follow. Few answers weigh more each, so that dispatchers of all sizes take about the same time.
-    fn learn_of_fill(&mut self, now: Time, late: f64, part: f64, onward: f64) {
+    fn learn_of_fill(&mut self, now: Time, late: f64, part: f64, shares: (f64, f64)) {
         let sharers = f64::from(self.set.location_dispatchers);
-        for (gate, share) in [(&mut self.gate, 1.0 - onward), (&mut self.origin, onward)] {
+        for (gate, share) in [(&mut self.gate, shares.0), (&mut self.origin, shares.1)] {
             if share > 0.0 {
-                let weight = ((now - gate.at).as_seconds() / LEARNED_IN).clamp(0.05, 0.3);
+                let weight = ((now - gate.at).as_seconds() / LEARNED_IN).clamp(0.05, 0.1);
                 gate.at = now;
                 gate.late.push(late, weight * share * part);
                 follow(gate, gate.fills, sharers, weight * share);
@@ -669,7 +670,7 @@
         let overdue = self.sent.values().filter(|s| s.fill_share > 0.0 && age(s) > 1.0);
         let overdue: Vec<_> = overdue.map(|s| (age(s).ln(), s.fill_share, self.blame(s))).collect();
         for (late, part, onward) in overdue {
-            self.learn_of_fill(now, late, part, onward);
+            self.learn_of_fill(now, late, part, (1.0 - onward, onward));
         }
         let sharers = f64::from(self.set.location_dispatchers);
         // What is usually out at the origin is the measure of what may be: a slow one is spared at once.
@@ -694,7 +695,6 @@
     }
 }
 
-/// A gate's limit follows how late its fills are.
 fn follow(gate: &mut Gate, out: f64, sharers: f64, weight: f64) {
     let worse = gate.late.value.exp() / gate.borne;
     gate.limit = follow_limit(gate.limit, worse, out, sharers, weight).min(gate.most).max(GATE_LEAST);
@@ -703,7 +703,7 @@
 /// The gradient: a limit follows shortest answer time / present one, here how much worse it is than borne.
 /// It is one of several dispatchers' shares of a whole, which keeps the room for growth in sum.
 fn follow_limit(limit: f64, worse: f64, in_flight: f64, sharers: f64, weight: f64) -> f64 {
-    let gradient = (1.0 / worse).clamp(0.1, 1.0);
+    let gradient = (1.0 / worse).clamp(0.5, 1.0);
     if gradient == 1.0 && in_flight <= limit / 2.0 {
         return limit;
     }
