--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,6 +62,7 @@
 const LINK_FULL: f64 = 3.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
+const PATIENCE: f64 = 0.5;
 const FAILED_AS: f64 = 10.0;
 // Where notes are untold: a turn-away that took longer was the source's; what a likely hit says of it.
 const AT_ONCE: Span = Span::millis(60);
@@ -107,7 +108,7 @@
         if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
             seen.kilobytes.push(kb, 0.01);
         }
-        self.visits.insert(visit.id, Open::new(visit, popular));
+        self.visits.insert(visit.id, Open::new(visit, popular, now));
         self.due.put(visit.hard_limit - ANSWER_MARGIN, Due::HardLimit(visit.id));
         self.waiting.push_back(visit.id);
     }
@@ -165,6 +166,7 @@
         }
         self.last_woken = now;
         self.watch_silence(now);
+        self.waiting.extend(self.parked.drain(..));
         self.ready.push_back(Decision::Wake { after: ROUND });
     }
 
@@ -208,6 +210,7 @@
         let choice = if writes { self.choose_for_write(now, visit) } else { self.choose(now, visit) };
         match choice {
             Choice::HandOff(host, fill) => self.hand_off(now, id, host, fill),
+            Choice::Wait => self.parked.push(id),
             Choice::GiveUp => self.give_up(id),
         }
     }
@@ -268,6 +271,8 @@
     fn choose(&mut self, now: Time, visit: Visit) -> Choice {
         let Some(open) = self.visits.get(&visit.id) else { return Choice::GiveUp };
         let (popular, looked, lacks) = (open.popular, open.looked, open.lacks);
+        let patience = self.band(visit.band).map_or(Span::ZERO, |band| band.quoted.times(PATIENCE));
+        let patient = now < open.since + patience;
         let fits = |host: &HostId| self.fits(open, *host);
         // Past the designated cache the parts of an object go apart, so that one large object does not take
         // the next cache down with the first.
@@ -283,25 +288,26 @@
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).into_iter().find(fits);
         // Guards against an origin that is slow, full or fallen: with no room there the parent is asked for
         // what it holds, so that its hits go on and the origin keeps its places for writes and recovery.
-        let late = self.origin.late.value > self.origin.borne.ln();
-        let deep = !late || self.has_part(self.origin.limit - self.origin.fills);
+        let deep = !self.origin.is_late() || self.has_part(self.origin.limit - self.origin.fills);
         sources.extend(origin.filter(|_| deep));
         let work = self.sending(visit.band);
-        let rank = if popular { TOP_RANK } else { LOWEST_RANK };
+        let (rank, join) = (if popular { TOP_RANK } else { LOWEST_RANK }, self.set.joins);
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
-        let join = self.set.joins;
         let no_caches = caches.is_empty();
         let cache = caches.into_iter().find(|cache| self.busy(*cache) < 1.0 && self.able(now, *cache, work));
         if !no_caches && cache.is_none() {
             return Choice::GiveUp;
         }
-        let led = join && cache.is_some_and(|cache| self.is_led(now, &visit, cache));
-        // Guards against any jam behind the caches (a full link, a slow, full or fallen origin, crowded
-        // parents, no places for fills): with no room for a fill a cache is first asked without one, so
-        // that hits go on, and a miss goes on only if there is room. Costs a short hand-off a miss meanwhile.
+        // An own fill under way is joined or waited for: guards against the same bytes coming in twice.
+        let led = cache.is_some_and(|cache| self.is_led(now, &visit, cache));
+        if led && !join && patient {
+            return Choice::Wait;
+        }
+        // Guards against any jam behind the caches (a full link, crowded parents, no places for fills): with
+        // no room a cache is asked without a fill, so that hits go on. Costs a short hand-off a miss then.
         let crowded = self.gate.link.is_some_and(|(at, full)| now < at + REPORT_HOLDS && full > LINK_FULL);
         let through =
-            (deep || !lacks) && (led || !crowded && self.has_part(self.gate.limit - self.gate.fills));
+            (deep || !lacks) && (led && join || !crowded && self.has_part(self.gate.limit - self.gate.fills));
         let source = sources.into_iter().find(|s| through && self.takes_part(*s) && self.able(now, *s, work));
         let held = source.is_some() && !deep;
         let oldest = self.oldest(now, &visit, source.is_some() && deep);
@@ -361,11 +367,10 @@
         let joins = self.set.joins && self.is_led(now, &visit, host);
         let work = self.sending(visit.band);
         let Some(open) = self.visits.get_mut(&id) else { return };
-        let sure = open.looked || fill.is_some_and(|fill| fill.rank == 0);
         let number = HandOffNo(open.hand_offs);
         open.hand_offs += 1;
         open.out += 1;
-        open.looked = false;
+        let sure = std::mem::take(&mut open.looked) || fill.is_some_and(|fill| fill.rank == 0);
         let lacks = std::mem::take(&mut open.lacks);
         let share = if sure { 1.0 } else { misses };
         let fill_share = if source.is_none() || joins { 0.0 } else { share };
@@ -389,9 +394,8 @@
         self.ready.push_back(Decision::HandOff { visit: id, host, until, fill });
     }
 
-    /// The oldest copy that will do. After a purge it is the time since, until no older copy is left
-    /// anywhere; zero would mean the default, so it is never given then. A copy past its fresh time will
-    /// do only where no fill can be had: it earns less, yet more than nothing.
+    /// The oldest copy that will do. After a purge it is the time since, never zero (the default), until no
+    /// older copy is left anywhere. A copy past its fresh time will do only where no fill can be had.
     fn oldest(&self, now: Time, visit: &Visit, filled: bool) -> Span {
         let Some(band) = self.band(visit.band) else { return Span::ZERO };
         let most = if filled { band.fresh } else { band.fresh + band.grace };
@@ -409,7 +413,6 @@
     }
 
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
-    /// Else it is stepped over for this visit only.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
         if let Some((rate, burst)) = self.cold_budget(now, id) {
             // Less than one hand-off is a chance in proportion, and spent whether it comes or not, so that
@@ -675,22 +678,19 @@
         let sharers = f64::from(self.set.location_dispatchers);
         // What is usually out at the origin is the measure of what may be: a slow one is spared at once.
         let origin = &mut self.origin;
-        if origin.late.value <= origin.borne.ln() {
+        if !origin.is_late() {
             origin.usual.push(origin.fills, 0.1);
-            let usual = origin.usual.value;
-            origin.most = 2.0 * usual + (usual / sharers).sqrt();
+            origin.most = 2.0 * origin.usual.value + (origin.usual.value / sharers).sqrt();
         }
-        let mut lines = Vec::new();
         for (gate, what) in [(&mut self.gate, "fills"), (&mut self.origin, "fills by the origin")] {
             let held_back = std::mem::take(&mut gate.looks) > 0;
             // Old news fades: a gate that lets little through hears little.
             gate.late.value -= 0.1 * (gate.late.value - gate.borne.ln()).max(0.0);
             follow(gate, if held_back { gate.limit } else { gate.fills }, sharers, 0.1);
             if std::mem::replace(&mut gate.holds_back, held_back) != held_back {
-                lines.push(gate.line(what));
+                self.ready.push_back(Decision::Log(gate.line(what)));
             }
         }
-        lines.into_iter().for_each(|line| self.log(line));
         self.due.put(now + SECOND, Due::Second);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -100,6 +100,7 @@
     pub hand_offs: u8,
     pub out: u32,
     pub popular: bool,
+    pub since: Time,
     /// The last hand-off only looked, and the cache lacks the object.
     pub looked: bool,
     /// So does the parent that was asked for what it holds.
@@ -110,12 +111,13 @@
 }
 
 impl Open {
-    pub fn new(visit: Visit, popular: bool) -> Open {
+    pub fn new(visit: Visit, popular: bool, since: Time) -> Open {
         Open {
             visit,
             hand_offs: 0,
             out: 0,
             popular,
+            since,
             looked: false,
             lacks: false,
             may_have_run: None,
@@ -163,6 +165,10 @@
 }
 
 impl Gate {
+    pub fn is_late(&self) -> bool {
+        self.late.value > self.borne.ln()
+    }
+
     pub fn line(&self, what: &str) -> String {
         let word = if self.holds_back { "held back" } else { "flow again" };
         let (limit, late, link) =
@@ -207,6 +213,7 @@
 /// What is to become of a visit now.
 pub enum Choice {
     HandOff(HostId, Option<Fill>),
+    Wait,
     GiveUp,
 }
 
@@ -223,6 +230,8 @@
     pub(crate) due: DueTimes<Due>,
     pub(crate) waiting: VecDeque<VisitId>,
     pub(crate) ready: VecDeque<Decision>,
+    /// Visits that wait behind an own fill, until the next round.
+    pub(crate) parked: Vec<VisitId>,
     pub(crate) further: Bucket,
     pub(crate) last_woken: Time,
     pub(crate) gate: Gate,
@@ -244,6 +253,7 @@
             due: Default::default(),
             waiting: Default::default(),
             ready: Default::default(),
+            parked: Default::default(),
             further: Default::default(),
             last_woken: Default::default(),
             gate: Default::default(),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -328,6 +328,7 @@
 #[test_case(include_str!("scenarios/failing_parent.txt"); "failing_parent")]
 #[test_case(include_str!("scenarios/fast_errors.txt"); "fast_errors")]
 #[test_case(include_str!("scenarios/slow_origin.txt"); "slow_origin")]
+#[test_case(include_str!("scenarios/follows_a_fill.txt"); "follows_a_fill")]
 #[test_case(include_str!("scenarios/jam.txt"); "jam")]
 #[test_case(include_str!("scenarios/lost_location.txt"); "lost_location")]
 #[test_case(include_str!("scenarios/nothing_listed.txt"); "nothing_listed")]
