--- a/src/calls.rs
+++ b/src/calls.rs
@@ -74,7 +74,6 @@
     pub outcome: Outcome,
     pub note: Note,
     pub took: Span,
-    /// Time to the source's first byte or to the fill's failure, where it is told.
     /// How full the asked host's link for fills is, where its report tells: transfers over those that fit.
     pub link_full: Option<f64>,
     pub last: bool,
