Limits at caches hold in sum: shares with a chance for a part, and slack for chance

Now a dispatcher's share is what its part of twice the listed transfers is, with 0.7 of its root for chance where sizes are told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,6 +44,7 @@
 // Limits on what is in flight at a host.
 const LIMIT_START: f64 = 12.0;
 const LIMIT_A_TRANSFER: f64 = 2.0;
+const LIMIT_SLACK: f64 = 0.7;
 const LIMIT_LEAST: f64 = 2.0;
 const SLOWER_BORNE: f64 = 1.1;
 const LATE_BORNE: f64 = 0.45;
@@ -143,7 +144,6 @@
         }
     }
 
-    /// A purge of one object, or of a whole group, that happened so long ago.
     pub fn purged(&mut self, now: Time, group: GroupId, object: Option<ObjectId>, ago: Span) {
         self.purges.note(group, object, now - ago);
     }
@@ -294,7 +294,7 @@
         let (rank, join) = (if popular { TOP_RANK } else { LOWEST_RANK }, self.set.joins);
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
         let no_caches = caches.is_empty();
-        let cache = caches.into_iter().find(|cache| self.busy(*cache) < 1.0 && self.able(now, *cache, work));
+        let cache = caches.into_iter().find(|cache| self.has_room(*cache) && self.able(now, *cache, work));
         if !no_caches && cache.is_none() {
             return Choice::GiveUp;
         }
@@ -446,13 +446,16 @@
         Some((rate, rate * rules.window.as_seconds() * COLD_BURST))
     }
 
-    /// What this dispatcher has in flight at a host, as a share of its limit there.
     fn busy(&self, id: HostId) -> f64 {
         self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
     }
 
-    /// Whether a share of room takes one more. Below one it is a chance in proportion, so that the shares of
-    /// many dispatchers hold in sum.
+    fn has_room(&mut self, id: HostId) -> bool {
+        let room = self.hosts.get(&id).map_or(0.0, |h| self.limit(h) - f64::from(h.in_flight));
+        self.has_part(room)
+    }
+
+    /// Whether a share of room takes one more: below one by chance, so that many shares hold in sum.
     fn has_part(&mut self, room: f64) -> bool {
         room >= 1.0 || room > 0.0 && self.chance.gen_bool(room)
     }
@@ -473,12 +476,10 @@
     fn limit(&self, host: &Host) -> f64 {
         let told = self.set.weights_told;
         let whole = if told { LIMIT_A_TRANSFER * host.entry.weight } else { LIMIT_START };
-        let start = (whole / f64::from(self.set.location_dispatchers)).max(LIMIT_LEAST);
-        match host.load.limit {
-            0.0 => start,
-            known if told => known.min(start),
-            known => known,
-        }
+        let share = whole / f64::from(self.set.location_dispatchers);
+        let start = if told { share + LIMIT_SLACK * share.sqrt() } else { share };
+        let most = if told { start } else { f64::INFINITY };
+        Some(host.load.limit).filter(|limit| *limit > 0.0).map_or(start, |limit| limit.min(most))
     }
 
     /// A host's capacity in transfers: as listed, else what its peers carry, less a margin.
@@ -510,6 +511,7 @@
             slower = self.popularity.slower(sent.copy.0, end.took);
         }
         let work = self.sending(sent.band);
+        let sharers = f64::from(self.set.location_dispatchers);
         let limit = self.hosts.get(&sent.host).map_or(LIMIT_LEAST, |h| self.limit(h));
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             if host_answered {
@@ -525,8 +527,8 @@
                 host.load.push(slower, 0.05, 10, 0.0002);
                 host.late.push(late.max(0.001).ln(), 0.05);
                 let worse = (host.load.slower() / SLOWER_BORNE).max(host.late.value.exp() / LATE_BORNE);
-                let out = f64::from(host.in_flight) - 1.0;
-                host.load.limit = follow_limit(limit, worse, out, 1.0, 0.05).max(LIMIT_LEAST);
+                let out = f64::from(host.in_flight);
+                host.load.limit = follow_limit(limit, worse, out, sharers, 0.05).max(LIMIT_LEAST / sharers);
             }
         }
         self.learn_of_source(now, sent, end, filled);
@@ -536,7 +538,6 @@
         }
     }
 
-    /// What an answer says of the source that was named, and of all fills.
     fn learn_of_source(&mut self, now: Time, sent: &Sent, end: &Ended, filled: bool) {
         use {Note::*, Outcome::*};
         let (work, quoted, blame) = (self.sending(sent.band), self.quoted(sent.band), self.blame(sent));
@@ -588,13 +589,12 @@
     /// limits follow. Few answers weigh more each, so that dispatchers of all sizes take about the same time.
     fn learn_of_fill(&mut self, now: Time, late: f64, part: f64, shares: (f64, f64)) {
         let sharers = f64::from(self.set.location_dispatchers);
-        for (gate, share) in [(&mut self.gate, shares.0), (&mut self.origin, shares.1)] {
-            if share > 0.0 {
-                let weight = ((now - gate.at).as_seconds() / LEARNED_IN).clamp(0.05, 0.1);
-                gate.at = now;
-                gate.late.push(late, weight * share * part);
-                follow(gate, gate.fills, sharers, weight * share);
-            }
+        let gates = [(&mut self.gate, shares.0), (&mut self.origin, shares.1)];
+        for (gate, share) in gates.into_iter().filter(|(_, share)| *share > 0.0) {
+            let weight = ((now - gate.at).as_seconds() / LEARNED_IN).clamp(0.05, 0.1);
+            gate.at = now;
+            gate.late.push(late, weight * share * part);
+            follow(gate, gate.fills, sharers, weight * share);
         }
     }
 
