--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
-//! Plays the scenarios in `tests/scenarios/`. One command a line, words apart by blanks, `#` starts a comment:
+//! Plays the scenarios in `tests/scenarios/`. Commands a line or `;` apart, words by blanks, `#` starts a comment:
 //!
-//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` `fleet` (six hosts, band video), `untold` (sizes) and `dispatchers N`
+//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` `fleet` (six hosts, band video), `untold` (sizes) `dispatchers N` and `sharers N` (at the location)
 //! come first, then
 //! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
 //! `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
@@ -253,6 +253,7 @@
             ["band", name, effect, rest @ ..] => self.band(name, effect, rest),
             ["pause", time] => (self.now, self.wake) = (self.now + ms(time), self.now + ms(time)),
             ["dispatchers", count] => self.set.dispatchers = count.parse().unwrap(),
+            ["sharers", count] => self.set.location_dispatchers = count.parse().unwrap(),
             ["untold"] => (self.set.weights_told, self.set.weights_steady) = (false, false),
             ["fleet"] => {
                 for host in
@@ -341,11 +342,13 @@
 #[test_case(include_str!("scenarios/slow_parent.txt"); "slow_parent")]
 #[test_case(include_str!("scenarios/cold_untold.txt"); "cold_untold")]
 #[test_case(include_str!("scenarios/cold_share.txt"); "cold_share")]
+#[test_case(include_str!("scenarios/cache_share.txt"); "cache_share")]
 #[test_case(include_str!("scenarios/own_pause.txt"); "own_pause")]
 fn scenario(text: &str) {
     let mut play = Play::new();
-    for line in text.lines() {
-        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+    let lines = text.lines().map(|line| line.split('#').next().unwrap_or(""));
+    for command in lines.flat_map(|line| line.split(';')) {
+        let words: Vec<&str> = command.split_whitespace().collect();
         if !words.is_empty() {
             play.play(&words);
         }
