Clean-up: the hash's weight back in the module, peers looked at only where asked

Which sizes weigh in the hash is a decision; it had gone to the state file with the look-ups and is back. The peers were gone through for every fill that ended, also where the answer was not needed; the patience of a visit was worked out for every hand-off; a location's dispatchers were written out as a number in six places. The comment at the values of fills and the notation of the scenarios told of what is gone.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,8 +48,8 @@
 const LIMIT_LEAST: f64 = 2.0;
 const SLOWER_BORNE: f64 = 1.1;
 const LATE_BORNE: f64 = 0.45;
-// Fills: how many likely ones may be out at a parent for each of its transfers, and through the location's
-// link; what part of the quoted time they may take, and how full a link may be reported.
+// Fills: how many likely ones may be out for each transfer of the location's link, and at one parent of them;
+// what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
 const FILLS_START: f64 = 24.0;
 const FILLS_LATE: f64 = 0.5;
@@ -75,7 +75,7 @@
         brain.further.level = RETRY_BURST;
         let link = brain.set.link_transfers();
         let fills = link.map_or(FILLS_START, |transfers| FILLS_A_TRANSFER * transfers);
-        brain.gate.limit = fills / f64::from(brain.set.location_dispatchers);
+        brain.gate.limit = fills / brain.set.sharers();
         brain.gate.most = link.map_or(f64::INFINITY, |_| brain.gate.limit);
         (brain.origin.limit, brain.origin.most) = (brain.gate.limit, f64::INFINITY);
         (brain.gate.borne, brain.origin.borne) = (FILLS_LATE, ORIGIN_LATE);
@@ -270,9 +270,7 @@
     /// dispatcher's own second one; filled from the parent hashed over all listed ones.
     fn choose(&mut self, now: Time, visit: Visit) -> Choice {
         let Some(open) = self.visits.get(&visit.id) else { return Choice::GiveUp };
-        let (popular, looked, lacks) = (open.popular, open.looked, open.lacks);
-        let patience = self.band(visit.band).map_or(Span::ZERO, |band| band.quoted.times(PATIENCE));
-        let patient = now < open.since + patience;
+        let (popular, looked, lacks, since) = (open.popular, open.looked, open.lacks, open.since);
         let fits = |host: &HostId| self.fits(open, *host);
         // Past the designated cache the parts of an object go apart, so that one large object does not take
         // the next cache down with the first.
@@ -300,7 +298,8 @@
         }
         // An own fill under way is joined or waited for: guards against the same bytes coming in twice.
         let led = cache.is_some_and(|cache| self.is_led(now, &visit, cache));
-        if led && !join && patient {
+        let patience = self.band(visit.band).map_or(Span::ZERO, |band| band.quoted.times(PATIENCE));
+        if led && !join && now < since + patience {
             return Choice::Wait;
         }
         // Guards against any jam behind the caches (a full link, crowded parents, no places for fills): with
@@ -412,6 +411,10 @@
         caches.get(place).map(|h| h.entry.host)
     }
 
+    pub(crate) fn hash_weight(&self, host: &Host) -> f64 {
+        Some(host.entry.weight).filter(|weight| self.set.weights_steady && *weight > 0.0).unwrap_or(1.0)
+    }
+
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
         if let Some((rate, burst)) = self.cold_budget(now, id) {
@@ -476,7 +479,7 @@
     fn limit(&self, host: &Host) -> f64 {
         let told = self.set.weights_told;
         let whole = if told { LIMIT_A_TRANSFER * host.entry.weight } else { LIMIT_START };
-        let share = whole / f64::from(self.set.location_dispatchers);
+        let share = whole / self.set.sharers();
         let start = if told { share + LIMIT_SLACK * share.sqrt() } else { share };
         let most = if told { start } else { f64::INFINITY };
         Some(host.load.limit).filter(|limit| *limit > 0.0).map_or(start, |limit| limit.min(most))
@@ -492,7 +495,7 @@
             return transfers / (peers().count() + 1) as f64;
         }
         let carried = peers().map(|h| h.carried.value).sum::<f64>() / peers().count().max(1) as f64;
-        (SMALLER * carried * f64::from(self.set.location_dispatchers)).max(1.0)
+        (SMALLER * carried * self.set.sharers()).max(1.0)
     }
 
     fn learn(&mut self, now: Time, sent: &Sent, end: &Ended) {
@@ -511,7 +514,7 @@
             slower = self.popularity.slower(sent.copy.0, end.took);
         }
         let work = self.sending(sent.band);
-        let sharers = f64::from(self.set.location_dispatchers);
+        let sharers = self.set.sharers();
         let limit = self.hosts.get(&sent.host).map_or(LIMIT_LEAST, |h| self.limit(h));
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             if host_answered {
@@ -579,8 +582,8 @@
             self.judge(now, sent.at, id, by_source || lost, 0.15 * part);
         }
         // One source that fails alone is the breaker's matter.
-        let peers_bad = self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
-        if let Some(late) = late.filter(|_| jammed || settled || bad <= BAD_OVER_PEERS * peers_bad) {
+        let peers_bad = || self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
+        if let Some(late) = late.filter(|_| jammed || settled || bad <= BAD_OVER_PEERS * peers_bad()) {
             self.learn_of_fill(now, late, part, (by_parent, by_origin));
         }
     }
@@ -588,13 +591,12 @@
     /// One more fill that took, or has taken by now, such a part of the quoted time (as a logarithm): the
     /// limits follow. Few answers weigh more each, so that dispatchers of all sizes take about the same time.
     fn learn_of_fill(&mut self, now: Time, late: f64, part: f64, shares: (f64, f64)) {
-        let sharers = f64::from(self.set.location_dispatchers);
         let gates = [(&mut self.gate, shares.0), (&mut self.origin, shares.1)];
         for (gate, share) in gates.into_iter().filter(|(_, share)| *share > 0.0) {
             let weight = ((now - gate.at).as_seconds() / LEARNED_IN).clamp(0.05, 0.1);
             gate.at = now;
             gate.late.push(late, weight * share * part);
-            follow(gate, gate.fills, sharers, weight * share);
+            follow(gate, gate.fills, self.set.sharers(), weight * share);
         }
     }
 
@@ -675,7 +677,7 @@
         for (late, part, onward) in overdue {
             self.learn_of_fill(now, late, part, (1.0 - onward, onward));
         }
-        let sharers = f64::from(self.set.location_dispatchers);
+        let sharers = self.set.sharers();
         // What is usually out at the origin is the measure of what may be: a slow one is spared at once.
         let origin = &mut self.origin;
         if !origin.is_late() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -64,6 +64,11 @@
         self.purge_done + self.purge_grace
     }
 
+    /// Among how many dispatchers what the own location has is shared.
+    pub fn sharers(&self) -> f64 {
+        f64::from(self.location_dispatchers)
+    }
+
     /// How many transfers at full pace the own location's link carries, where that is told.
     pub fn link_transfers(&self) -> Option<f64> {
         self.transfers(*self.links.get(usize::from(self.location.0))?)
--- a/src/state.rs
+++ b/src/state.rs
@@ -302,10 +302,6 @@
         order.into_iter().map(|(_, host)| host).collect()
     }
 
-    pub(crate) fn hash_weight(&self, host: &Host) -> f64 {
-        Some(host.entry.weight).filter(|weight| self.set.weights_steady && *weight > 0.0).unwrap_or(1.0)
-    }
-
     pub(crate) fn band(&self, id: BandId) -> Option<&Band> {
         self.set.bands.get(usize::from(id.0))
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,12 +1,12 @@
-//! Plays the scenarios in `tests/scenarios/`. Commands a line or `;` apart, words by blanks, `#` starts a comment:
-//!
-//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT` `fleet` (six hosts, band video), `untold` (sizes) `dispatchers N` and `sharers N` (at the location)
-//! come first, then
+//! Plays the scenarios in `tests/scenarios/`: commands on lines or between `;`, `#` starts a comment.
+//! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT`, `fleet` (six hosts, band video), `untold` (sizes),
+//! `dispatchers N` and `sharers N` (at the location) come first, then
 //! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
 //! `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
 //! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
-//! `expect ID to|from|rank|oldest|over|final WORD` and `expect sent|filled|held NAME OP NUMBER` (held: asked for what it holds alone).
+//! `expect ID to|from|rank|oldest|hand-offs|final WORD` and `expect sent|filled|held NAME OP NUMBER` (held: asked for
+//! what it holds alone).
 //!
 //! Always checked: one final answer a visit, nothing after it, and never two hand-offs out at once.
 use cherrypass::brain::Brain;
