--- a/crates/benchlink/src/lib.rs
+++ b/crates/benchlink/src/lib.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 mod link;
-mod settings;
 mod wire;
 
 pub use link::serve;
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -1,10 +1,11 @@
 //! The loop over batches and the instances behind it.
-use crate::settings;
 use crate::wire::{Error, Fields, Frame, Reply, ENTRY};
 use cherrypass::brain::Brain;
 use cherrypass::calls::*;
 use cherrypass::ids::*;
 use cherrypass::time::{Span, Time};
+use cherrypass_settings as settings;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 
@@ -59,7 +60,10 @@
     fn take(&mut self, frame: &Frame, now: Time, code: u16, who: u16, record: Fields) -> Result<(), Error> {
         if code == 256 {
             let env = frame.tail(record, 12, 1)?;
-            let (set, column) = settings::read(env).map_err(|what| frame.fault(what))?;
+            let all: Value = serde_json::from_slice(env)
+                .map_err(|error| frame.fault(format!("the settings aren't JSON: {error}")))?;
+            let set = settings::read(&all).map_err(|what| frame.fault(what))?;
+            let column = settings::columns(&all).iter().position(|name| *name == settings::LINK_FULL);
             self.instances.insert(who, (Brain::start(set, record.u64(4), now), column));
             return Ok(());
         }
--- /dev/null
+++ b/crates/dispatcher/src/clients.rs
@@ -0,0 +1,151 @@
+//! Clients: the listener, and for each connection a thread that reads and one that writes.
+use crate::clock;
+use crate::ids::ClientId;
+use crate::line::{spawn, Code, Line};
+use crate::msgpack::{self, Asked, Message, Parts};
+use crate::router::Input;
+use bytes::BytesMut;
+use cherrypass::time::{Span, Time};
+use crossbeam_channel::{unbounded, Receiver, Sender};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PIECE: usize = 8 * 1024;
+
+/// What clients tell the router; times are those of the last byte read or written.
+pub enum FromClient {
+    Opened { mailbox: Sender<ToClient>, line: Arc<Line> },
+    Visit { id: u32, asked: Box<Asked>, at: Time },
+    Bad { id: u32, field: &'static str },
+    Status { id: u32 },
+    Withdrawn { ids: Vec<u32> },
+    Written { bytes: usize, answered: Option<Time>, at: Time },
+    Closed,
+}
+
+pub struct ToClient {
+    pub parts: Parts,
+    /// When the host's answer came that this passes on.
+    pub answered: Option<Time>,
+}
+
+/// Takes connections in until the process ends; more than the bound are closed at once.
+pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) {
+    let open = Arc::new(AtomicUsize::new(0));
+    let mut failing = false;
+    for number in 0.. {
+        let (stream, from) = match listener.accept() {
+            Ok(found) => found,
+            // Guards against a loop that burns the core while no descriptor is to be had.
+            Err(error) => {
+                if !failing {
+                    log::warn!("accept fails: {error}");
+                }
+                failing = true;
+                std::thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+        };
+        failing = false;
+        let line = Arc::new(Line::new(stream));
+        let id = ClientId(number);
+        if open.fetch_add(1, Ordering::Relaxed) >= most {
+            line.end(Code::TooManyClients);
+            open.fetch_sub(1, Ordering::Relaxed);
+            log::info!("client {number} {from} closed: {}", line.code().word());
+            continue;
+        }
+        let (router, held, own) = (router.clone(), open.clone(), line.clone());
+        let run = move || {
+            let visits = read(id, &own, patience, &router);
+            held.fetch_sub(1, Ordering::Relaxed);
+            log::info!("client {number} {from} closed: {} after {visits} visits", own.code().word());
+        };
+        if spawn("client", run).is_err() {
+            line.end(Code::NoThread);
+            open.fetch_sub(1, Ordering::Relaxed);
+            log::info!("client {number} {from} closed: {}", line.code().word());
+        }
+    }
+}
+
+/// Reads a connection to its end; returns how many visits it brought.
+fn read(id: ClientId, line: &Arc<Line>, patience: Span, router: &Sender<Input>) -> u64 {
+    let (mailbox, answers) = unbounded();
+    let (writes, to_router) = (line.clone(), router.clone());
+    let tell = |what| router.send(Input::Client(id, what));
+    let _ = tell(FromClient::Opened { mailbox, line: line.clone() });
+    let writer = spawn("answers", move || write(id, &writes, answers, &to_router));
+    let mut visits = 0;
+    let end = match &writer {
+        Ok(_) => take_all(line, patience, &mut visits, |what| tell(what).map_err(|_| Code::Stopped)),
+        Err(_) => Err(Code::NoThread),
+    };
+    line.end(end.err().unwrap_or(Code::ClosedByPeer));
+    let _ = tell(FromClient::Closed);
+    if let Ok(writer) = writer {
+        let _ = writer.join();
+    }
+    visits
+}
+
+fn take_all(
+    line: &Line,
+    patience: Span,
+    visits: &mut u64,
+    tell: impl Fn(FromClient) -> Result<(), Code>,
+) -> Result<(), Code> {
+    line.set_up(Some(clock::duration(patience))).map_err(|_| Code::Reset)?;
+    let mut buffer = BytesMut::new();
+    let mut last = 0;
+    let mut begun = clock::now();
+    loop {
+        let fresh = buffer.is_empty();
+        line.read(&mut buffer, PIECE)?;
+        let at = clock::now();
+        let before = buffer.len();
+        while let Some(message) = msgpack::next(&mut buffer)? {
+            if let Message::Visit(id, _) | Message::Bad(id, _) | Message::Status(id) = &message {
+                // Guards against an answer that could be taken for another message's.
+                if *id <= last {
+                    return Err(Code::IdNotUp);
+                }
+                last = *id;
+            }
+            match message {
+                Message::Visit(id, asked) => {
+                    *visits += 1;
+                    tell(FromClient::Visit { id, asked, at })?;
+                }
+                Message::Bad(id, field) => tell(FromClient::Bad { id, field })?,
+                Message::Status(id) => tell(FromClient::Status { id })?,
+                Message::Withdraw(ids) => tell(FromClient::Withdrawn { ids })?,
+                Message::Unknown => {}
+            }
+        }
+        if fresh || buffer.len() < before {
+            begun = at;
+        } else if at - begun > patience {
+            return Err(Code::HalfMessage);
+        }
+    }
+}
+
+fn write(id: ClientId, line: &Line, answers: Receiver<ToClient>, router: &Sender<Input>) {
+    for answer in answers {
+        let [head, body, tail] = &answer.parts;
+        if let Err(error) = line.write(&[head, body, tail]) {
+            use std::io::ErrorKind::{TimedOut, WouldBlock};
+            let slow = matches!(error.kind(), WouldBlock | TimedOut);
+            line.end(if slow { Code::SlowReader } else { Code::WriteFailed });
+            return;
+        }
+        let bytes = answer.parts.iter().map(|part| part.len()).sum();
+        let what = FromClient::Written { bytes, answered: answer.answered, at: clock::now() };
+        if router.send(Input::Client(id, what)).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/config.rs
@@ -0,0 +1,126 @@
+//! What a dispatcher is told at its start: the configuration's JSON, decoded once by key.
+use cherrypass::settings::Settings;
+use cherrypass::time::Span;
+use cherrypass_settings as settings;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("the configuration {0} can't be read: {1}")]
+    Unread(String, std::io::Error),
+    #[error("the configuration isn't JSON: {0}")]
+    NotJson(serde_json::Error),
+    #[error("the configuration lacks {0}")]
+    Lacks(&'static str),
+    #[error("the configuration's {0} can't be used: '{1}'")]
+    Unusable(&'static str, String),
+    #[error("{0}")]
+    Settings(String),
+}
+
+/// The names that messages use, each at the place of its number.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub bands: Vec<String>,
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// What connections to hosts may do and hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Reach {
+    pub connect_limit: Span,
+    pub idle: Span,
+    pub streams: usize,
+    pub connections: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub changelog: SocketAddr,
+    pub known: Value,
+    pub settings: Settings,
+    pub names: Names,
+    pub reach: Reach,
+    /// The longest that a visit of any band may take.
+    pub longest: Span,
+    pub clients: usize,
+    /// Bytes of answers that may wait for clients to read them.
+    pub unread: usize,
+}
+
+/// The largest message of a host: an object of 240,000 bytes and room for its fields.
+pub const HOST_MESSAGE: usize = 256 * 1024;
+/// Descriptors for all but clients and hosts: standard streams, listener, change log, signals, what is being
+/// accepted or is just closing.
+const OTHER_DESCRIPTORS: usize = 48;
+
+impl Config {
+    pub fn load(path: &Path) -> Result<Config, Error> {
+        let text = std::fs::read(path).map_err(|error| Error::Unread(path.display().to_string(), error))?;
+        Config::decode(&text)
+    }
+
+    pub fn decode(text: &[u8]) -> Result<Config, Error> {
+        let all: Value = serde_json::from_slice(text).map_err(Error::NotJson)?;
+        let own = all.get("settings").ok_or(Error::Lacks("settings"))?;
+        let memory = number(&all, "limits/memory_mb", "/limits/memory_mb")?;
+        let sockets = number(&all, "limits/sockets", "/limits/sockets")? as usize;
+        let quarter = (memory * 1024.0 * 1024.0 / 4.0) as usize;
+        let clients = sockets / 3;
+        let seed = string(&all, "seed")?;
+        let span =
+            |path: &'static str| settings::need(own, path).map(|us| Span(us as u64)).map_err(Error::Settings);
+        let services = own.pointer("/services").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let limits = services.iter().filter_map(|band| settings::number(band, "/deadline"));
+        Ok(Config {
+            name: string(&all, "name")?.to_owned(),
+            listen: address(&all, "listen")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| Error::Unusable("seed", seed.to_owned()))?,
+            changelog: address(&all, "changelog")?,
+            known: all.get("known").cloned().unwrap_or(Value::Null),
+            settings: settings::read(own).map_err(Error::Settings)?,
+            names: Names {
+                bands: services.iter().map(|band| settings::text(band, "/name").to_owned()).collect(),
+                locations: names(own, "/zones"),
+                kinds: names(own, "/models"),
+            },
+            reach: Reach {
+                connect_limit: span("/bounds/connect_timeout")?,
+                idle: span("/bounds/conn_idle")?,
+                streams: (settings::need(own, "/bounds/streams_per_conn").map_err(Error::Settings)? as usize)
+                    .max(1),
+                connections: sockets
+                    .saturating_sub(clients + OTHER_DESCRIPTORS)
+                    .min(quarter / HOST_MESSAGE)
+                    .max(1),
+            },
+            longest: Span(limits.fold(0.0, f64::max) as u64),
+            clients,
+            unread: quarter,
+        })
+    }
+}
+
+fn number(all: &Value, key: &'static str, path: &str) -> Result<f64, Error> {
+    settings::number(all, path).ok_or(Error::Lacks(key))
+}
+
+fn string<'a>(all: &'a Value, key: &'static str) -> Result<&'a str, Error> {
+    all.get(key).and_then(Value::as_str).ok_or(Error::Lacks(key))
+}
+
+fn address(all: &Value, key: &'static str) -> Result<SocketAddr, Error> {
+    let text = string(all, key)?;
+    text.parse().map_err(|_| Error::Unusable(key, text.to_owned()))
+}
+
+fn names(own: &Value, path: &str) -> Vec<String> {
+    let list = own.pointer(path).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    list.iter().map(|name| name.as_str().unwrap_or("").to_owned()).collect()
+}
--- /dev/null
+++ b/crates/dispatcher/src/hosts.rs
@@ -0,0 +1,379 @@
+//! Hosts (caches, parents, origin): each an actor with a pool of connections, and for each connection a thread
+//! that connects and writes and one that reads.
+use crate::clock;
+use crate::config::Reach;
+use crate::ids::{HandOffId, LineId};
+use crate::line::{spawn, Code, Line};
+use crate::resp::{self, Answer, Begun};
+use crate::router::Input;
+use bytes::{Bytes, BytesMut};
+use cherrypass::calls::Outcome;
+use cherrypass::time::{Span, Time};
+use crossbeam_channel::{unbounded, Receiver, Sender};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+const PIECE: usize = 16 * 1024;
+
+/// A hand-off as it goes out.
+#[derive(Clone, Debug)]
+pub struct HandOff {
+    pub id: HandOffId,
+    /// The client's id of the visit, which names the hand-off on the wire.
+    pub txn: Bytes,
+    pub fields: String,
+    pub body: Bytes,
+    /// The client told of a copy that it holds.
+    pub seen: bool,
+    /// Until when an answer may come.
+    pub until: Time,
+}
+
+/// What hosts tell the router of a hand-off.
+pub enum FromHost {
+    Written { at: Time },
+    Ended { outcome: Outcome, answer: Option<Answer>, at: Time },
+}
+
+pub enum ToHost {
+    HandOff(HandOff),
+    NeverMind(HandOffId),
+    /// The hand-off's connection had to be up by now.
+    ConnectLimit(HandOffId),
+    Sweep(Time),
+    Retire,
+    Up(LineId, Arc<Line>),
+    Written(LineId, HandOffId, Time),
+    Answered(LineId, Answer, Time),
+    Spoilt(LineId, Bytes, Time),
+    Closed(LineId, Time),
+}
+
+enum ToLine {
+    HandOff(HandOff),
+    NeverMind(Bytes),
+    End,
+}
+
+/// Places for connections, shared by all hosts.
+pub type Places = Arc<AtomicUsize>;
+
+struct Out {
+    id: HandOffId,
+    seen: bool,
+    until: Time,
+    written: bool,
+}
+
+struct Pooled {
+    mailbox: Sender<ToLine>,
+    line: Option<Arc<Line>>,
+    /// Hand-offs that wait for the connection to come up.
+    pending: VecDeque<HandOff>,
+    out: BTreeMap<Bytes, Out>,
+    /// Ids given up, and until when a late answer to them may come.
+    given_up: BTreeMap<Bytes, Time>,
+    used: Time,
+    ending: bool,
+}
+
+impl Pooled {
+    fn load(&self) -> usize {
+        self.out.len()
+    }
+
+    fn may_take(&self, txn: &Bytes, streams: usize) -> bool {
+        // Guards against an answer to a hand-off given up that is taken for one of the same visit's next.
+        let taken = self.out.contains_key(txn) || self.given_up.contains_key(txn);
+        !self.ending && !taken && self.load() < streams
+    }
+
+    fn end(&mut self, code: Code) {
+        self.ending = true;
+        if let Some(line) = &self.line {
+            line.end(code);
+        }
+        let _ = self.mailbox.send(ToLine::End);
+    }
+}
+
+pub struct Host {
+    name: String,
+    address: SocketAddr,
+    reach: Reach,
+    places: Places,
+    own: Sender<ToHost>,
+    router: Sender<Input>,
+    lines: BTreeMap<LineId, Pooled>,
+    next: u64,
+    retired: bool,
+}
+
+impl Host {
+    /// Starts a host's actor and returns its mailbox.
+    pub fn start(
+        name: &str,
+        address: SocketAddr,
+        reach: Reach,
+        places: Places,
+        router: Sender<Input>,
+    ) -> std::io::Result<Sender<ToHost>> {
+        let (own, mailbox) = unbounded();
+        let lines = BTreeMap::new();
+        let name = name.to_owned();
+        let mut host =
+            Host { name, address, reach, places, own: own.clone(), router, lines, next: 0, retired: false };
+        spawn("host", move || host.run(mailbox))?;
+        Ok(own)
+    }
+
+    fn run(&mut self, mailbox: Receiver<ToHost>) {
+        for message in mailbox {
+            self.take(message);
+            if self.retired && self.lines.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, message: ToHost) {
+        match message {
+            ToHost::HandOff(hand_off) => self.hand_off(hand_off),
+            ToHost::NeverMind(id) => self.never_mind(id),
+            ToHost::ConnectLimit(id) => {
+                let waits = |p: &Pooled| p.pending.iter().any(|hand_off| hand_off.id == id);
+                if let Some(pooled) = self.lines.values_mut().find(|p| waits(p)) {
+                    pooled.pending.retain(|hand_off| hand_off.id != id);
+                    pooled.out.retain(|_, out| out.id != id);
+                    self.ended(id, Outcome::ConnectFailed, None, clock::now());
+                }
+            }
+            ToHost::Sweep(now) => self.sweep(now),
+            ToHost::Retire => {
+                self.retired = true;
+                self.lines.values_mut().for_each(|pooled| pooled.end(Code::HostGone));
+            }
+            ToHost::Up(line, shared) => {
+                let Some(pooled) = self.lines.get_mut(&line) else { return };
+                if pooled.ending {
+                    shared.end(Code::HostGone);
+                }
+                pooled.line = Some(shared);
+                for hand_off in pooled.pending.drain(..) {
+                    let _ = pooled.mailbox.send(ToLine::HandOff(hand_off));
+                }
+            }
+            ToHost::Written(line, id, at) => {
+                let outs = self.lines.get_mut(&line).map(|pooled| pooled.out.values_mut());
+                if let Some(out) = outs.and_then(|mut outs| outs.find(|out| out.id == id)) {
+                    out.written = true;
+                    let _ = self.router.send(Input::HandOff(id, FromHost::Written { at }));
+                }
+            }
+            ToHost::Answered(line, answer, at) => self.answered(line, answer, at),
+            ToHost::Spoilt(line, txn, at) => {
+                let pooled = self.lines.get_mut(&line);
+                if let Some(out) = pooled.and_then(|pooled| pooled.out.remove(&txn)) {
+                    self.ended(out.id, Outcome::Error, None, at);
+                }
+            }
+            ToHost::Closed(line, at) => {
+                self.places.fetch_add(1, Ordering::Relaxed);
+                for out in self.lines.remove(&line).into_iter().flat_map(|pooled| pooled.out.into_values()) {
+                    // What was not wholly written can't have run.
+                    let outcome = if out.written { Outcome::Reset } else { Outcome::ConnectFailed };
+                    self.ended(out.id, outcome, None, at);
+                }
+            }
+        }
+    }
+
+    fn ended(&self, id: HandOffId, outcome: Outcome, answer: Option<Answer>, at: Time) {
+        let _ = self.router.send(Input::HandOff(id, FromHost::Ended { outcome, answer, at }));
+    }
+
+    /// An idle connection, else a new one, else the one with the least out.
+    fn hand_off(&mut self, hand_off: HandOff) {
+        let streams = self.reach.streams;
+        let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(&hand_off.txn, streams));
+        let best = free
+            .min_by_key(|(_, pooled)| (pooled.load(), pooled.line.is_none(), std::cmp::Reverse(pooled.used)));
+        let best = best.map(|(line, pooled)| (*line, pooled.load()));
+        let line = match best {
+            Some((line, 0)) => Some(line),
+            other => self.open().or(other.map(|(line, _)| line)),
+        };
+        let Some(pooled) = line.and_then(|line| self.lines.get_mut(&line)) else {
+            self.ended(hand_off.id, Outcome::ConnectFailed, None, clock::now());
+            return;
+        };
+        let out = Out { id: hand_off.id, seen: hand_off.seen, until: hand_off.until, written: false };
+        pooled.out.insert(hand_off.txn.clone(), out);
+        if pooled.line.is_some() {
+            let _ = pooled.mailbox.send(ToLine::HandOff(hand_off));
+        } else {
+            pooled.pending.push_back(hand_off);
+        }
+    }
+
+    fn open(&mut self) -> Option<LineId> {
+        if self.retired {
+            return None;
+        }
+        let take = |free: usize| free.checked_sub(1);
+        self.places.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).ok()?;
+        let line = LineId(self.next);
+        self.next += 1;
+        let (mailbox, messages) = unbounded();
+        let speaker = Speaker {
+            line,
+            name: self.name.clone(),
+            address: self.address,
+            limit: self.reach.connect_limit,
+            host: self.own.clone(),
+        };
+        let own = mailbox.clone();
+        if spawn("line", move || speaker.run(own, messages)).is_err() {
+            self.places.fetch_add(1, Ordering::Relaxed);
+            log::warn!("host {} line {} closed: {}", self.name, line.0, Code::NoThread.word());
+            return None;
+        }
+        let (out, given_up) = (BTreeMap::new(), BTreeMap::new());
+        let (pending, used) = (VecDeque::new(), clock::now());
+        self.lines.insert(line, Pooled { mailbox, line: None, pending, out, given_up, used, ending: false });
+        Some(line)
+    }
+
+    fn never_mind(&mut self, id: HandOffId) {
+        for pooled in self.lines.values_mut() {
+            let Some((txn, until)) =
+                pooled.out.iter().find(|(_, out)| out.id == id).map(|(txn, out)| (txn.clone(), out.until))
+            else {
+                continue;
+            };
+            pooled.out.remove(&txn);
+            pooled.used = clock::now();
+            let before = pooled.pending.len();
+            pooled.pending.retain(|hand_off| hand_off.id != id);
+            if pooled.pending.len() == before {
+                let _ = pooled.mailbox.send(ToLine::NeverMind(resp::never_mind(&txn)));
+                pooled.given_up.insert(txn, until.max(clock::now()));
+            }
+            return;
+        }
+    }
+
+    fn answered(&mut self, line: LineId, answer: Answer, at: Time) {
+        let Some(pooled) = self.lines.get_mut(&line) else { return };
+        pooled.used = at;
+        let Some(out) = pooled.out.remove(&answer.id) else {
+            // An answer to what was given up, or to nothing: dropped by its id.
+            pooled.given_up.remove(&answer.id);
+            return;
+        };
+        // A copy that the client holds can only be the one where the client told of it.
+        if answer.keep && !out.seen {
+            self.ended(out.id, Outcome::Error, None, at);
+        } else {
+            self.ended(out.id, answer.outcome, Some(answer), at);
+        }
+    }
+
+    /// Closes what was idle for most of the time after which the host would close it.
+    fn sweep(&mut self, now: Time) {
+        let idle = self.reach.idle.times(0.8);
+        for pooled in self.lines.values_mut() {
+            pooled.given_up.retain(|_, until| now < *until + idle);
+            if !pooled.ending && pooled.out.is_empty() && pooled.line.is_some() && now - pooled.used > idle {
+                pooled.end(Code::Idle);
+            }
+        }
+    }
+}
+
+/// The writing side of one connection, which also opens it and sees it to its end.
+struct Speaker {
+    line: LineId,
+    name: String,
+    address: SocketAddr,
+    limit: Span,
+    host: Sender<ToHost>,
+}
+
+impl Speaker {
+    fn run(self, own: Sender<ToLine>, messages: Receiver<ToLine>) {
+        let mut sent = 0;
+        let code = match TcpStream::connect_timeout(&self.address, clock::duration(self.limit)) {
+            Ok(stream) => self.serve(Arc::new(Line::new(stream)), own, messages, &mut sent),
+            Err(error) => Code::of_connect(&error),
+        };
+        log::info!("host {} line {} closed: {} after {sent} hand-offs", self.name, self.line.0, code.word());
+        let _ = self.host.send(ToHost::Closed(self.line, clock::now()));
+    }
+
+    fn serve(
+        &self,
+        line: Arc<Line>,
+        own: Sender<ToLine>,
+        messages: Receiver<ToLine>,
+        sent: &mut u64,
+    ) -> Code {
+        let _ = line.set_up(None);
+        let (reads, host, id) = (line.clone(), self.host.clone(), self.line);
+        let reader = spawn("reads", move || {
+            reads.end(read(id, &reads, &host));
+            let _ = own.send(ToLine::End);
+        });
+        let Ok(reader) = reader else {
+            line.end(Code::NoThread);
+            return line.code();
+        };
+        let _ = self.host.send(ToHost::Up(self.line, line.clone()));
+        for message in messages {
+            let written = match message {
+                ToLine::HandOff(hand_off) => {
+                    let head = resp::want(&hand_off.txn, &hand_off.fields, hand_off.body.len());
+                    let written = line.write(&[&head, &hand_off.body, resp::END]);
+                    if written.is_ok() {
+                        *sent += 1;
+                        let _ = self.host.send(ToHost::Written(self.line, hand_off.id, clock::now()));
+                    }
+                    written
+                }
+                ToLine::NeverMind(message) => line.write(&[&message]),
+                ToLine::End => break,
+            };
+            if written.is_err() {
+                line.end(Code::WriteFailed);
+                break;
+            }
+        }
+        line.end(Code::Idle);
+        let _ = reader.join();
+        line.code()
+    }
+}
+
+fn read(id: LineId, line: &Line, host: &Sender<ToHost>) -> Code {
+    let mut buffer = BytesMut::new();
+    let mut room = PIECE;
+    loop {
+        if let Err(code) = line.read(&mut buffer, room) {
+            return code;
+        }
+        let at = clock::now();
+        room = loop {
+            let told = match resp::next(&mut buffer) {
+                Ok(Begun::Answer(answer)) => ToHost::Answered(id, answer, at),
+                Ok(Begun::Spoilt(txn)) => ToHost::Spoilt(id, txn, at),
+                Ok(Begun::Short(more)) => break more.max(PIECE),
+                Err(code) => return code,
+            };
+            if host.send(told).is_err() {
+                return Code::Stopped;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/lib.rs
@@ -0,0 +1,18 @@
+//! The dispatcher on sockets: clients over MessagePack-RPC, hosts over RESP, the change log over HTTP/1.1,
+//! and the module that decides between them.
+#![forbid(unsafe_code)]
+
+pub mod changes;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod hosts;
+pub mod ids;
+pub mod line;
+pub mod logger;
+pub mod msgpack;
+pub mod resp;
+pub mod router;
+pub mod serve;
+pub mod shutdown;
+pub mod spent;
--- /dev/null
+++ b/crates/dispatcher/src/router.rs
@@ -0,0 +1,486 @@
+//! The module's actor, the only owner of the module, of open visits and of hand-offs: turns messages into
+//! calls, pulls decisions, and sends them out. It decides nothing itself.
+use crate::changes::{Change, Listed};
+use crate::clients::{FromClient, ToClient};
+use crate::clock;
+use crate::config::Config;
+use crate::hosts::{FromHost, HandOff, Host, Places, ToHost};
+use crate::ids::{ClientId, HandOffId};
+use crate::line::{Code, Line};
+use crate::msgpack::{self, Asked, Parts};
+use crate::resp::Answer;
+use crate::spent::Spent;
+use bytes::Bytes;
+use cherrypass::brain::Brain;
+use cherrypass::calls::*;
+use cherrypass::containers::DueTimes;
+use cherrypass::ids::*;
+use cherrypass::settings::Effect;
+use cherrypass::time::{Span, Time};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::Arc;
+
+/// The most visits that a client may have open on one connection.
+const OPEN_MOST: usize = 32;
+const SWEEP: Span = Span::millis(1_000);
+const TOLD: u32 = 10;
+/// For so long after SIGTERM visits may still come.
+const STILL_COMING: Span = Span::millis(1_000);
+const STOP_LOOK: Span = Span::millis(20);
+
+pub enum Input {
+    Client(ClientId, FromClient),
+    HandOff(HandOffId, FromHost),
+    Changed(Change),
+    Stop,
+}
+
+enum Due {
+    Wake,
+    Until(HandOffId),
+    Connect(HandOffId),
+    Sweep,
+    Leave,
+}
+
+struct Client {
+    mailbox: Sender<ToClient>,
+    line: Arc<Line>,
+    open: BTreeMap<u32, VisitId>,
+    /// Answers given and not written yet, and their bytes.
+    unread: (usize, usize),
+}
+
+struct Open {
+    client: ClientId,
+    id: u32,
+    asked: Asked,
+    read: Time,
+    hand_offs: u8,
+}
+
+struct Out {
+    host: HostId,
+    sent: Time,
+    read: Time,
+    written: bool,
+}
+
+struct Known {
+    name: String,
+    address: SocketAddr,
+    since: Option<Time>,
+    mailbox: Sender<ToHost>,
+    retired: bool,
+}
+
+pub struct Router {
+    config: Config,
+    brain: Brain,
+    mailbox: Receiver<Input>,
+    own: Sender<Input>,
+    places: Places,
+    due: DueTimes<Due>,
+    clients: BTreeMap<ClientId, Client>,
+    visits: BTreeMap<VisitId, Open>,
+    hand_offs: BTreeMap<HandOffId, Out>,
+    hosts: BTreeMap<HostId, Known>,
+    next: u32,
+    listed: bool,
+    /// When SIGTERM came.
+    stopping: Option<Time>,
+    spent: Spent,
+    sweeps: u32,
+    done: bool,
+}
+
+impl Router {
+    pub fn new(config: Config, own: Sender<Input>, mailbox: Receiver<Input>) -> Router {
+        let now = clock::now();
+        let places = Arc::new(AtomicUsize::new(config.reach.connections));
+        let brain = Brain::start(config.settings.clone(), config.seed, now);
+        let mut due = DueTimes::default();
+        due.put(now + SWEEP, Due::Sweep);
+        Router {
+            config,
+            brain,
+            mailbox,
+            own,
+            places,
+            due,
+            clients: BTreeMap::new(),
+            visits: BTreeMap::new(),
+            hand_offs: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            next: 0,
+            listed: false,
+            stopping: None,
+            spent: Spent::default(),
+            sweeps: 0,
+            done: false,
+        }
+    }
+
+    /// Runs until the process is to end.
+    pub fn run(&mut self) {
+        self.pull();
+        while !self.done {
+            let now = clock::now();
+            let wait = self.due.first().map_or(SWEEP, |at| at - now);
+            let first = match self.mailbox.recv_timeout(clock::duration(wait)) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            // What has come meanwhile is taken together, but due times don't wait for a full mailbox.
+            let waiting = self.mailbox.len();
+            let more: Vec<Input> = self.mailbox.try_iter().take(waiting).collect();
+            for input in first.into_iter().chain(more) {
+                self.take(input);
+                self.pull();
+            }
+            self.fire();
+            self.pull();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = clock::now();
+        while let Some(at) = self.due.first().filter(|at| *at <= now) {
+            let Some(due) = self.due.pop(now) else { return };
+            self.spent.timers.push(now - at);
+            match due {
+                Due::Wake => self.brain.woken(clock::now()),
+                Due::Until(id) => {
+                    if self.hand_offs.contains_key(&id) {
+                        self.stop(id, Outcome::TimedOut);
+                    }
+                }
+                Due::Connect(id) => {
+                    if let Some(out) = self.hand_offs.get(&id).filter(|out| !out.written) {
+                        self.tell(out.host, ToHost::ConnectLimit(id));
+                    }
+                }
+                Due::Sweep => self.sweep(now),
+                Due::Leave => self.leave(now),
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Client(id, what) => self.heard(id, what),
+            Input::HandOff(id, FromHost::Written { at }) => {
+                if let Some(out) = self.hand_offs.get_mut(&id) {
+                    out.written = true;
+                    self.spent.inward.push(at - out.read);
+                }
+            }
+            Input::HandOff(id, FromHost::Ended { outcome, answer, at }) => {
+                self.ended(id, outcome, answer, at)
+            }
+            Input::Changed(change) => self.changed(change),
+            Input::Stop => {
+                let now = clock::now();
+                if self.stopping.is_none() {
+                    log::info!("stopping: {} visits open", self.visits.len());
+                    self.stopping = Some(now);
+                    self.due.put(now + STILL_COMING, Due::Leave);
+                }
+            }
+        }
+    }
+
+    fn heard(&mut self, client: ClientId, what: FromClient) {
+        if let FromClient::Opened { mailbox, line } = what {
+            self.clients.insert(client, Client { mailbox, line, open: BTreeMap::new(), unread: (0, 0) });
+            return;
+        }
+        let Some(known) = self.clients.get_mut(&client) else { return };
+        match what {
+            FromClient::Opened { .. } => {}
+            FromClient::Visit { id, asked, at } => self.arrived(client, id, *asked, at),
+            FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None),
+            FromClient::Status { id } => {
+                let parts = msgpack::status(id, self.listed);
+                self.answer(client, parts, None);
+            }
+            FromClient::Withdrawn { ids } => {
+                let gone: Vec<VisitId> = ids.iter().filter_map(|id| known.open.remove(id)).collect();
+                gone.into_iter().for_each(|visit| self.left(visit));
+            }
+            FromClient::Written { bytes, answered, at } => {
+                known.unread = (known.unread.0.saturating_sub(1), known.unread.1.saturating_sub(bytes));
+                if let Some(answered) = answered {
+                    self.spent.outward.push(at - answered);
+                }
+            }
+            FromClient::Closed => {
+                let gone = self.clients.remove(&client).map(|known| known.open);
+                gone.into_iter().flatten().for_each(|(_, visit)| self.left(visit));
+            }
+        }
+    }
+
+    fn left(&mut self, visit: VisitId) {
+        self.visits.remove(&visit);
+        self.brain.left(visit);
+    }
+
+    fn arrived(&mut self, client: ClientId, id: u32, asked: Asked, at: Time) {
+        let Some(known) = self.clients.get_mut(&client) else { return };
+        let names = &self.config.names.bands;
+        let band = names.iter().position(|name| name.as_bytes() == &asked.band[..]);
+        let found = band.and_then(|place| Some((place, self.config.settings.bands.get(place)?)));
+        let fault = match found {
+            _ if known.open.len() + known.unread.0 >= OPEN_MOST => Some("too many open"),
+            None => Some("method"),
+            Some((_, band))
+                if matches!(band.effect, Effect::Deduplicated { .. }) && asked.unique.is_none() =>
+            {
+                Some("unique")
+            }
+            Some((_, band)) if !band.writes && !asked.body.is_empty() => Some("body"),
+            Some(_) => None,
+        };
+        let Some((band, _)) = found.filter(|_| fault.is_none()) else {
+            self.answer(client, msgpack::bad(id, fault.unwrap_or("method")), None);
+            return;
+        };
+        let visit = VisitId(self.next);
+        self.next = self.next.wrapping_add(1);
+        known.open.insert(id, visit);
+        let call = Visit {
+            id: visit,
+            band: BandId(band as u8),
+            object: asked.object,
+            group: asked.group,
+            part: asked.block,
+            kilobytes: None,
+            hard_limit: at + asked.limit,
+        };
+        self.visits.insert(visit, Open { client, id, asked, read: at, hand_offs: 0 });
+        self.spent.open_most = self.spent.open_most.max(self.visits.len());
+        self.spent.mailbox.push(clock::now() - at);
+        self.brain.arrived(at, call);
+    }
+
+    fn answer(&mut self, client: ClientId, parts: Parts, answered: Option<Time>) {
+        let Some(known) = self.clients.get_mut(&client) else { return };
+        known.unread.0 += 1;
+        known.unread.1 += parts.iter().map(Bytes::len).sum::<usize>();
+        let _ = known.mailbox.send(ToClient { parts, answered });
+        // Guards against clients that don't read: past the bound the one that owes most pays for it alone.
+        let held: usize = self.clients.values().map(|client| client.unread.1).sum();
+        self.spent.unread_most = self.spent.unread_most.max(held);
+        if held > self.config.unread {
+            if let Some(worst) = self.clients.values_mut().max_by_key(|client| client.unread.1) {
+                worst.line.end(Code::SlowReader);
+                worst.unread = (0, 0);
+            }
+        }
+    }
+
+    /// The final answer of a visit, unless it has left.
+    fn finish(&mut self, visit: VisitId, parts: impl FnOnce(u32) -> Parts, answered: Option<Time>) {
+        let Some(open) = self.visits.remove(&visit) else { return };
+        if let Some(known) = self.clients.get_mut(&open.client) {
+            known.open.remove(&open.id);
+        }
+        self.answer(open.client, parts(open.id), answered);
+    }
+
+    fn ended(&mut self, id: HandOffId, outcome: Outcome, answer: Option<Answer>, at: Time) {
+        let Some(out) = self.hand_offs.remove(&id) else { return };
+        let HandOffId(visit, number) = id;
+        let settled = outcome == Outcome::Settled;
+        let end = Ended {
+            visit,
+            number,
+            outcome,
+            note: answer.as_ref().map_or(Note::Untold, |answer| answer.note),
+            took: at - out.sent,
+            link_full: answer.as_ref().and_then(|answer| answer.link_full),
+            last: settled || !self.visits.contains_key(&visit),
+        };
+        if let Some(answer) = answer.filter(|_| settled) {
+            self.finish(visit, |id| msgpack::settled(id, answer.body, answer.keep), Some(at));
+        }
+        self.brain.ended(at, end);
+    }
+
+    /// Ends a hand-off from this side; what may still come of it is dropped.
+    fn stop(&mut self, id: HandOffId, outcome: Outcome) {
+        let Some(out) = self.hand_offs.get(&id) else { return };
+        self.tell(out.host, ToHost::NeverMind(id));
+        self.ended(id, outcome, None, clock::now());
+    }
+
+    fn tell(&self, host: HostId, what: ToHost) -> bool {
+        self.hosts.get(&host).is_some_and(|known| known.mailbox.send(what).is_ok())
+    }
+
+    fn pull(&mut self) {
+        let now = clock::now();
+        while let Some(decision) = self.brain.next(now) {
+            match decision {
+                Decision::HandOff { visit, host, until, fill } => {
+                    self.hand_off(now, visit, host, until, fill)
+                }
+                Decision::Cancel { visit, number } => self.stop(HandOffId(visit, number), Outcome::Cancelled),
+                Decision::TurnBack { visit, come_back } => {
+                    self.finish(visit, |id| msgpack::turned_back(id, come_back), None);
+                }
+                Decision::WriteOff { visit } => self.finish(visit, msgpack::written_off, None),
+                Decision::Wake { after } => self.due.put(now + after, Due::Wake),
+                Decision::Log(line) => log::info!("module: {line}"),
+            }
+        }
+    }
+
+    fn hand_off(&mut self, now: Time, visit: VisitId, host: HostId, until: Time, fill: Option<Fill>) {
+        let Some(open) = self.visits.get_mut(&visit) else { return };
+        let id = HandOffId(visit, HandOffNo(open.hand_offs));
+        open.hand_offs = open.hand_offs.saturating_add(1);
+        let read = std::mem::replace(&mut open.read, now);
+        let asked = &open.asked;
+        let source = fill.filter(|fill| fill.source != host).and_then(|fill| self.hosts.get(&fill.source));
+        let hand_off = HandOff {
+            id,
+            txn: asked.txn.clone(),
+            fields: fields(asked, until - now, fill, source.map(|known| &known.name[..])),
+            body: asked.body.clone(),
+            seen: asked.cached.is_some(),
+            until,
+        };
+        self.hand_offs.insert(id, Out { host, sent: now, read, written: false });
+        if !self.tell(host, ToHost::HandOff(hand_off)) {
+            self.ended(id, Outcome::ConnectFailed, None, now);
+            return;
+        }
+        self.due.put(until, Due::Until(id));
+        self.due.put(now + self.config.reach.connect_limit, Due::Connect(id));
+    }
+
+    pub fn changed(&mut self, change: Change) {
+        let now = clock::now();
+        match change {
+            Change::List { whole, hosts } => {
+                let entries: Vec<Listing> = hosts.iter().map(|host| host.listing).collect();
+                if whole {
+                    let kept = |id: &HostId| entries.iter().any(|entry| entry.host == *id);
+                    let gone: Vec<HostId> = self.hosts.keys().filter(|id| !kept(id)).copied().collect();
+                    gone.into_iter().for_each(|id| self.retire(id));
+                }
+                hosts.into_iter().for_each(|host| self.listed(host));
+                self.brain.listed(now, &entries, whole);
+                self.listed |= !self.hosts.is_empty();
+            }
+            Change::Purge { group, object, at } => self.brain.purged(now, group, object, now - at),
+        }
+    }
+
+    /// The name stays known, so that a fill can name it as long as the module may.
+    fn retire(&mut self, id: HostId) {
+        if let Some(known) = self.hosts.get_mut(&id) {
+            known.retired = true;
+            let _ = known.mailbox.send(ToHost::Retire);
+        }
+    }
+
+    fn listed(&mut self, host: Listed) {
+        let Listed { listing, name, address } = host;
+        let (id, since) = (listing.host, listing.since);
+        log::info!("list: host {:x} is {name}, {:?}, weight {:.1}", id.0, listing.phase, listing.weight);
+        let known = self.hosts.get(&id);
+        let (Some(address), false) = (address, listing.phase == Phase::Gone) else {
+            self.retire(id);
+            return;
+        };
+        // A process that started anew has new connections, wherever it listens.
+        let same = known.is_some_and(|known| known.address == address && known.since >= since);
+        if same && !known.is_some_and(|known| known.retired) {
+            return;
+        }
+        self.retire(id);
+        match Host::start(&name, address, self.config.reach, self.places.clone(), self.own.clone()) {
+            Ok(mailbox) => {
+                self.hosts.insert(id, Known { name, address, since, mailbox, retired: false });
+            }
+            Err(error) => log::warn!("host {name} has no actor: {error}"),
+        }
+    }
+
+    fn sweep(&mut self, now: Time) {
+        self.due.put(now + SWEEP, Due::Sweep);
+        self.hosts.values().for_each(|known| {
+            let _ = known.mailbox.send(ToHost::Sweep(now));
+        });
+        self.sweeps += 1;
+        if self.sweeps.is_multiple_of(TOLD) {
+            self.tell_spent();
+        }
+    }
+
+    fn tell_spent(&mut self) {
+        let spent = std::mem::take(&mut self.spent);
+        log::info!(
+            "spent: in {} out {} mailbox {} timers {}; open {} unread {} kB clients {}",
+            spent.inward.line(),
+            spent.outward.line(),
+            spent.mailbox.line(),
+            spent.timers.line(),
+            spent.open_most,
+            spent.unread_most / 1024,
+            self.clients.len()
+        );
+    }
+
+    /// Ends the process once all is answered and written; until then it serves on what comes.
+    fn leave(&mut self, now: Time) {
+        let unread: usize = self.clients.values().map(|client| client.unread.0).sum();
+        let begun = self.stopping.unwrap_or(now);
+        if self.visits.is_empty() && unread == 0 || now > begun + self.config.longest + STILL_COMING {
+            self.tell_spent();
+            log::info!("stopped: {} visits open, {unread} answers unread", self.visits.len());
+            self.done = true;
+        } else {
+            self.due.put(now + STOP_LOOK, Due::Leave);
+        }
+    }
+}
+
+/// The fields of a hand-off; the module's times become milliseconds, rounded so that no older copy will do.
+fn fields(asked: &Asked, wait: Span, fill: Option<Fill>, source: Option<&str>) -> String {
+    let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
+    let mut fields = String::with_capacity(160);
+    let wait = (wait.0 / 1000).max(1);
+    let _ = write!(fields, "c={},k={},p={},w={wait}", text(&asked.band), text(&asked.item), asked.block);
+    if let Some(unique) = &asked.unique {
+        let _ = write!(fields, ",i={}", text(unique));
+    }
+    if let Some(cached) = &asked.cached {
+        let _ = write!(fields, ",seen={}", text(cached));
+    }
+    if let Some(fill) = fill {
+        if let Some(source) = source {
+            let _ = write!(fields, ",from={source}");
+        }
+        if fill.rank > 0 {
+            let _ = write!(fields, ",rank={}", fill.rank);
+        }
+        if fill.oldest > Span::ZERO {
+            let _ = write!(fields, ",oldest={}", (fill.oldest.0 / 1000).max(1));
+        }
+        let modes = [(fill.join, "collapse"), (fill.held, "only-if-cached"), (fill.renew, "refresh")];
+        let modes: Vec<&str> = modes.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+        if !modes.is_empty() {
+            let _ = write!(fields, ",mode={}", modes.join("+"));
+        }
+    }
+    fields
+}
--- /dev/null
+++ b/crates/dispatcher/src/serve.rs
@@ -0,0 +1,43 @@
+//! Starts all actors of one dispatcher.
+use crate::config::Config;
+use crate::line::spawn;
+use crate::router::{Input, Router};
+use crate::{changes, clients};
+use cherrypass::time::Span;
+use crossbeam_channel::{unbounded, Sender};
+use std::io;
+use std::net::TcpListener;
+
+/// A dispatcher that listens; `run` serves until it is told to stop.
+pub struct Dispatcher {
+    router: Router,
+    pub mailbox: Sender<Input>,
+}
+
+const PATIENCE_LEAST: Span = Span::millis(1_000);
+
+impl Dispatcher {
+    pub fn start(config: Config) -> io::Result<Dispatcher> {
+        let listener = TcpListener::bind(config.listen)?;
+        let (own, mailbox) = unbounded();
+        let mut last = 0;
+        let (known, fault) = changes::decode(&config.known, &config.names, &mut last);
+        if let Some(fault) = fault.filter(|_| !config.known.is_null()) {
+            log::warn!("known changes: {fault}; taken up to change {last}");
+        }
+        log::info!("start: {} on {}, change {last}", config.name, config.listen);
+        let mut router = Router::new(config.clone(), own.clone(), mailbox);
+        known.into_iter().for_each(|change| router.changed(change));
+        let (clients_own, changes_own) = (own.clone(), own.clone());
+        let patience = config.longest.max(PATIENCE_LEAST);
+        spawn("listener", move || clients::listen(listener, config.clients, patience, clients_own))?;
+        spawn("changes", move || {
+            changes::follow(config.changelog, config.names, last, config.seed, changes_own);
+        })?;
+        Ok(Dispatcher { router, mailbox: own })
+    }
+
+    pub fn run(mut self) {
+        self.router.run();
+    }
+}
--- a/crates/benchlink/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,26 +1,28 @@
-//! Reads an instance's settings by key; unknown keys are skipped.
+//! Reads an instance's settings by key, for the bench's adapter and the dispatcher alike; unknown keys are
+//! skipped.
+#![forbid(unsafe_code)]
 use cherrypass::ids::{KindId, LocationId};
 use cherrypass::settings::{Band, ColdStart, Effect, Group, Settings};
 use cherrypass::time::Span;
 use serde_json::Value;
 
-fn number(value: &Value, path: &str) -> Option<f64> {
+pub fn number(value: &Value, path: &str) -> Option<f64> {
     value.pointer(path)?.as_f64()
 }
 
-fn need(value: &Value, path: &str) -> Result<f64, String> {
+pub fn need(value: &Value, path: &str) -> Result<f64, String> {
     number(value, path).ok_or_else(|| format!("the settings lack the number {path}"))
 }
 
-fn span(value: &Value, path: &str) -> Span {
+pub fn span(value: &Value, path: &str) -> Span {
     Span(number(value, path).unwrap_or(0.0).max(0.0) as u64)
 }
 
-fn flag(value: &Value, path: &str) -> bool {
+pub fn flag(value: &Value, path: &str) -> bool {
     value.pointer(path).and_then(Value::as_bool).unwrap_or(false)
 }
 
-fn text<'a>(value: &'a Value, path: &str) -> &'a str {
+pub fn text<'a>(value: &'a Value, path: &str) -> &'a str {
     value.pointer(path).and_then(Value::as_str).unwrap_or("")
 }
 
@@ -50,56 +52,60 @@
     })
 }
 
-/// The settings, and the place among a load report's columns that tells how full the link for fills is.
-pub fn read(bytes: &[u8]) -> Result<(Settings, Option<usize>), String> {
-    let all: Value = serde_json::from_slice(bytes).map_err(|e| format!("the settings aren't JSON: {e}"))?;
+/// The names of a load report's values, in order.
+pub fn columns(all: &Value) -> Vec<&str> {
+    let columns = all.pointer("/stats/columns").and_then(Value::as_array);
+    columns.map(|names| names.iter().filter_map(Value::as_str).collect()).unwrap_or_default()
+}
+
+/// The value of a load report that tells how full the link for fills is.
+pub const LINK_FULL: &str = "x1";
+
+pub fn read(all: &Value) -> Result<Settings, String> {
     let services = all.pointer("/services").and_then(Value::as_array);
     let services = services.ok_or("the settings lack the list /services")?;
-    let bands = services.iter().enumerate().map(|(place, own)| band(&all, own, place));
+    let bands = services.iter().enumerate().map(|(place, own)| band(all, own, place));
     let bands = bands.collect::<Result<Vec<Band>, String>>()?;
-    let dispatchers = need(&all, "/balancers")? as u32;
-    let location = need(&all, "/zone")? as u8;
-    let by_location = number(&all, &format!("/domain/count_by_zone/{location}"));
+    let dispatchers = need(all, "/balancers")? as u32;
+    let location = need(all, "/zone")? as u8;
+    let by_location = number(all, &format!("/domain/count_by_zone/{location}"));
     let links = all.pointer("/domain/zone_link_kb_per_s").and_then(Value::as_array);
     let links = links.map(|list| list.iter().filter_map(Value::as_f64).collect()).unwrap_or_default();
-    let window = span(&all, "/rules/overload_for");
-    let columns = all.pointer("/stats/columns").and_then(Value::as_array);
-    let link_column = columns.and_then(|names| names.iter().position(|name| name == "x1"));
-    let set = Settings {
-        me: need(&all, "/me")? as u32,
+    let window = span(all, "/rules/overload_for");
+    Ok(Settings {
+        me: need(all, "/me")? as u32,
         dispatchers,
         location: LocationId(location),
         location_dispatchers: by_location.map_or(dispatchers, |n| n as u32).max(1),
         bands,
-        parent_kind: kind(&all, "/domain/parent_kind"),
-        origin_kind: kind(&all, "/domain/source_kind"),
-        weights_told: !matches!(text(&all, "/weight_source"), "" | "none"),
-        weights_steady: matches!(text(&all, "/weight_source"), "nominal" | "rough"),
-        pace: number(&all, "/domain/pace_kb_per_s").unwrap_or(0.0),
+        parent_kind: kind(all, "/domain/parent_kind"),
+        origin_kind: kind(all, "/domain/source_kind"),
+        weights_told: !matches!(text(all, "/weight_source"), "" | "none"),
+        weights_steady: matches!(text(all, "/weight_source"), "nominal" | "rough"),
+        pace: number(all, "/domain/pace_kb_per_s").unwrap_or(0.0),
         links,
-        direct: flag(&all, "/domain/may_pass_by"),
-        joins: flag(&all, "/domain/joins"),
-        cancel: flag(&all, "/bounds/cancel"),
-        max_hand_offs: number(&all, "/bounds/max_attempts").unwrap_or(1.0).clamp(1.0, 255.0) as u8,
-        come_back_most: if flag(&all, "/bounds/retry_after") {
-            span(&all, "/bounds/max_retry_after")
+        direct: flag(all, "/domain/may_pass_by"),
+        joins: flag(all, "/domain/joins"),
+        cancel: flag(all, "/bounds/cancel"),
+        max_hand_offs: number(all, "/bounds/max_attempts").unwrap_or(1.0).clamp(1.0, 255.0) as u8,
+        come_back_most: if flag(all, "/bounds/retry_after") {
+            span(all, "/bounds/max_retry_after")
         } else {
             Span::ZERO
         },
         cold_cache: ColdStart {
-            share: need(&all, "/rules/cold_from")?,
-            ramp: span(&all, "/rules/cold"),
-            multiple: need(&all, "/rules/overload_factor")?,
+            share: need(all, "/rules/cold_from")?,
+            ramp: span(all, "/rules/cold"),
+            multiple: need(all, "/rules/overload_factor")?,
             window,
         },
         cold_parent: ColdStart {
-            share: number(&all, "/domain/parent_starts_at").unwrap_or(0.0),
-            ramp: span(&all, "/domain/parent_ramp"),
-            multiple: number(&all, "/domain/parent_limit_factor").unwrap_or(1.0),
+            share: number(all, "/domain/parent_starts_at").unwrap_or(0.0),
+            ramp: span(all, "/domain/parent_ramp"),
+            multiple: number(all, "/domain/parent_limit_factor").unwrap_or(1.0),
             window,
         },
-        purge_done: span(&all, "/domain/purge_done"),
-        purge_grace: span(&all, "/domain/obey_after"),
-    };
-    Ok((set, link_column))
+        purge_done: span(all, "/domain/purge_done"),
+        purge_grace: span(all, "/domain/obey_after"),
+    })
 }
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -21,6 +21,10 @@
         self.next += 1;
     }
 
+    pub fn first(&self) -> Option<Time> {
+        self.entries.first_key_value().map(|(key, _)| key.0)
+    }
+
     pub fn pop(&mut self, now: Time) -> Option<T> {
         let first = self.entries.first_entry()?;
         (first.key().0 <= now).then(|| first.remove())
