A visit's next hand-off waits until the call-off before it is written

At fault: Router::stop, which ended the hand-off for the module before its host was told. Now it ends once never_mind is written or the connection has ended; a time-out ends at once, since nothing can follow on it. Unit test seen to fail without the guard.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -1,4 +1,5 @@
 //! Clients: the listener, and for each connection a thread that reads and one that writes.
+use crate::bounds::Held;
 use crate::clock;
 use crate::ids::ClientId;
 use crate::line::{spawn, Code, Line};
@@ -12,7 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const PIECE: usize = 8 * 1024;
+/// What is read at once, which an open visit may keep.
+pub const PIECE: usize = 8 * 1024;
 
 /// What clients tell the router; times are those of the last byte read or written.
 pub enum FromClient {
@@ -21,7 +23,7 @@
     Bad { id: u32, field: &'static str },
     Status { id: u32 },
     Withdrawn { ids: Vec<u32> },
-    Written { bytes: usize, answered: Option<Time>, at: Time },
+    Written { weight: usize, answered: Option<Time>, at: Time },
     Closed,
 }
 
@@ -29,6 +31,16 @@
     pub parts: Parts,
     /// When the host's answer came that this passes on.
     pub answered: Option<Time>,
+    /// The host's answer that this passes on takes room until it is written.
+    pub held: Option<Held>,
+}
+
+impl ToClient {
+    /// What it counts for while it is not read; a body may keep the whole buffer that it was read into.
+    pub fn weight(&self) -> usize {
+        let held = if self.held.is_some() { PIECE } else { 0 };
+        self.parts.iter().map(|part| part.len()).sum::<usize>().max(held)
+    }
 }
 
 /// Takes connections in until the process ends; more than the bound are closed at once.
@@ -75,12 +87,12 @@
 fn read(id: ClientId, line: &Arc<Line>, patience: Span, router: &Sender<Input>) -> u64 {
     let (mailbox, answers) = unbounded();
     let (writes, to_router) = (line.clone(), router.clone());
-    let tell = |what| router.send(Input::Client(id, what));
+    let tell = |what| router.send(Input::Client(id, what)).map_err(|_| Code::Stopped);
     let _ = tell(FromClient::Opened { mailbox, line: line.clone() });
     let writer = spawn("answers", move || write(id, &writes, answers, &to_router));
     let mut visits = 0;
     let end = match &writer {
-        Ok(_) => take_all(line, patience, &mut visits, |what| tell(what).map_err(|_| Code::Stopped)),
+        Ok(_) => take_all(line, patience, &mut visits, tell),
         Err(_) => Err(Code::NoThread),
     };
     line.end(end.err().unwrap_or(Code::ClosedByPeer));
@@ -142,8 +154,8 @@
             line.end(if slow { Code::SlowReader } else { Code::WriteFailed });
             return;
         }
-        let bytes = answer.parts.iter().map(|part| part.len()).sum();
-        let what = FromClient::Written { bytes, answered: answer.answered, at: clock::now() };
+        let what =
+            FromClient::Written { weight: answer.weight(), answered: answer.answered, at: clock::now() };
         if router.send(Input::Client(id, what)).is_err() {
             return;
         }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -50,8 +50,11 @@
     /// The longest that a visit of any band may take.
     pub longest: Span,
     pub clients: usize,
-    /// Bytes of answers that may wait for clients to read them.
+    /// Bytes of answers that may wait for clients to read them, and those of all answers on their way.
     pub unread: usize,
+    pub held: usize,
+    /// Bytes that open visits may keep.
+    pub kept: usize,
 }
 
 /// The largest message of a host: an object of 240,000 bytes and room for its fields.
@@ -103,6 +106,8 @@
             longest: Span(limits.fold(0.0, f64::max) as u64),
             clients,
             unread: quarter,
+            held: quarter + quarter / 2,
+            kept: quarter / 2,
         })
     }
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -1,5 +1,6 @@
 //! Hosts (caches, parents, origin): each an actor with a pool of connections, and for each connection a thread
 //! that connects and writes and one that reads.
+use crate::bounds::{Held, Place, Room};
 use crate::clock;
 use crate::config::Reach;
 use crate::ids::{HandOffId, LineId};
@@ -12,10 +13,10 @@
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
 const PIECE: usize = 16 * 1024;
+const FULL: std::time::Duration = std::time::Duration::from_millis(1);
 
 /// A hand-off as it goes out.
 #[derive(Clone, Debug)]
@@ -33,8 +34,18 @@
 
 /// What hosts tell the router of a hand-off.
 pub enum FromHost {
-    Written { at: Time },
-    Ended { outcome: Outcome, answer: Option<Answer>, at: Time },
+    Written {
+        at: Time,
+    },
+    /// The host was told that no answer is wanted any more, or its connection has ended.
+    GivenUp {
+        at: Time,
+    },
+    Ended {
+        outcome: Outcome,
+        answer: Option<(Answer, Held)>,
+        at: Time,
+    },
 }
 
 pub enum ToHost {
@@ -46,20 +57,18 @@
     Retire,
     Up(LineId, Arc<Line>),
     Written(LineId, HandOffId, Time),
-    Answered(LineId, Answer, Time),
+    GivenUp(LineId, HandOffId, Time),
+    Answered(LineId, Answer, Held, Time),
     Spoilt(LineId, Bytes, Time),
     Closed(LineId, Time),
 }
 
 enum ToLine {
     HandOff(HandOff),
-    NeverMind(Bytes),
+    NeverMind(HandOffId, Bytes),
     End,
 }
 
-/// Places for connections, shared by all hosts.
-pub type Places = Arc<AtomicUsize>;
-
 struct Out {
     id: HandOffId,
     seen: bool,
@@ -75,8 +84,11 @@
     out: BTreeMap<Bytes, Out>,
     /// Ids given up, and until when a late answer to them may come.
     given_up: BTreeMap<Bytes, Time>,
+    /// Those of which the host is not told yet.
+    untold: Vec<HandOffId>,
     used: Time,
     ending: bool,
+    _place: Place,
 }
 
 impl Pooled {
@@ -103,7 +115,7 @@
     name: String,
     address: SocketAddr,
     reach: Reach,
-    places: Places,
+    room: Room,
     own: Sender<ToHost>,
     router: Sender<Input>,
     lines: BTreeMap<LineId, Pooled>,
@@ -117,14 +129,14 @@
         name: &str,
         address: SocketAddr,
         reach: Reach,
-        places: Places,
+        room: Room,
         router: Sender<Input>,
     ) -> std::io::Result<Sender<ToHost>> {
         let (own, mailbox) = unbounded();
         let lines = BTreeMap::new();
         let name = name.to_owned();
         let mut host =
-            Host { name, address, reach, places, own: own.clone(), router, lines, next: 0, retired: false };
+            Host { name, address, reach, room, own: own.clone(), router, lines, next: 0, retired: false };
         spawn("host", move || host.run(mailbox))?;
         Ok(own)
     }
@@ -132,8 +144,11 @@
     fn run(&mut self, mailbox: Receiver<ToHost>) {
         for message in mailbox {
             self.take(message);
-            if self.retired && self.lines.is_empty() {
-                return;
+            if self.retired {
+                self.end_unused();
+                if self.lines.is_empty() {
+                    return;
+                }
             }
         }
     }
@@ -151,10 +166,7 @@
                 }
             }
             ToHost::Sweep(now) => self.sweep(now),
-            ToHost::Retire => {
-                self.retired = true;
-                self.lines.values_mut().for_each(|pooled| pooled.end(Code::HostGone));
-            }
+            ToHost::Retire => self.retired = true,
             ToHost::Up(line, shared) => {
                 let Some(pooled) = self.lines.get_mut(&line) else { return };
                 if pooled.ending {
@@ -172,7 +184,13 @@
                     let _ = self.router.send(Input::HandOff(id, FromHost::Written { at }));
                 }
             }
-            ToHost::Answered(line, answer, at) => self.answered(line, answer, at),
+            ToHost::GivenUp(line, id, at) => {
+                if let Some(pooled) = self.lines.get_mut(&line) {
+                    pooled.untold.retain(|untold| *untold != id);
+                    let _ = self.router.send(Input::HandOff(id, FromHost::GivenUp { at }));
+                }
+            }
+            ToHost::Answered(line, answer, held, at) => self.answered(line, answer, held, at),
             ToHost::Spoilt(line, txn, at) => {
                 let pooled = self.lines.get_mut(&line);
                 if let Some(out) = pooled.and_then(|pooled| pooled.out.remove(&txn)) {
@@ -180,8 +198,11 @@
                 }
             }
             ToHost::Closed(line, at) => {
-                self.places.fetch_add(1, Ordering::Relaxed);
-                for out in self.lines.remove(&line).into_iter().flat_map(|pooled| pooled.out.into_values()) {
+                let Some(pooled) = self.lines.remove(&line) else { return };
+                for id in pooled.untold {
+                    let _ = self.router.send(Input::HandOff(id, FromHost::GivenUp { at }));
+                }
+                for out in pooled.out.into_values() {
                     // What was not wholly written can't have run.
                     let outcome = if out.written { Outcome::Reset } else { Outcome::ConnectFailed };
                     self.ended(out.id, outcome, None, at);
@@ -190,7 +211,13 @@
         }
     }
 
-    fn ended(&self, id: HandOffId, outcome: Outcome, answer: Option<Answer>, at: Time) {
+    /// What is still out at a host that has gone may end well; each has its time-out.
+    fn end_unused(&mut self) {
+        let unused = self.lines.values_mut().filter(|pooled| !pooled.ending && pooled.out.is_empty());
+        unused.for_each(|pooled| pooled.end(Code::HostGone));
+    }
+
+    fn ended(&self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
         let _ = self.router.send(Input::HandOff(id, FromHost::Ended { outcome, answer, at }));
     }
 
@@ -222,8 +249,7 @@
         if self.retired {
             return None;
         }
-        let take = |free: usize| free.checked_sub(1);
-        self.places.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).ok()?;
+        let place = self.room.place()?;
         let line = LineId(self.next);
         self.next += 1;
         let (mailbox, messages) = unbounded();
@@ -233,16 +259,25 @@
             address: self.address,
             limit: self.reach.connect_limit,
             host: self.own.clone(),
+            room: self.room.clone(),
         };
         let own = mailbox.clone();
         if spawn("line", move || speaker.run(own, messages)).is_err() {
-            self.places.fetch_add(1, Ordering::Relaxed);
             log::warn!("host {} line {} closed: {}", self.name, line.0, Code::NoThread.word());
             return None;
         }
-        let (out, given_up) = (BTreeMap::new(), BTreeMap::new());
-        let (pending, used) = (VecDeque::new(), clock::now());
-        self.lines.insert(line, Pooled { mailbox, line: None, pending, out, given_up, used, ending: false });
+        let pooled = Pooled {
+            mailbox,
+            line: None,
+            pending: VecDeque::new(),
+            out: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+            untold: Vec::new(),
+            used: clock::now(),
+            ending: false,
+            _place: place,
+        };
+        self.lines.insert(line, pooled);
         Some(line)
     }
 
@@ -258,14 +293,17 @@
             let before = pooled.pending.len();
             pooled.pending.retain(|hand_off| hand_off.id != id);
             if pooled.pending.len() == before {
-                let _ = pooled.mailbox.send(ToLine::NeverMind(resp::never_mind(&txn)));
+                let _ = pooled.mailbox.send(ToLine::NeverMind(id, resp::never_mind(&txn)));
+                pooled.untold.push(id);
                 pooled.given_up.insert(txn, until.max(clock::now()));
+            } else {
+                let _ = self.router.send(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
             }
             return;
         }
     }
 
-    fn answered(&mut self, line: LineId, answer: Answer, at: Time) {
+    fn answered(&mut self, line: LineId, answer: Answer, held: Held, at: Time) {
         let Some(pooled) = self.lines.get_mut(&line) else { return };
         pooled.used = at;
         let Some(out) = pooled.out.remove(&answer.id) else {
@@ -277,7 +315,7 @@
         if answer.keep && !out.seen {
             self.ended(out.id, Outcome::Error, None, at);
         } else {
-            self.ended(out.id, answer.outcome, Some(answer), at);
+            self.ended(out.id, answer.outcome, Some((answer, held)), at);
         }
     }
 
@@ -300,6 +338,7 @@
     address: SocketAddr,
     limit: Span,
     host: Sender<ToHost>,
+    room: Room,
 }
 
 impl Speaker {
@@ -321,9 +360,9 @@
         sent: &mut u64,
     ) -> Code {
         let _ = line.set_up(None);
-        let (reads, host, id) = (line.clone(), self.host.clone(), self.line);
+        let (reads, host, id, room) = (line.clone(), self.host.clone(), self.line, self.room.clone());
         let reader = spawn("reads", move || {
-            reads.end(read(id, &reads, &host));
+            reads.end(read(id, &reads, &host, &room));
             let _ = own.send(ToLine::End);
         });
         let Ok(reader) = reader else {
@@ -342,7 +381,13 @@
                     }
                     written
                 }
-                ToLine::NeverMind(message) => line.write(&[&message]),
+                ToLine::NeverMind(id, message) => {
+                    let written = line.write(&[&message]);
+                    if written.is_ok() {
+                        let _ = self.host.send(ToHost::GivenUp(self.line, id, clock::now()));
+                    }
+                    written
+                }
                 ToLine::End => break,
             };
             if written.is_err() {
@@ -356,17 +401,24 @@
     }
 }
 
-fn read(id: LineId, line: &Line, host: &Sender<ToHost>) -> Code {
+fn read(id: LineId, line: &Line, host: &Sender<ToHost>, room: &Room) -> Code {
     let mut buffer = BytesMut::new();
-    let mut room = PIECE;
+    let mut wanted = PIECE;
     loop {
-        if let Err(code) = line.read(&mut buffer, room) {
+        // Guards against answers that come faster than they can be passed on.
+        while room.is_full() {
+            std::thread::sleep(FULL);
+        }
+        if let Err(code) = line.read(&mut buffer, wanted) {
             return code;
         }
         let at = clock::now();
-        room = loop {
+        wanted = loop {
             let told = match resp::next(&mut buffer) {
-                Ok(Begun::Answer(answer)) => ToHost::Answered(id, answer, at),
+                Ok(Begun::Answer(answer)) => {
+                    let held = room.hold(answer.body.len().max(PIECE));
+                    ToHost::Answered(id, answer, held, at)
+                }
                 Ok(Begun::Spoilt(txn)) => ToHost::Spoilt(id, txn, at),
                 Ok(Begun::Short(more)) => break more.max(PIECE),
                 Err(code) => return code,
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the module that decides between them.
 #![forbid(unsafe_code)]
 
+pub mod bounds;
 pub mod changes;
 pub mod clients;
 pub mod clock;
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -1,10 +1,11 @@
 //! The module's actor, the only owner of the module, of open visits and of hand-offs: turns messages into
 //! calls, pulls decisions, and sends them out. It decides nothing itself.
+use crate::bounds::{Held, Room};
 use crate::changes::{Change, Listed};
-use crate::clients::{FromClient, ToClient};
+use crate::clients::{FromClient, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
-use crate::hosts::{FromHost, HandOff, Host, Places, ToHost};
+use crate::hosts::{FromHost, HandOff, Host, ToHost};
 use crate::ids::{ClientId, HandOffId};
 use crate::line::{Code, Line};
 use crate::msgpack::{self, Asked, Parts};
@@ -21,11 +22,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
 
 /// The most visits that a client may have open on one connection.
 const OPEN_MOST: usize = 32;
+/// And the most answers that it may leave unread.
+const UNREAD_MOST: usize = 4 * OPEN_MOST;
 const SWEEP: Span = Span::millis(1_000);
 const TOLD: u32 = 10;
 /// For so long after SIGTERM visits may still come.
@@ -64,10 +66,12 @@
 }
 
 struct Out {
-    host: HostId,
+    mailbox: Sender<ToHost>,
     sent: Time,
     read: Time,
     written: bool,
+    /// As what it ends once its host is told that no answer is wanted any more.
+    stopping: Option<Outcome>,
 }
 
 struct Known {
@@ -83,7 +87,10 @@
     brain: Brain,
     mailbox: Receiver<Input>,
     own: Sender<Input>,
-    places: Places,
+    room: Room,
+    /// What open visits keep, and what answers that are not written yet do.
+    kept: usize,
+    unread: usize,
     due: DueTimes<Due>,
     clients: BTreeMap<ClientId, Client>,
     visits: BTreeMap<VisitId, Open>,
@@ -98,10 +105,17 @@
     done: bool,
 }
 
+impl Asked {
+    /// What an open visit counts for: it may keep the whole buffer that it was read into.
+    fn weight(&self) -> usize {
+        self.body.len().max(PIECE)
+    }
+}
+
 impl Router {
     pub fn new(config: Config, own: Sender<Input>, mailbox: Receiver<Input>) -> Router {
         let now = clock::now();
-        let places = Arc::new(AtomicUsize::new(config.reach.connections));
+        let room = Room::new(config.reach.connections, config.held);
         let brain = Brain::start(config.settings.clone(), config.seed, now);
         let mut due = DueTimes::default();
         due.put(now + SWEEP, Due::Sweep);
@@ -110,7 +124,9 @@
             brain,
             mailbox,
             own,
-            places,
+            room,
+            kept: 0,
+            unread: 0,
             due,
             clients: BTreeMap::new(),
             visits: BTreeMap::new(),
@@ -156,13 +172,15 @@
             match due {
                 Due::Wake => self.brain.woken(clock::now()),
                 Due::Until(id) => {
-                    if self.hand_offs.contains_key(&id) {
-                        self.stop(id, Outcome::TimedOut);
+                    // The visit's time is over: nothing follows on this that could be a second copy.
+                    self.stop(id, Outcome::TimedOut);
+                    if let Some(outcome) = self.hand_offs.get(&id).and_then(|out| out.stopping) {
+                        self.ended(id, outcome, None, now);
                     }
                 }
                 Due::Connect(id) => {
                     if let Some(out) = self.hand_offs.get(&id).filter(|out| !out.written) {
-                        self.tell(out.host, ToHost::ConnectLimit(id));
+                        let _ = out.mailbox.send(ToHost::ConnectLimit(id));
                     }
                 }
                 Due::Sweep => self.sweep(now),
@@ -180,6 +198,11 @@
                     self.spent.inward.push(at - out.read);
                 }
             }
+            Input::HandOff(id, FromHost::GivenUp { at }) => {
+                if let Some(outcome) = self.hand_offs.get(&id).and_then(|out| out.stopping) {
+                    self.ended(id, outcome, None, at);
+                }
+            }
             Input::HandOff(id, FromHost::Ended { outcome, answer, at }) => {
                 self.ended(id, outcome, answer, at)
             }
@@ -213,31 +236,39 @@
                 let gone: Vec<VisitId> = ids.iter().filter_map(|id| known.open.remove(id)).collect();
                 gone.into_iter().for_each(|visit| self.left(visit));
             }
-            FromClient::Written { bytes, answered, at } => {
-                known.unread = (known.unread.0.saturating_sub(1), known.unread.1.saturating_sub(bytes));
+            FromClient::Written { weight, answered, at } => {
+                known.unread = (known.unread.0.saturating_sub(1), known.unread.1.saturating_sub(weight));
+                self.unread = self.unread.saturating_sub(weight);
                 if let Some(answered) = answered {
                     self.spent.outward.push(at - answered);
                 }
             }
             FromClient::Closed => {
-                let gone = self.clients.remove(&client).map(|known| known.open);
-                gone.into_iter().flatten().for_each(|(_, visit)| self.left(visit));
+                let Some(known) = self.clients.remove(&client) else { return };
+                self.unread = self.unread.saturating_sub(known.unread.1);
+                known.open.into_values().for_each(|visit| self.left(visit));
             }
         }
     }
 
     fn left(&mut self, visit: VisitId) {
-        self.visits.remove(&visit);
+        self.close(visit);
         self.brain.left(visit);
     }
 
+    fn close(&mut self, visit: VisitId) -> Option<Open> {
+        let open = self.visits.remove(&visit)?;
+        self.kept -= open.asked.weight();
+        Some(open)
+    }
+
     fn arrived(&mut self, client: ClientId, id: u32, asked: Asked, at: Time) {
         let Some(known) = self.clients.get_mut(&client) else { return };
         let names = &self.config.names.bands;
         let band = names.iter().position(|name| name.as_bytes() == &asked.band[..]);
         let found = band.and_then(|place| Some((place, self.config.settings.bands.get(place)?)));
         let fault = match found {
-            _ if known.open.len() + known.unread.0 >= OPEN_MOST => Some("too many open"),
+            _ if known.open.len() >= OPEN_MOST => Some("too many open"),
             None => Some("method"),
             Some((_, band))
                 if matches!(band.effect, Effect::Deduplicated { .. }) && asked.unique.is_none() =>
@@ -251,6 +282,11 @@
             self.answer(client, msgpack::bad(id, fault.unwrap_or("method")), None);
             return;
         };
+        if self.kept + asked.weight() > self.config.kept {
+            self.answer(client, msgpack::turned_back(id, Span::ZERO), None);
+            return;
+        }
+        self.kept += asked.weight();
         let visit = VisitId(self.next);
         self.next = self.next.wrapping_add(1);
         known.open.insert(id, visit);
@@ -269,32 +305,36 @@
         self.brain.arrived(at, call);
     }
 
-    fn answer(&mut self, client: ClientId, parts: Parts, answered: Option<Time>) {
+    fn answer(&mut self, client: ClientId, parts: Parts, from: Option<(Time, Held)>) {
         let Some(known) = self.clients.get_mut(&client) else { return };
+        let (answered, held) = from.unzip();
+        let answer = ToClient { parts, answered, held };
         known.unread.0 += 1;
-        known.unread.1 += parts.iter().map(Bytes::len).sum::<usize>();
-        let _ = known.mailbox.send(ToClient { parts, answered });
-        // Guards against clients that don't read: past the bound the one that owes most pays for it alone.
-        let held: usize = self.clients.values().map(|client| client.unread.1).sum();
-        self.spent.unread_most = self.spent.unread_most.max(held);
-        if held > self.config.unread {
-            if let Some(worst) = self.clients.values_mut().max_by_key(|client| client.unread.1) {
+        known.unread.1 += answer.weight();
+        self.unread += answer.weight();
+        self.spent.unread_most = self.spent.unread_most.max(self.unread);
+        let _ = known.mailbox.send(answer);
+        // Guards against clients that don't read: past the bounds the one that owes most pays for it alone.
+        if known.unread.0 > UNREAD_MOST {
+            known.line.end(Code::SlowReader);
+        }
+        if self.unread > self.config.unread {
+            if let Some(worst) = self.clients.values().max_by_key(|client| client.unread.1) {
                 worst.line.end(Code::SlowReader);
-                worst.unread = (0, 0);
             }
         }
     }
 
     /// The final answer of a visit, unless it has left.
-    fn finish(&mut self, visit: VisitId, parts: impl FnOnce(u32) -> Parts, answered: Option<Time>) {
-        let Some(open) = self.visits.remove(&visit) else { return };
+    fn finish(&mut self, visit: VisitId, parts: impl FnOnce(u32) -> Parts, from: Option<(Time, Held)>) {
+        let Some(open) = self.close(visit) else { return };
         if let Some(known) = self.clients.get_mut(&open.client) {
             known.open.remove(&open.id);
         }
-        self.answer(open.client, parts(open.id), answered);
+        self.answer(open.client, parts(open.id), from);
     }
 
-    fn ended(&mut self, id: HandOffId, outcome: Outcome, answer: Option<Answer>, at: Time) {
+    fn ended(&mut self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
         let Some(out) = self.hand_offs.remove(&id) else { return };
         let HandOffId(visit, number) = id;
         let settled = outcome == Outcome::Settled;
@@ -302,26 +342,23 @@
             visit,
             number,
             outcome,
-            note: answer.as_ref().map_or(Note::Untold, |answer| answer.note),
+            note: answer.as_ref().map_or(Note::Untold, |(answer, _)| answer.note),
             took: at - out.sent,
-            link_full: answer.as_ref().and_then(|answer| answer.link_full),
+            link_full: answer.as_ref().and_then(|(answer, _)| answer.link_full),
             last: settled || !self.visits.contains_key(&visit),
         };
-        if let Some(answer) = answer.filter(|_| settled) {
-            self.finish(visit, |id| msgpack::settled(id, answer.body, answer.keep), Some(at));
+        if let Some((answer, held)) = answer.filter(|_| settled) {
+            self.finish(visit, |id| msgpack::settled(id, answer.body, answer.keep), Some((at, held)));
         }
         self.brain.ended(at, end);
     }
 
-    /// Ends a hand-off from this side; what may still come of it is dropped.
+    /// Calls a hand-off off; what may still come of it is dropped. It ends for the module once its host is told:
+    /// guards against a next hand-off that overtakes the call-off on its way, and so is a second copy.
     fn stop(&mut self, id: HandOffId, outcome: Outcome) {
-        let Some(out) = self.hand_offs.get(&id) else { return };
-        self.tell(out.host, ToHost::NeverMind(id));
-        self.ended(id, outcome, None, clock::now());
-    }
-
-    fn tell(&self, host: HostId, what: ToHost) -> bool {
-        self.hosts.get(&host).is_some_and(|known| known.mailbox.send(what).is_ok())
+        let Some(out) = self.hand_offs.get_mut(&id).filter(|out| out.stopping.is_none()) else { return };
+        out.stopping = Some(outcome);
+        let _ = out.mailbox.send(ToHost::NeverMind(id));
     }
 
     fn pull(&mut self) {
@@ -357,11 +394,15 @@
             seen: asked.cached.is_some(),
             until,
         };
-        self.hand_offs.insert(id, Out { host, sent: now, read, written: false });
-        if !self.tell(host, ToHost::HandOff(hand_off)) {
-            self.ended(id, Outcome::ConnectFailed, None, now);
+        let Some(mailbox) = self.hosts.get(&host).map(|known| known.mailbox.clone()) else {
+            self.brain.ended(now, never_sent(id));
+            return;
+        };
+        if mailbox.send(ToHost::HandOff(hand_off)).is_err() {
+            self.brain.ended(now, never_sent(id));
             return;
         }
+        self.hand_offs.insert(id, Out { mailbox, sent: now, read, written: false, stopping: None });
         self.due.put(until, Due::Until(id));
         self.due.put(now + self.config.reach.connect_limit, Due::Connect(id));
     }
@@ -407,7 +448,7 @@
             return;
         }
         self.retire(id);
-        match Host::start(&name, address, self.config.reach, self.places.clone(), self.own.clone()) {
+        match Host::start(&name, address, self.config.reach, self.room.clone(), self.own.clone()) {
             Ok(mailbox) => {
                 self.hosts.insert(id, Known { name, address, since, mailbox, retired: false });
             }
@@ -454,6 +495,11 @@
     }
 }
 
+fn never_sent(HandOffId(visit, number): HandOffId) -> Ended {
+    let (outcome, note, took) = (Outcome::ConnectFailed, Note::Untold, Span::ZERO);
+    Ended { visit, number, outcome, note, took, link_full: None, last: false }
+}
+
 /// The fields of a hand-off; the module's times become milliseconds, rounded so that no older copy will do.
 fn fields(asked: &Asked, wait: Span, fill: Option<Fill>, source: Option<&str>) -> String {
     let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
@@ -484,3 +530,60 @@
     }
     fields
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::changes::host_id;
+    use crossbeam_channel::unbounded;
+    use std::net::{TcpListener, TcpStream};
+
+    const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"1","changelog":"127.0.0.1:1",
+        "limits":{"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"me":0,"zone":0,"zones":["edge"],
+        "services":[{"name":"video","aim":500000,"deadline":6000000,"effect":"idempotent"}],"models":["small"],
+        "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
+        "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
+
+    #[test]
+    fn no_next_hand_off_before_the_call_off_is_written() {
+        let (own, mailbox) = unbounded();
+        let mut router = Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, mailbox);
+        let hosts: Vec<_> = ["a", "b"].map(|name| (host_id(name), unbounded())).into_iter().collect();
+        let entry = |host, phase| Listing {
+            host,
+            location: LocationId(0),
+            kind: KindId(1),
+            cell: CellId(0),
+            weight: 9.0,
+            since: None,
+            phase,
+        };
+        let entries: Vec<Listing> = hosts.iter().map(|(id, _)| entry(*id, Phase::Ready)).collect();
+        router.brain.listed(clock::now(), &entries, true);
+        for (id, (mailbox, _)) in &hosts {
+            let (name, address) = (String::new(), "127.0.0.1:1".parse().unwrap());
+            let known = Known { name, address, since: None, mailbox: mailbox.clone(), retired: false };
+            router.hosts.insert(*id, known);
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let line = Arc::new(Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap()));
+        let client = ClientId(0);
+        router.take(Input::Client(client, FromClient::Opened { mailbox: unbounded().0, line }));
+        let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
+            \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
+        let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else {
+            panic!()
+        };
+        router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now() }));
+        router.pull();
+        let first = hosts.iter().position(|(_, (_, sent))| matches!(sent.try_recv(), Ok(ToHost::HandOff(_))));
+        let (first, other) = (first.unwrap(), &hosts[1 - first.unwrap()].1 .1);
+        router.brain.listed(clock::now(), &[entry(hosts[first].0, Phase::Gone)], false);
+        router.pull();
+        let Ok(ToHost::NeverMind(id)) = hosts[first].1 .1.try_recv() else { panic!("not called off") };
+        assert!(other.try_recv().is_err(), "a second copy");
+        router.take(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
+        router.pull();
+        assert!(matches!(other.try_recv(), Ok(ToHost::HandOff(_))));
+    }
+}
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::router::{Input, Router};
 use crate::{changes, clients};
 use cherrypass::time::Span;
-use crossbeam_channel::{unbounded, Sender};
+use crossbeam_channel::{bounded, Sender};
 use std::io;
 use std::net::TcpListener;
 
@@ -14,18 +14,20 @@
     pub mailbox: Sender<Input>,
 }
 
+/// What may wait for the router; who sends more waits.
+const MAILBOX: usize = 256;
 const PATIENCE_LEAST: Span = Span::millis(1_000);
 
 impl Dispatcher {
     pub fn start(config: Config) -> io::Result<Dispatcher> {
         let listener = TcpListener::bind(config.listen)?;
-        let (own, mailbox) = unbounded();
+        let (own, mailbox) = bounded(MAILBOX);
         let mut last = 0;
         let (known, fault) = changes::decode(&config.known, &config.names, &mut last);
         if let Some(fault) = fault.filter(|_| !config.known.is_null()) {
             log::warn!("known changes: {fault}; taken up to change {last}");
         }
-        log::info!("start: {} on {}, change {last}", config.name, config.listen);
+        log::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
         let mut router = Router::new(config.clone(), own.clone(), mailbox);
         known.into_iter().for_each(|change| router.changed(change));
         let (clients_own, changes_own) = (own.clone(), own.clone());
