Mailboxes sleep at once instead of yielding the core first

Seen: 55,000 involuntary context switches a second and dispatcher, sched_yield under the channels' recv. Cause: recv tries some ten times with a yield between before it parks; on one core with hundreds of threads each is a switch.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::ids::ClientId;
 use crate::line::{spawn, Code, Line};
+use crate::mailbox;
 use crate::msgpack::{self, Asked, Message, Parts};
 use crate::router::Input;
 use bytes::BytesMut;
@@ -146,7 +147,7 @@
 }
 
 fn write(id: ClientId, line: &Line, answers: Receiver<ToClient>, router: &Sender<Input>) {
-    for answer in answers {
+    while let Some(answer) = mailbox::next(&answers) {
         let [head, body, tail] = &answer.parts;
         if let Err(error) = line.write(&[head, body, tail]) {
             use std::io::ErrorKind::{TimedOut, WouldBlock};
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -5,6 +5,7 @@
 use crate::config::Reach;
 use crate::ids::{HandOffId, LineId};
 use crate::line::{spawn, Code, Line};
+use crate::mailbox;
 use crate::resp::{self, Answer, Begun};
 use crate::router::Input;
 use bytes::{Bytes, BytesMut};
@@ -142,7 +143,7 @@
     }
 
     fn run(&mut self, mailbox: Receiver<ToHost>) {
-        for message in mailbox {
+        while let Some(message) = mailbox::next(&mailbox) {
             self.take(message);
             if self.retired {
                 self.end_unused();
@@ -370,7 +371,7 @@
             return line.code();
         };
         let _ = self.host.send(ToHost::Up(self.line, line.clone()));
-        for message in messages {
+        while let Some(message) = mailbox::next(&messages) {
             let written = match message {
                 ToLine::HandOff(hand_off) => {
                     let head = resp::want(&hand_off.txn, &hand_off.fields, hand_off.body.len());
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod line;
 pub mod logger;
+pub mod mailbox;
 pub mod msgpack;
 pub mod resp;
 pub mod router;
--- a/crates/dispatcher/src/logger.rs
+++ b/crates/dispatcher/src/logger.rs
@@ -1,6 +1,6 @@
 //! A small logger for the log crate: lines go to standard error by a thread of their own, so that a log that
 //! is not read holds up nothing. What doesn't fit into its mailbox is counted and dropped.
-use crate::clock;
+use crate::{clock, mailbox};
 use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
 use log::{LevelFilter, Log, Metadata, Record};
 use std::io::{stderr, Write};
@@ -57,7 +57,7 @@
 }
 
 fn write(lines: Receiver<ToLog>, dropped: &AtomicU64) {
-    for message in lines {
+    while let Some(message) = mailbox::next(&lines) {
         match message {
             ToLog::Line(line) => {
                 let _ = writeln!(stderr(), "{line}");
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -8,6 +8,7 @@
 use crate::hosts::{FromHost, HandOff, Host, ToHost};
 use crate::ids::{ClientId, HandOffId};
 use crate::line::{Code, Line};
+use crate::mailbox;
 use crate::msgpack::{self, Asked, Parts};
 use crate::resp::Answer;
 use crate::spent::Spent;
@@ -147,7 +148,7 @@
         while !self.done {
             let now = clock::now();
             let wait = self.due.first().map_or(SWEEP, |at| at - now);
-            let first = match self.mailbox.recv_timeout(clock::duration(wait)) {
+            let first = match mailbox::next_within(&self.mailbox, clock::duration(wait)) {
                 Ok(input) => Some(input),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
