Fewer messages and fewer connections for each visit

Cause sought: the core's time goes into switches between threads. Two notes a visit that only counted (hand-off written, answer written) are now shared counters; a connection takes up to an eighth of its streams before another is opened, and each host has its part of the connections, so that none takes the last from another (seen with 24 connections: hosts without any).

--- a/crates/dispatcher/src/bounds.rs
+++ b/crates/dispatcher/src/bounds.rs
@@ -1,53 +1,62 @@
-//! What connections share: places for connections to hosts, and room for the bytes of hosts' answers.
+//! What connections share: places for connections to hosts, and room for the bytes of answers.
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
 
-#[derive(Debug)]
-struct Shared {
-    places: AtomicUsize,
-    held: AtomicUsize,
-    most: usize,
-}
+/// A count of bytes or answers that are held somewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Gauge(Arc<AtomicUsize>);
 
-#[derive(Clone, Debug)]
-pub struct Room(Arc<Shared>);
-
-/// A place for one connection, given back when it is dropped.
+/// A part of a gauge, given back when it is dropped.
 #[derive(Debug)]
-pub struct Place(Room);
+pub struct Held(Gauge, usize);
 
-/// An answer's bytes, held from when they were read until they are written to the client or dropped.
-#[derive(Debug)]
-pub struct Held(Room, usize);
+impl Gauge {
+    pub fn hold(&self, amount: usize) -> Held {
+        self.0.fetch_add(amount, Relaxed);
+        Held(self.clone(), amount)
+    }
 
-impl Room {
-    pub fn new(places: usize, most: usize) -> Room {
-        Room(Arc::new(Shared { places: AtomicUsize::new(places), held: AtomicUsize::new(0), most }))
+    pub fn amount(&self) -> usize {
+        self.0.load(Relaxed)
     }
+}
 
-    pub fn place(&self) -> Option<Place> {
-        let taken = self.0.places.fetch_update(Relaxed, Relaxed, |free| free.checked_sub(1));
-        taken.ok().map(|_| Place(self.clone()))
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0 .0.fetch_sub(self.1, Relaxed);
     }
+}
 
-    pub fn hold(&self, bytes: usize) -> Held {
-        self.0.held.fetch_add(bytes, Relaxed);
-        Held(self.clone(), bytes)
+/// What all hosts share.
+#[derive(Clone, Debug)]
+pub struct Room {
+    connections: usize,
+    most: usize,
+    hosts: Gauge,
+    answers: Gauge,
+}
+
+impl Room {
+    pub fn new(connections: usize, most: usize) -> Room {
+        Room { connections, most, hosts: Gauge::default(), answers: Gauge::default() }
     }
 
-    pub fn is_full(&self) -> bool {
-        self.0.held.load(Relaxed) > self.0.most
+    /// One more host, for as long as what is returned is kept.
+    pub fn join(&self) -> Held {
+        self.hosts.hold(1)
     }
-}
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0 .0.places.fetch_add(1, Relaxed);
+    /// How many connections each host may have, so that none takes the last from another.
+    pub fn share(&self) -> usize {
+        (self.connections / self.hosts.amount().max(1)).max(1)
     }
-}
 
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0 .0.held.fetch_sub(self.1, Relaxed);
+    /// An answer's bytes, from when they were read until they are written to the client or dropped.
+    pub fn hold(&self, bytes: usize) -> Held {
+        self.answers.hold(bytes)
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.answers.amount() > self.most
     }
 }
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -6,6 +6,7 @@
 use crate::mailbox;
 use crate::msgpack::{self, Asked, Message, Parts};
 use crate::router::Input;
+use crate::spent::Spent;
 use bytes::BytesMut;
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::{unbounded, Receiver, Sender};
@@ -17,14 +18,13 @@
 /// What is read at once, which an open visit may keep.
 pub const PIECE: usize = 8 * 1024;
 
-/// What clients tell the router; times are those of the last byte read or written.
+/// What clients tell the router; a visit with the time of its last byte.
 pub enum FromClient {
     Opened { mailbox: Sender<ToClient>, line: Arc<Line> },
     Visit { id: u32, asked: Box<Asked>, at: Time },
     Bad { id: u32, field: &'static str },
     Status { id: u32 },
     Withdrawn { ids: Vec<u32> },
-    Written { weight: usize, answered: Option<Time>, at: Time },
     Closed,
 }
 
@@ -34,6 +34,8 @@
     pub answered: Option<Time>,
     /// The host's answer that this passes on takes room until it is written.
     pub held: Option<Held>,
+    /// So does any answer at its client and in all until it is written.
+    pub unread: Option<[Held; 3]>,
 }
 
 impl ToClient {
@@ -45,7 +47,7 @@
 }
 
 /// Takes connections in until the process ends; more than the bound are closed at once.
-pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) {
+pub fn listen(listener: TcpListener, most: usize, patience: Span, spent: Arc<Spent>, router: Sender<Input>) {
     let open = Arc::new(AtomicUsize::new(0));
     let mut failing = false;
     for number in 0.. {
@@ -70,9 +72,9 @@
             log::info!("client {number} {from} closed: {}", line.code().word());
             continue;
         }
-        let (router, held, own) = (router.clone(), open.clone(), line.clone());
+        let (router, held, own, spent) = (router.clone(), open.clone(), line.clone(), spent.clone());
         let run = move || {
-            let visits = read(id, &own, patience, &router);
+            let visits = read(id, &own, patience, spent, &router);
             held.fetch_sub(1, Ordering::Relaxed);
             log::info!("client {number} {from} closed: {} after {visits} visits", own.code().word());
         };
@@ -85,12 +87,12 @@
 }
 
 /// Reads a connection to its end; returns how many visits it brought.
-fn read(id: ClientId, line: &Arc<Line>, patience: Span, router: &Sender<Input>) -> u64 {
+fn read(id: ClientId, line: &Arc<Line>, patience: Span, spent: Arc<Spent>, router: &Sender<Input>) -> u64 {
     let (mailbox, answers) = unbounded();
-    let (writes, to_router) = (line.clone(), router.clone());
+    let writes = line.clone();
     let tell = |what| router.send(Input::Client(id, what)).map_err(|_| Code::Stopped);
     let _ = tell(FromClient::Opened { mailbox, line: line.clone() });
-    let writer = spawn("answers", move || write(id, &writes, answers, &to_router));
+    let writer = spawn("answers", move || write(&writes, answers, &spent));
     let mut visits = 0;
     let end = match &writer {
         Ok(_) => take_all(line, patience, &mut visits, tell),
@@ -146,7 +148,7 @@
     }
 }
 
-fn write(id: ClientId, line: &Line, answers: Receiver<ToClient>, router: &Sender<Input>) {
+fn write(line: &Line, answers: Receiver<ToClient>, spent: &Spent) {
     while let Some(answer) = mailbox::next(&answers) {
         let [head, body, tail] = &answer.parts;
         if let Err(error) = line.write(&[head, body, tail]) {
@@ -155,10 +157,8 @@
             line.end(if slow { Code::SlowReader } else { Code::WriteFailed });
             return;
         }
-        let what =
-            FromClient::Written { weight: answer.weight(), answered: answer.answered, at: clock::now() };
-        if router.send(Input::Client(id, what)).is_err() {
-            return;
+        if let Some(answered) = answer.answered {
+            spent.outward.push(clock::now() - answered);
         }
     }
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -1,6 +1,6 @@
 //! Hosts (caches, parents, origin): each an actor with a pool of connections, and for each connection a thread
 //! that connects and writes and one that reads.
-use crate::bounds::{Held, Place, Room};
+use crate::bounds::{Held, Room};
 use crate::clock;
 use crate::config::Reach;
 use crate::ids::{HandOffId, LineId};
@@ -14,11 +14,28 @@
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
 const PIECE: usize = 16 * 1024;
+/// A connection with less than this part of its most out takes one more before another is opened.
+const LIGHT: usize = 8;
 const FULL: std::time::Duration = std::time::Duration::from_millis(1);
 
+/// When a hand-off was wholly written; until then it can't have run.
+#[derive(Clone, Debug, Default)]
+pub struct Written(Arc<AtomicU64>);
+
+impl Written {
+    fn note(&self) {
+        self.0.store(clock::now().0, Relaxed);
+    }
+
+    pub fn at(&self) -> Option<Time> {
+        Some(self.0.load(Relaxed)).filter(|at| *at > 0).map(Time)
+    }
+}
+
 /// A hand-off as it goes out.
 #[derive(Clone, Debug)]
 pub struct HandOff {
@@ -31,13 +48,11 @@
     pub seen: bool,
     /// Until when an answer may come.
     pub until: Time,
+    pub written: Written,
 }
 
 /// What hosts tell the router of a hand-off.
 pub enum FromHost {
-    Written {
-        at: Time,
-    },
     /// The host was told that no answer is wanted any more, or its connection has ended.
     GivenUp {
         at: Time,
@@ -57,7 +72,6 @@
     Sweep(Time),
     Retire,
     Up(LineId, Arc<Line>),
-    Written(LineId, HandOffId, Time),
     GivenUp(LineId, HandOffId, Time),
     Answered(LineId, Answer, Held, Time),
     Spoilt(LineId, Bytes, Time),
@@ -74,7 +88,7 @@
     id: HandOffId,
     seen: bool,
     until: Time,
-    written: bool,
+    written: Written,
 }
 
 struct Pooled {
@@ -89,7 +103,6 @@
     untold: Vec<HandOffId>,
     used: Time,
     ending: bool,
-    _place: Place,
 }
 
 impl Pooled {
@@ -122,6 +135,7 @@
     lines: BTreeMap<LineId, Pooled>,
     next: u64,
     retired: bool,
+    _joined: Held,
 }
 
 impl Host {
@@ -136,8 +150,10 @@
         let (own, mailbox) = unbounded();
         let lines = BTreeMap::new();
         let name = name.to_owned();
+        let _joined = room.join();
+        let (next, retired) = (0, false);
         let mut host =
-            Host { name, address, reach, room, own: own.clone(), router, lines, next: 0, retired: false };
+            Host { name, address, reach, room, own: own.clone(), router, lines, next, retired, _joined };
         spawn("host", move || host.run(mailbox))?;
         Ok(own)
     }
@@ -178,13 +194,6 @@
                     let _ = pooled.mailbox.send(ToLine::HandOff(hand_off));
                 }
             }
-            ToHost::Written(line, id, at) => {
-                let outs = self.lines.get_mut(&line).map(|pooled| pooled.out.values_mut());
-                if let Some(out) = outs.and_then(|mut outs| outs.find(|out| out.id == id)) {
-                    out.written = true;
-                    let _ = self.router.send(Input::HandOff(id, FromHost::Written { at }));
-                }
-            }
             ToHost::GivenUp(line, id, at) => {
                 if let Some(pooled) = self.lines.get_mut(&line) {
                     pooled.untold.retain(|untold| *untold != id);
@@ -205,7 +214,8 @@
                 }
                 for out in pooled.out.into_values() {
                     // What was not wholly written can't have run.
-                    let outcome = if out.written { Outcome::Reset } else { Outcome::ConnectFailed };
+                    let ran = out.written.at().is_some();
+                    let outcome = if ran { Outcome::Reset } else { Outcome::ConnectFailed };
                     self.ended(out.id, outcome, None, at);
                 }
             }
@@ -222,7 +232,8 @@
         let _ = self.router.send(Input::HandOff(id, FromHost::Ended { outcome, answer, at }));
     }
 
-    /// An idle connection, else a new one, else the one with the least out.
+    /// The connection with the least out, or a new one where that has its part and this host's share permits.
+    /// Answers on one connection don't hold each other up, and each connection costs two threads.
     fn hand_off(&mut self, hand_off: HandOff) {
         let streams = self.reach.streams;
         let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(&hand_off.txn, streams));
@@ -230,14 +241,15 @@
             .min_by_key(|(_, pooled)| (pooled.load(), pooled.line.is_none(), std::cmp::Reverse(pooled.used)));
         let best = best.map(|(line, pooled)| (*line, pooled.load()));
         let line = match best {
-            Some((line, 0)) => Some(line),
+            Some((line, load)) if load < (streams / LIGHT).max(1) => Some(line),
             other => self.open().or(other.map(|(line, _)| line)),
         };
         let Some(pooled) = line.and_then(|line| self.lines.get_mut(&line)) else {
             self.ended(hand_off.id, Outcome::ConnectFailed, None, clock::now());
             return;
         };
-        let out = Out { id: hand_off.id, seen: hand_off.seen, until: hand_off.until, written: false };
+        let (id, seen, until) = (hand_off.id, hand_off.seen, hand_off.until);
+        let out = Out { id, seen, until, written: hand_off.written.clone() };
         pooled.out.insert(hand_off.txn.clone(), out);
         if pooled.line.is_some() {
             let _ = pooled.mailbox.send(ToLine::HandOff(hand_off));
@@ -247,10 +259,9 @@
     }
 
     fn open(&mut self) -> Option<LineId> {
-        if self.retired {
+        if self.retired || self.lines.len() >= self.room.share() {
             return None;
         }
-        let place = self.room.place()?;
         let line = LineId(self.next);
         self.next += 1;
         let (mailbox, messages) = unbounded();
@@ -276,7 +287,6 @@
             untold: Vec::new(),
             used: clock::now(),
             ending: false,
-            _place: place,
         };
         self.lines.insert(line, pooled);
         Some(line)
@@ -378,7 +388,7 @@
                     let written = line.write(&[&head, &hand_off.body, resp::END]);
                     if written.is_ok() {
                         *sent += 1;
-                        let _ = self.host.send(ToHost::Written(self.line, hand_off.id, clock::now()));
+                        hand_off.written.note();
                     }
                     written
                 }
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -1,11 +1,11 @@
 //! The module's actor, the only owner of the module, of open visits and of hand-offs: turns messages into
 //! calls, pulls decisions, and sends them out. It decides nothing itself.
-use crate::bounds::{Held, Room};
+use crate::bounds::{Gauge, Held, Room};
 use crate::changes::{Change, Listed};
 use crate::clients::{FromClient, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
-use crate::hosts::{FromHost, HandOff, Host, ToHost};
+use crate::hosts::{FromHost, HandOff, Host, ToHost, Written};
 use crate::ids::{ClientId, HandOffId};
 use crate::line::{Code, Line};
 use crate::mailbox;
@@ -23,6 +23,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 
 /// The most visits that a client may have open on one connection.
@@ -55,7 +56,8 @@
     line: Arc<Line>,
     open: BTreeMap<u32, VisitId>,
     /// Answers given and not written yet, and their bytes.
-    unread: (usize, usize),
+    answers: Gauge,
+    unread: Gauge,
 }
 
 struct Open {
@@ -70,7 +72,7 @@
     mailbox: Sender<ToHost>,
     sent: Time,
     read: Time,
-    written: bool,
+    written: Written,
     /// As what it ends once its host is told that no answer is wanted any more.
     stopping: Option<Outcome>,
 }
@@ -91,7 +93,7 @@
     room: Room,
     /// What open visits keep, and what answers that are not written yet do.
     kept: usize,
-    unread: usize,
+    unread: Gauge,
     due: DueTimes<Due>,
     clients: BTreeMap<ClientId, Client>,
     visits: BTreeMap<VisitId, Open>,
@@ -101,7 +103,7 @@
     listed: bool,
     /// When SIGTERM came.
     stopping: Option<Time>,
-    spent: Spent,
+    pub spent: Arc<Spent>,
     sweeps: u32,
     done: bool,
 }
@@ -127,7 +129,7 @@
             own,
             room,
             kept: 0,
-            unread: 0,
+            unread: Gauge::default(),
             due,
             clients: BTreeMap::new(),
             visits: BTreeMap::new(),
@@ -136,7 +138,7 @@
             next: 0,
             listed: false,
             stopping: None,
-            spent: Spent::default(),
+            spent: Arc::default(),
             sweeps: 0,
             done: false,
         }
@@ -180,7 +182,7 @@
                     }
                 }
                 Due::Connect(id) => {
-                    if let Some(out) = self.hand_offs.get(&id).filter(|out| !out.written) {
+                    if let Some(out) = self.hand_offs.get(&id).filter(|out| out.written.at().is_none()) {
                         let _ = out.mailbox.send(ToHost::ConnectLimit(id));
                     }
                 }
@@ -193,12 +195,6 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Client(id, what) => self.heard(id, what),
-            Input::HandOff(id, FromHost::Written { at }) => {
-                if let Some(out) = self.hand_offs.get_mut(&id) {
-                    out.written = true;
-                    self.spent.inward.push(at - out.read);
-                }
-            }
             Input::HandOff(id, FromHost::GivenUp { at }) => {
                 if let Some(outcome) = self.hand_offs.get(&id).and_then(|out| out.stopping) {
                     self.ended(id, outcome, None, at);
@@ -221,7 +217,8 @@
 
     fn heard(&mut self, client: ClientId, what: FromClient) {
         if let FromClient::Opened { mailbox, line } = what {
-            self.clients.insert(client, Client { mailbox, line, open: BTreeMap::new(), unread: (0, 0) });
+            let (answers, unread) = Default::default();
+            self.clients.insert(client, Client { mailbox, line, open: BTreeMap::new(), answers, unread });
             return;
         }
         let Some(known) = self.clients.get_mut(&client) else { return };
@@ -237,16 +234,8 @@
                 let gone: Vec<VisitId> = ids.iter().filter_map(|id| known.open.remove(id)).collect();
                 gone.into_iter().for_each(|visit| self.left(visit));
             }
-            FromClient::Written { weight, answered, at } => {
-                known.unread = (known.unread.0.saturating_sub(1), known.unread.1.saturating_sub(weight));
-                self.unread = self.unread.saturating_sub(weight);
-                if let Some(answered) = answered {
-                    self.spent.outward.push(at - answered);
-                }
-            }
             FromClient::Closed => {
                 let Some(known) = self.clients.remove(&client) else { return };
-                self.unread = self.unread.saturating_sub(known.unread.1);
                 known.open.into_values().for_each(|visit| self.left(visit));
             }
         }
@@ -301,7 +290,7 @@
             hard_limit: at + asked.limit,
         };
         self.visits.insert(visit, Open { client, id, asked, read: at, hand_offs: 0 });
-        self.spent.open_most = self.spent.open_most.max(self.visits.len());
+        self.spent.open_most.fetch_max(self.visits.len(), Relaxed);
         self.spent.mailbox.push(clock::now() - at);
         self.brain.arrived(at, call);
     }
@@ -309,18 +298,18 @@
     fn answer(&mut self, client: ClientId, parts: Parts, from: Option<(Time, Held)>) {
         let Some(known) = self.clients.get_mut(&client) else { return };
         let (answered, held) = from.unzip();
-        let answer = ToClient { parts, answered, held };
-        known.unread.0 += 1;
-        known.unread.1 += answer.weight();
-        self.unread += answer.weight();
-        self.spent.unread_most = self.spent.unread_most.max(self.unread);
+        let mut answer = ToClient { parts, answered, held, unread: None };
+        let weight = answer.weight();
+        answer.unread = Some([known.answers.hold(1), known.unread.hold(weight), self.unread.hold(weight)]);
+        let all = self.unread.amount();
+        self.spent.unread_most.fetch_max(all, Relaxed);
         let _ = known.mailbox.send(answer);
         // Guards against clients that don't read: past the bounds the one that owes most pays for it alone.
-        if known.unread.0 > UNREAD_MOST {
+        if known.answers.amount() > UNREAD_MOST {
             known.line.end(Code::SlowReader);
         }
-        if self.unread > self.config.unread {
-            if let Some(worst) = self.clients.values().max_by_key(|client| client.unread.1) {
+        if all > self.config.unread {
+            if let Some(worst) = self.clients.values().max_by_key(|client| client.unread.amount()) {
                 worst.line.end(Code::SlowReader);
             }
         }
@@ -337,6 +326,9 @@
 
     fn ended(&mut self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
         let Some(out) = self.hand_offs.remove(&id) else { return };
+        if let Some(written) = out.written.at() {
+            self.spent.inward.push(written - out.read);
+        }
         let HandOffId(visit, number) = id;
         let settled = outcome == Outcome::Settled;
         let end = Ended {
@@ -394,16 +386,18 @@
             body: asked.body.clone(),
             seen: asked.cached.is_some(),
             until,
+            written: Written::default(),
         };
         let Some(mailbox) = self.hosts.get(&host).map(|known| known.mailbox.clone()) else {
             self.brain.ended(now, never_sent(id));
             return;
         };
+        let written = hand_off.written.clone();
         if mailbox.send(ToHost::HandOff(hand_off)).is_err() {
             self.brain.ended(now, never_sent(id));
             return;
         }
-        self.hand_offs.insert(id, Out { mailbox, sent: now, read, written: false, stopping: None });
+        self.hand_offs.insert(id, Out { mailbox, sent: now, read, written, stopping: None });
         self.due.put(until, Due::Until(id));
         self.due.put(now + self.config.reach.connect_limit, Due::Connect(id));
     }
@@ -469,22 +463,22 @@
     }
 
     fn tell_spent(&mut self) {
-        let spent = std::mem::take(&mut self.spent);
+        let spent = &self.spent;
         log::info!(
             "spent: in {} out {} mailbox {} timers {}; open {} unread {} kB clients {}",
             spent.inward.line(),
             spent.outward.line(),
             spent.mailbox.line(),
             spent.timers.line(),
-            spent.open_most,
-            spent.unread_most / 1024,
+            spent.open_most.swap(0, Relaxed),
+            spent.unread_most.swap(0, Relaxed) / 1024,
             self.clients.len()
         );
     }
 
     /// Ends the process once all is answered and written; until then it serves on what comes.
     fn leave(&mut self, now: Time) {
-        let unread: usize = self.clients.values().map(|client| client.unread.0).sum();
+        let unread: usize = self.clients.values().map(|client| client.answers.amount()).sum();
         let begun = self.stopping.unwrap_or(now);
         if self.visits.is_empty() && unread == 0 || now > begun + self.config.longest + STILL_COMING {
             self.tell_spent();
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -30,9 +30,9 @@
         log::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
         let mut router = Router::new(config.clone(), own.clone(), mailbox);
         known.into_iter().for_each(|change| router.changed(change));
-        let (clients_own, changes_own) = (own.clone(), own.clone());
+        let (clients_own, changes_own, spent) = (own.clone(), own.clone(), router.spent.clone());
         let patience = config.longest.max(PATIENCE_LEAST);
-        spawn("listener", move || clients::listen(listener, config.clients, patience, clients_own))?;
+        spawn("listener", move || clients::listen(listener, config.clients, patience, spent, clients_own))?;
         spawn("changes", move || {
             changes::follow(config.changelog, config.names, last, config.seed, changes_own);
         })?;
--- a/crates/dispatcher/src/spent.rs
+++ b/crates/dispatcher/src/spent.rs
@@ -1,41 +1,44 @@
 //! What the dispatcher itself takes: times from a visit's last byte in to its hand-off out, from an answer in
 //! to the answer out, and how late timers fire, in buckets a quarter of a power of two wide.
 use cherrypass::time::Span;
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering::Relaxed};
 
 const STEPS: f64 = 4.0;
+const BUCKETS: usize = 128;
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Spread {
-    buckets: [u32; 128],
-    seen: u32,
+    buckets: [AtomicU32; BUCKETS],
+    most: AtomicU64,
 }
 
 impl Default for Spread {
     fn default() -> Spread {
-        Spread { buckets: [0; 128], seen: 0 }
+        Spread { buckets: [const { AtomicU32::new(0) }; BUCKETS], most: AtomicU64::new(0) }
     }
 }
 
 impl Spread {
-    pub fn push(&mut self, span: Span) {
+    pub fn push(&self, span: Span) {
         let place = ((span.0.max(1) as f64).log2() * STEPS) as usize;
-        self.buckets[place.min(127)] += 1;
-        self.seen += 1;
-    }
-
-    /// The time that this part of all did not pass, in microseconds, to the bucket's upper end.
-    fn part(&self, part: f64) -> f64 {
-        let mut left = f64::from(self.seen) * part;
-        let place = self.buckets.iter().position(|count| {
-            left -= f64::from(*count);
-            left <= 0.0
-        });
-        place.map_or(0.0, |place| ((place + 1) as f64 / STEPS).exp2())
+        self.buckets[place.min(BUCKETS - 1)].fetch_add(1, Relaxed);
+        self.most.fetch_max(span.0, Relaxed);
     }
 
+    /// The typical time, the worst hundredth and the worst, of all since the last call.
     pub fn line(&self) -> String {
-        let (typical, worst) = (self.part(0.5) / 1000.0, self.part(0.99) / 1000.0);
-        format!("{typical:.2}/{worst:.2} ms ({})", self.seen)
+        let counts: Vec<u32> = self.buckets.iter().map(|bucket| bucket.swap(0, Relaxed)).collect();
+        let seen: u32 = counts.iter().sum();
+        let part = |part: f64| {
+            let mut left = f64::from(seen) * part;
+            let place = counts.iter().position(|count| {
+                left -= f64::from(*count);
+                left <= 0.0
+            });
+            place.map_or(0.0, |place| ((place + 1) as f64 / STEPS).exp2() / 1000.0)
+        };
+        let most = self.most.swap(0, Relaxed) as f64 / 1000.0;
+        format!("{:.2}/{:.2}/{most:.1} ms ({seen})", part(0.5), part(0.99))
     }
 }
 
@@ -45,6 +48,6 @@
     pub outward: Spread,
     pub timers: Spread,
     pub mailbox: Spread,
-    pub unread_most: usize,
-    pub open_most: usize,
+    pub unread_most: AtomicUsize,
+    pub open_most: AtomicUsize,
 }
