--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -74,7 +74,7 @@
         let own = all.get("settings").ok_or(Error::Lacks("settings"))?;
         let memory = number(&all, "limits/memory_mb", "/limits/memory_mb")?;
         let sockets = number(&all, "limits/sockets", "/limits/sockets")? as usize;
-        let quarter = (memory * 1024.0 * 1024.0 / 4.0) as usize;
+        let sixteenth = (memory * 1024.0 * 1024.0 / 16.0) as usize;
         let clients = sockets / 3;
         let seed = string(&all, "seed")?;
         let span =
@@ -100,14 +100,14 @@
                     .max(1),
                 connections: sockets
                     .saturating_sub(clients + OTHER_DESCRIPTORS)
-                    .min(quarter / HOST_MESSAGE)
+                    .min(6 * sixteenth / HOST_MESSAGE)
                     .max(1),
             },
             longest: Span(limits.fold(0.0, f64::max) as u64),
             clients,
-            unread: quarter,
-            held: quarter + quarter / 2,
-            kept: quarter / 2,
+            unread: 3 * sixteenth,
+            held: 4 * sixteenth,
+            kept: sixteenth,
         })
     }
 }
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -15,7 +15,7 @@
 }
 
 /// What may wait for the router; who sends more waits.
-const MAILBOX: usize = 256;
+const MAILBOX: usize = 128;
 const PATIENCE_LEAST: Span = Span::millis(1_000);
 
 impl Dispatcher {
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -1,12 +1,13 @@
 //! Plays the scenarios in `tests/sockets/` over loopback: real dispatchers, stand-ins for hosts, change logs
 //! and clients. Commands on lines or between `;`, `#` starts a comment:
-//! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `start [N]`,
+//! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `unknown` (an empty
+//! list at the start, and a change log that is mute), `start [N]`, `restart` (killed, and started anew),
 //! `list NAME STATE`, `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
 //! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
-//! `expect CLIENT ID settled|turned-back|written-off|ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
-//! `cut HOST` (ends its connections), `down HOST`, `deaf HOST` (new connections never come up), `term`, `kill`,
+//! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
+//! `cut HOST` (ends its connections), `down HOST`, `deaf HOST` (new connections never come up), `term`,
 //! `exit CODE`, `log WORDS`, `wait MS`.
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -230,8 +231,8 @@
 }
 
 impl Dispatcher {
-    fn start(feed: &Feed, memory: u32) -> Dispatcher {
-        let mut child = run(&config("127.0.0.1:0", feed, &feed.results(0), memory));
+    fn start(feed: &Feed, memory: u32, known: &str) -> Dispatcher {
+        let mut child = run(&config("127.0.0.1:0", feed, known, memory));
         let (tell, lines) = channel();
         let errors = BufReader::new(child.stderr.take().unwrap());
         spawn(move || errors.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
@@ -377,9 +378,17 @@
     clients: BTreeMap<String, Client>,
     it: String,
     memory: u32,
+    unknown: bool,
 }
 
 impl Play {
+    fn run_all(&mut self) {
+        let memory = if self.memory == 0 { 192 } else { self.memory };
+        let known = |feed: &Feed| if self.unknown { "null".to_owned() } else { feed.results(0) };
+        self.dispatchers =
+            self.feeds.iter().map(|feed| Dispatcher::start(feed, memory, &known(feed))).collect();
+    }
+
     fn change(&self, what: impl Fn(usize) -> String) {
         for (number, feed) in self.feeds.iter().enumerate() {
             let mut changes = feed.changes.lock().unwrap();
@@ -495,6 +504,7 @@
                 let sort = ["cache", "parent", "origin"].into_iter().find(|s| s == sort).unwrap();
                 self.hosts.insert((*name).into(), Host::start(sort));
             }
+            ["unknown"] => self.unknown = true,
             ["memory", mb] => self.memory = mb.parse().unwrap(),
             ["start", count @ ..] => {
                 let count = count.first().map_or(1, |n| n.parse().unwrap());
@@ -502,8 +512,14 @@
                 let all: Vec<(&str, &str)> =
                     self.hosts.keys().map(|name| (&name[..], "in_service")).collect();
                 self.list(&all, true);
-                let memory = if self.memory == 0 { 192 } else { self.memory };
-                self.dispatchers = self.feeds.iter().map(|feed| Dispatcher::start(feed, memory)).collect();
+                if self.unknown {
+                    self.feeds.iter().for_each(|feed| *feed.mode.lock().unwrap() = "mute".into());
+                }
+                self.run_all();
+            }
+            ["restart"] => {
+                self.dispatchers.clear();
+                self.run_all();
             }
             ["list", name, state] => {
                 self.list(&[(name, state)], false);
@@ -605,6 +621,7 @@
 #[test_case(include_str!("sockets/list.txt"); "list")]
 #[test_case(include_str!("sockets/two.txt"); "two")]
 #[test_case(include_str!("sockets/stop.txt"); "stop")]
+#[test_case(include_str!("sockets/start.txt"); "start")]
 #[test_case(include_str!("sockets/slow_reader.txt"); "slow_reader")]
 #[test_case(include_str!("sockets/bad_client.txt"); "bad_client")]
 #[test_case(include_str!("sockets/bad_host.txt"); "bad_host")]
