--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 const POLL: Span = Span::millis(5_000);
-/// An answer comes after the poll's time at the latest, and as much again is left for the way.
-const SILENCE: Duration = Duration::from_millis(10_000);
+/// An answer comes after the poll's time at the latest; the rest is left for the way.
+const SILENCE: Duration = Duration::from_millis(7_000);
 const CONNECT: Duration = Duration::from_millis(1_000);
 const WAIT_FIRST: Span = Span::millis(50);
 const WAIT_MOST: Span = Span::millis(1_000);
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -1,6 +1,6 @@
 //! Plays the scenarios in `tests/sockets/` over loopback: real dispatchers, stand-ins for hosts, change logs
 //! and clients. Commands on lines or between `;`, `#` starts a comment:
-//! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `unknown` (an empty
+//! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `descriptors N`, `crowd N` (connections that only stand), `unknown` (an empty
 //! list at the start, and a change log that is mute), `start [N]`, `restart` (killed, and started anew),
 //! `list NAME STATE`, `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
@@ -13,7 +13,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -214,12 +214,26 @@
     }
 }
 
-fn run(config: &str) -> Child {
-    let path = std::env::temp_dir().join(format!("cherrypass-{}-{:p}.json", std::process::id(), config));
+/// A file that goes when it is dropped.
+struct ConfigFile(std::path::PathBuf);
+
+impl Drop for ConfigFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Starts a dispatcher that may hold so many descriptors.
+fn run(config: &str, descriptors: u32) -> (Child, ConfigFile) {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("cherrypass-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_cherrypass"));
-    let command = command.arg("serve").arg("--config").arg(path);
-    command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap()
+    let serve = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
+    let mut command = Command::new("/bin/sh");
+    let command = command.arg("-c").arg(serve).arg(env!("CARGO_BIN_EXE_cherrypass")).arg(&path);
+    let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    (child, ConfigFile(path))
 }
 
 fn config(listen: &str, feed: &Feed, known: &str, memory: u32) -> String {
@@ -231,8 +245,8 @@
 }
 
 impl Dispatcher {
-    fn start(feed: &Feed, memory: u32, known: &str) -> Dispatcher {
-        let mut child = run(&config("127.0.0.1:0", feed, known, memory));
+    fn start(feed: &Feed, memory: u32, known: &str, descriptors: u32) -> Dispatcher {
+        let (mut child, _file) = run(&config("127.0.0.1:0", feed, known, memory), descriptors);
         let (tell, lines) = channel();
         let errors = BufReader::new(child.stderr.take().unwrap());
         spawn(move || errors.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
@@ -379,14 +393,17 @@
     it: String,
     memory: u32,
     unknown: bool,
+    descriptors: u32,
+    crowd: Vec<TcpStream>,
 }
 
 impl Play {
     fn run_all(&mut self) {
         let memory = if self.memory == 0 { 192 } else { self.memory };
         let known = |feed: &Feed| if self.unknown { "null".to_owned() } else { feed.results(0) };
-        self.dispatchers =
-            self.feeds.iter().map(|feed| Dispatcher::start(feed, memory, &known(feed))).collect();
+        let descriptors = if self.descriptors == 0 { 256 } else { self.descriptors };
+        let start = |feed| Dispatcher::start(feed, memory, &known(feed), descriptors);
+        self.dispatchers = self.feeds.iter().map(start).collect();
     }
 
     fn change(&self, what: impl Fn(usize) -> String) {
@@ -505,6 +522,12 @@
                 self.hosts.insert((*name).into(), Host::start(sort));
             }
             ["unknown"] => self.unknown = true,
+            ["descriptors", count] => self.descriptors = count.parse().unwrap(),
+            ["crowd", count] => {
+                let listen = &self.dispatchers[0].listen;
+                let count: usize = count.parse().unwrap();
+                self.crowd = (0..count).map(|_| TcpStream::connect(listen).unwrap()).collect();
+            }
             ["memory", mb] => self.memory = mb.parse().unwrap(),
             ["start", count @ ..] => {
                 let count = count.first().map_or(1, |n| n.parse().unwrap());
@@ -622,6 +645,8 @@
 #[test_case(include_str!("sockets/two.txt"); "two")]
 #[test_case(include_str!("sockets/stop.txt"); "stop")]
 #[test_case(include_str!("sockets/start.txt"); "start")]
+#[test_case(include_str!("sockets/descriptors.txt"); "descriptors")]
+#[test_case(include_str!("sockets/mute_feed.txt"); "mute_feed")]
 #[test_case(include_str!("sockets/slow_reader.txt"); "slow_reader")]
 #[test_case(include_str!("sockets/bad_client.txt"); "bad_client")]
 #[test_case(include_str!("sockets/bad_host.txt"); "bad_host")]
@@ -648,7 +673,8 @@
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
     let by = by.replace("TAKEN", &taken.local_addr().unwrap().to_string());
     let text = config("127.0.0.1:0", &Feed::start(), "null", 192).replacen(part, &by, 1);
-    let output = run(&text).wait_with_output().unwrap();
+    let (child, _file) = run(&text, 256);
+    let output = child.wait_with_output().unwrap();
     let said = String::from_utf8(output.stderr).unwrap();
     assert_eq!(output.status.code(), Some(code), "{said}");
     let lines: Vec<&str> = said.lines().filter(|line| line.starts_with("cherrypass:")).collect();
