--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -8,6 +8,8 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
+    #[error("no configuration: name it with --config or in GW_CONFIG")]
+    Unnamed,
     #[error("the configuration {0} can't be read: {1}")]
     Unread(String, std::io::Error),
     #[error("the configuration isn't JSON: {0}")]
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,5 +1,5 @@
 #![forbid(unsafe_code)]
-use cherrypass_dispatcher::config::Config;
+use cherrypass_dispatcher::config::{Config, Error};
 use cherrypass_dispatcher::serve::Dispatcher;
 use cherrypass_dispatcher::{logger, shutdown};
 use clap::{Parser, Subcommand};
@@ -21,7 +21,7 @@
     Serve {
         /// The configuration, a JSON file
         #[arg(long, env = "GW_CONFIG")]
-        config: PathBuf,
+        config: Option<PathBuf>,
         /// What is logged: error, warn, info or off
         #[arg(long, default_value = "info")]
         log: LevelFilter,
@@ -30,7 +30,7 @@
     Check {
         /// The configuration, a JSON file
         #[arg(long, env = "GW_CONFIG")]
-        config: PathBuf,
+        config: Option<PathBuf>,
     },
     /// Print the version
     Version,
@@ -41,8 +41,8 @@
 
 fn main() -> ExitCode {
     match Cli::parse().command {
-        Command::Serve { config, log } => load(&config, |config| serve(config, log)),
-        Command::Check { config } => load(&config, check),
+        Command::Serve { config, log } => load(config, |config| serve(config, log)),
+        Command::Check { config } => load(config, check),
         Command::Version => {
             println!("cherrypass {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
@@ -50,8 +50,8 @@
     }
 }
 
-fn load(path: &std::path::Path, then: impl FnOnce(Config) -> ExitCode) -> ExitCode {
-    match Config::load(path) {
+fn load(path: Option<PathBuf>, then: impl FnOnce(Config) -> ExitCode) -> ExitCode {
+    match path.ok_or(Error::Unnamed).and_then(|path| Config::load(&path)) {
         Ok(config) => then(config),
         Err(error) => {
             eprintln!("cherrypass: {error}");
