A hand-off called off before its first byte stays unwritten

Checked: the log shows the answers at the hard limit while threads waited for the core; a hand-off still in its writer's mailbox then went out. At fault: Router::stop, which could only send never_mind after it. Now writer and router settle on one shared mark which comes first: the first byte or the call-off; called off it never ran, and the next hand-off need not wait. Unit test in both orders.

--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -22,17 +22,36 @@
 const LIGHT: usize = 8;
 const FULL: std::time::Duration = std::time::Duration::from_millis(1);
 
-/// When a hand-off was wholly written; until then it can't have run.
+/// How far a hand-off has got on its way out: when it was wholly written, before which it can't have run.
 #[derive(Clone, Debug, Default)]
-pub struct Written(Arc<AtomicU64>);
+pub struct Way(Arc<AtomicU64>);
 
-impl Written {
-    fn note(&self) {
+const WAITS: u64 = 0;
+const BEGUN: u64 = 1;
+const OFF: u64 = u64::MAX;
+
+impl Way {
+    /// Guards against a hand-off that is written late, after its visit's final answer: one that is called off
+    /// before its first byte stays unwritten.
+    pub fn begin(&self) -> bool {
+        self.0.compare_exchange(WAITS, BEGUN, Relaxed, Relaxed).is_ok()
+    }
+
+    fn written(&self) {
         self.0.store(clock::now().0, Relaxed);
     }
 
-    pub fn at(&self) -> Option<Time> {
-        Some(self.0.load(Relaxed)).filter(|at| *at > 0).map(Time)
+    /// Whether this came before the first byte, so that the hand-off never goes out.
+    pub fn call_off(&self) -> bool {
+        self.0.compare_exchange(WAITS, OFF, Relaxed, Relaxed).is_ok()
+    }
+
+    fn is_off(&self) -> bool {
+        self.0.load(Relaxed) == OFF
+    }
+
+    pub fn written_at(&self) -> Option<Time> {
+        Some(self.0.load(Relaxed)).filter(|at| ![WAITS, BEGUN, OFF].contains(at)).map(Time)
     }
 }
 
@@ -48,7 +67,7 @@
     pub seen: bool,
     /// Until when an answer may come.
     pub until: Time,
-    pub written: Written,
+    pub way: Way,
 }
 
 /// What hosts tell the router of a hand-off.
@@ -88,7 +107,7 @@
     id: HandOffId,
     seen: bool,
     until: Time,
-    written: Written,
+    way: Way,
 }
 
 struct Pooled {
@@ -214,7 +233,7 @@
                 }
                 for out in pooled.out.into_values() {
                     // What was not wholly written can't have run.
-                    let ran = out.written.at().is_some();
+                    let ran = out.way.written_at().is_some();
                     let outcome = if ran { Outcome::Reset } else { Outcome::ConnectFailed };
                     self.ended(out.id, outcome, None, at);
                 }
@@ -249,7 +268,7 @@
             return;
         };
         let (id, seen, until) = (hand_off.id, hand_off.seen, hand_off.until);
-        let out = Out { id, seen, until, written: hand_off.written.clone() };
+        let out = Out { id, seen, until, way: hand_off.way.clone() };
         pooled.out.insert(hand_off.txn.clone(), out);
         if pooled.line.is_some() {
             let _ = pooled.mailbox.send(ToLine::HandOff(hand_off));
@@ -299,16 +318,13 @@
             else {
                 continue;
             };
-            pooled.out.remove(&txn);
+            let off = pooled.out.remove(&txn).is_some_and(|out| out.way.is_off());
             pooled.used = clock::now();
-            let before = pooled.pending.len();
             pooled.pending.retain(|hand_off| hand_off.id != id);
-            if pooled.pending.len() == before {
+            if !off {
                 let _ = pooled.mailbox.send(ToLine::NeverMind(id, resp::never_mind(&txn)));
                 pooled.untold.push(id);
                 pooled.given_up.insert(txn, until.max(clock::now()));
-            } else {
-                let _ = self.router.send(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
             }
             return;
         }
@@ -383,12 +399,13 @@
         let _ = self.host.send(ToHost::Up(self.line, line.clone()));
         while let Some(message) = mailbox::next(&messages) {
             let written = match message {
+                ToLine::HandOff(hand_off) if !hand_off.way.begin() => Ok(()),
                 ToLine::HandOff(hand_off) => {
                     let head = resp::want(&hand_off.txn, &hand_off.fields, hand_off.body.len());
                     let written = line.write(&[&head, &hand_off.body, resp::END]);
                     if written.is_ok() {
                         *sent += 1;
-                        hand_off.written.note();
+                        hand_off.way.written();
                     }
                     written
                 }
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -5,7 +5,7 @@
 use crate::clients::{FromClient, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
-use crate::hosts::{FromHost, HandOff, Host, ToHost, Written};
+use crate::hosts::{FromHost, HandOff, Host, ToHost, Way};
 use crate::ids::{ClientId, HandOffId};
 use crate::line::{Code, Line};
 use crate::mailbox;
@@ -72,7 +72,7 @@
     mailbox: Sender<ToHost>,
     sent: Time,
     read: Time,
-    written: Written,
+    way: Way,
     /// As what it ends once its host is told that no answer is wanted any more.
     stopping: Option<Outcome>,
 }
@@ -182,7 +182,7 @@
                     }
                 }
                 Due::Connect(id) => {
-                    if let Some(out) = self.hand_offs.get(&id).filter(|out| out.written.at().is_none()) {
+                    if let Some(out) = self.hand_offs.get(&id).filter(|out| out.way.written_at().is_none()) {
                         let _ = out.mailbox.send(ToHost::ConnectLimit(id));
                     }
                 }
@@ -326,7 +326,7 @@
 
     fn ended(&mut self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
         let Some(out) = self.hand_offs.remove(&id) else { return };
-        if let Some(written) = out.written.at() {
+        if let Some(written) = out.way.written_at() {
             self.spent.inward.push(written - out.read);
         }
         let HandOffId(visit, number) = id;
@@ -350,8 +350,14 @@
     /// guards against a next hand-off that overtakes the call-off on its way, and so is a second copy.
     fn stop(&mut self, id: HandOffId, outcome: Outcome) {
         let Some(out) = self.hand_offs.get_mut(&id).filter(|out| out.stopping.is_none()) else { return };
-        out.stopping = Some(outcome);
+        let off = out.way.call_off();
         let _ = out.mailbox.send(ToHost::NeverMind(id));
+        if off {
+            let never_ran = if outcome == Outcome::TimedOut { Outcome::Moot } else { outcome };
+            self.ended(id, never_ran, None, clock::now());
+        } else {
+            out.stopping = Some(outcome);
+        }
     }
 
     fn pull(&mut self) {
@@ -386,18 +392,18 @@
             body: asked.body.clone(),
             seen: asked.cached.is_some(),
             until,
-            written: Written::default(),
+            way: Way::default(),
         };
         let Some(mailbox) = self.hosts.get(&host).map(|known| known.mailbox.clone()) else {
             self.brain.ended(now, never_sent(id));
             return;
         };
-        let written = hand_off.written.clone();
+        let way = hand_off.way.clone();
         if mailbox.send(ToHost::HandOff(hand_off)).is_err() {
             self.brain.ended(now, never_sent(id));
             return;
         }
-        self.hand_offs.insert(id, Out { mailbox, sent: now, read, written, stopping: None });
+        self.hand_offs.insert(id, Out { mailbox, sent: now, read, way, stopping: None });
         self.due.put(until, Due::Until(id));
         self.due.put(now + self.config.reach.connect_limit, Due::Connect(id));
     }
@@ -532,6 +538,7 @@
     use crate::changes::host_id;
     use crossbeam_channel::unbounded;
     use std::net::{TcpListener, TcpStream};
+    use test_case::test_case;
 
     const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"1","changelog":"127.0.0.1:1",
         "limits":{"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"me":0,"zone":0,"zones":["edge"],
@@ -539,8 +546,9 @@
         "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
         "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
 
-    #[test]
-    fn no_next_hand_off_before_the_call_off_is_written() {
+    #[test_case(true; "one that is on its way")]
+    #[test_case(false; "one that is not")]
+    fn no_next_hand_off_before_the_host_is_told(begun: bool) {
         let (own, mailbox) = unbounded();
         let mut router = Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, mailbox);
         let hosts: Vec<_> = ["a", "b"].map(|name| (host_id(name), unbounded())).into_iter().collect();
@@ -571,14 +579,23 @@
         };
         router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now() }));
         router.pull();
-        let first = hosts.iter().position(|(_, (_, sent))| matches!(sent.try_recv(), Ok(ToHost::HandOff(_))));
-        let (first, other) = (first.unwrap(), &hosts[1 - first.unwrap()].1 .1);
+        let sent = |(_, (_, sent)): &(HostId, (_, Receiver<ToHost>))| match sent.try_recv() {
+            Ok(ToHost::HandOff(hand_off)) => Some(hand_off.way),
+            _ => None,
+        };
+        let found = hosts.iter().enumerate().find_map(|(place, host)| Some((place, sent(host)?)));
+        let (first, way) = found.unwrap();
+        let other = &hosts[1 - first];
+        assert!(!begun || way.begin());
         router.brain.listed(clock::now(), &[entry(hosts[first].0, Phase::Gone)], false);
         router.pull();
         let Ok(ToHost::NeverMind(id)) = hosts[first].1 .1.try_recv() else { panic!("not called off") };
-        assert!(other.try_recv().is_err(), "a second copy");
-        router.take(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
-        router.pull();
-        assert!(matches!(other.try_recv(), Ok(ToHost::HandOff(_))));
+        if begun {
+            assert!(sent(other).is_none(), "a second copy");
+            router.take(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
+            router.pull();
+        }
+        assert!(sent(other).is_some());
+        assert!(!way.begin(), "written after it was called off");
     }
 }
