--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -1,5 +1,5 @@
-//! Hosts (caches, parents, origin): each an actor with a pool of connections, and for each connection a thread
-//! that connects and writes and one that reads.
+//! Hosts (caches, parents, origin): each an actor with a pool of connections, and for each connection a
+//! thread that connects and writes and one that reads.
 use crate::bounds::{Held, Room};
 use crate::clock;
 use crate::config::Reach;
--- a/crates/dispatcher/src/mailbox.rs
+++ b/crates/dispatcher/src/mailbox.rs
@@ -1,5 +1,6 @@
 //! Waiting for the next message of a mailbox. A channel's own recv yields the core some ten times before it
-//! sleeps, which on one core with many threads costs more switches than the messages do; a select sleeps at once.
+//! sleeps, which on one core with many threads costs more switches than the messages do; a select sleeps at
+//! once.
 use crossbeam_channel::{Receiver, RecvTimeoutError, Select, TryRecvError};
 use std::time::Duration;
 
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -346,8 +346,8 @@
         self.brain.ended(at, end);
     }
 
-    /// Calls a hand-off off; what may still come of it is dropped. It ends for the module once its host is told:
-    /// guards against a next hand-off that overtakes the call-off on its way, and so is a second copy.
+    /// Calls a hand-off off; what may still come of it is dropped. It ends for the module once its host is
+    /// told: guards against a next hand-off that overtakes the call-off on its way, and so is a second copy.
     fn stop(&mut self, id: HandOffId, outcome: Outcome) {
         let Some(out) = self.hand_offs.get_mut(&id).filter(|out| out.stopping.is_none()) else { return };
         let off = out.way.call_off();
@@ -542,7 +542,8 @@
 
     const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"1","changelog":"127.0.0.1:1",
         "limits":{"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"me":0,"zone":0,"zones":["edge"],
-        "services":[{"name":"video","aim":500000,"deadline":6000000,"effect":"idempotent"}],"models":["small"],
+        "services":[{"name":"video","aim":500000,"deadline":6000000,"effect":"idempotent"}],
+        "models":["small"],
         "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
         "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
 
