--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -1,5 +1,5 @@
 //! Clients: the listener, and for each connection a thread that reads and one that writes.
-use crate::bounds::Held;
+use crate::bounds::{Gauge, Held};
 use crate::clock;
 use crate::ids::ClientId;
 use crate::line::{spawn, Code, Line};
@@ -11,7 +11,6 @@
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,7 +47,7 @@
 
 /// Takes connections in until the process ends; more than the bound are closed at once.
 pub fn listen(listener: TcpListener, most: usize, patience: Span, spent: Arc<Spent>, router: Sender<Input>) {
-    let open = Arc::new(AtomicUsize::new(0));
+    let open = Gauge::default();
     let mut failing = false;
     for number in 0.. {
         let (stream, from) = match listener.accept() {
@@ -66,22 +65,23 @@
         failing = false;
         let line = Arc::new(Line::new(stream));
         let id = ClientId(number);
-        if open.fetch_add(1, Ordering::Relaxed) >= most {
-            line.end(Code::TooManyClients);
-            open.fetch_sub(1, Ordering::Relaxed);
+        let turn_away = |code: Code| {
+            line.end(code);
             log::info!("client {number} {from} closed: {}", line.code().word());
+        };
+        let place = open.hold(1);
+        if open.amount() > most {
+            turn_away(Code::TooManyClients);
             continue;
         }
-        let (router, held, own, spent) = (router.clone(), open.clone(), line.clone(), spent.clone());
+        let (router, own, spent) = (router.clone(), line.clone(), spent.clone());
         let run = move || {
             let visits = read(id, &own, patience, spent, &router);
-            held.fetch_sub(1, Ordering::Relaxed);
+            drop(place);
             log::info!("client {number} {from} closed: {} after {visits} visits", own.code().word());
         };
         if spawn("client", run).is_err() {
-            line.end(Code::NoThread);
-            open.fetch_sub(1, Ordering::Relaxed);
-            log::info!("client {number} {from} closed: {}", line.code().word());
+            turn_away(Code::NoThread);
         }
     }
 }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -74,14 +74,13 @@
     pub fn decode(text: &[u8]) -> Result<Config, Error> {
         let all: Value = serde_json::from_slice(text).map_err(Error::NotJson)?;
         let own = all.get("settings").ok_or(Error::Lacks("settings"))?;
-        let memory = number(&all, "limits/memory_mb", "/limits/memory_mb")?;
-        let sockets = number(&all, "limits/sockets", "/limits/sockets")? as usize;
+        let memory = number(&all, "/limits/memory_mb")?;
+        let sockets = number(&all, "/limits/sockets")? as usize;
         let sixteenth = (memory * 1024.0 * 1024.0 / 16.0) as usize;
         let clients = sockets / 3;
         let seed = string(&all, "seed")?;
-        let span =
-            |path: &'static str| settings::need(own, path).map(|us| Span(us as u64)).map_err(Error::Settings);
-        let services = own.pointer("/services").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let need = |path: &str| settings::need(own, path).map_err(Error::Settings);
+        let services = list(own, "/services");
         let limits = services.iter().filter_map(|band| settings::number(band, "/deadline"));
         Ok(Config {
             name: string(&all, "name")?.to_owned(),
@@ -96,10 +95,9 @@
                 kinds: names(own, "/models"),
             },
             reach: Reach {
-                connect_limit: span("/bounds/connect_timeout")?,
-                idle: span("/bounds/conn_idle")?,
-                streams: (settings::need(own, "/bounds/streams_per_conn").map_err(Error::Settings)? as usize)
-                    .max(1),
+                connect_limit: Span(need("/bounds/connect_timeout")? as u64),
+                idle: Span(need("/bounds/conn_idle")? as u64),
+                streams: (need("/bounds/streams_per_conn")? as usize).max(1),
                 connections: sockets
                     .saturating_sub(clients + OTHER_DESCRIPTORS)
                     .min(6 * sixteenth / HOST_MESSAGE)
@@ -114,8 +112,8 @@
     }
 }
 
-fn number(all: &Value, key: &'static str, path: &str) -> Result<f64, Error> {
-    settings::number(all, path).ok_or(Error::Lacks(key))
+fn number(all: &Value, path: &'static str) -> Result<f64, Error> {
+    settings::number(all, path).ok_or(Error::Lacks(path.trim_start_matches('/')))
 }
 
 fn string<'a>(all: &'a Value, key: &'static str) -> Result<&'a str, Error> {
@@ -127,7 +125,10 @@
     text.parse().map_err(|_| Error::Unusable(key, text.to_owned()))
 }
 
+fn list<'a>(own: &'a Value, path: &str) -> &'a [Value] {
+    own.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
 fn names(own: &Value, path: &str) -> Vec<String> {
-    let list = own.pointer(path).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
-    list.iter().map(|name| name.as_str().unwrap_or("").to_owned()).collect()
+    list(own, path).iter().map(|name| name.as_str().unwrap_or("").to_owned()).collect()
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -125,14 +125,10 @@
 }
 
 impl Pooled {
-    fn load(&self) -> usize {
-        self.out.len()
-    }
-
     fn may_take(&self, txn: &Bytes, streams: usize) -> bool {
         // Guards against an answer to a hand-off given up that is taken for one of the same visit's next.
         let taken = self.out.contains_key(txn) || self.given_up.contains_key(txn);
-        !self.ending && !taken && self.load() < streams
+        !self.ending && !taken && self.out.len() < streams
     }
 
     fn end(&mut self, code: Code) {
@@ -256,9 +252,10 @@
     fn hand_off(&mut self, hand_off: HandOff) {
         let streams = self.reach.streams;
         let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(&hand_off.txn, streams));
-        let best = free
-            .min_by_key(|(_, pooled)| (pooled.load(), pooled.line.is_none(), std::cmp::Reverse(pooled.used)));
-        let best = best.map(|(line, pooled)| (*line, pooled.load()));
+        let best = free.min_by_key(|(_, pooled)| {
+            (pooled.out.len(), pooled.line.is_none(), std::cmp::Reverse(pooled.used))
+        });
+        let best = best.map(|(line, pooled)| (*line, pooled.out.len()));
         let line = match best {
             Some((line, load)) if load < (streams / LIGHT).max(1) => Some(line),
             other => self.open().or(other.map(|(line, _)| line)),
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -100,7 +100,6 @@
     hand_offs: BTreeMap<HandOffId, Out>,
     hosts: BTreeMap<HostId, Known>,
     next: u32,
-    listed: bool,
     /// When SIGTERM came.
     stopping: Option<Time>,
     pub spent: Arc<Spent>,
@@ -136,7 +135,6 @@
             hand_offs: BTreeMap::new(),
             hosts: BTreeMap::new(),
             next: 0,
-            listed: false,
             stopping: None,
             spent: Arc::default(),
             sweeps: 0,
@@ -216,21 +214,19 @@
     }
 
     fn heard(&mut self, client: ClientId, what: FromClient) {
-        if let FromClient::Opened { mailbox, line } = what {
-            let (answers, unread) = Default::default();
-            self.clients.insert(client, Client { mailbox, line, open: BTreeMap::new(), answers, unread });
-            return;
-        }
-        let Some(known) = self.clients.get_mut(&client) else { return };
         match what {
-            FromClient::Opened { .. } => {}
+            FromClient::Opened { mailbox, line } => {
+                let (answers, unread) = Default::default();
+                self.clients.insert(client, Client { mailbox, line, open: BTreeMap::new(), answers, unread });
+            }
             FromClient::Visit { id, asked, at } => self.arrived(client, id, *asked, at),
             FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None),
             FromClient::Status { id } => {
-                let parts = msgpack::status(id, self.listed);
+                let parts = msgpack::status(id, !self.hosts.is_empty());
                 self.answer(client, parts, None);
             }
             FromClient::Withdrawn { ids } => {
+                let Some(known) = self.clients.get_mut(&client) else { return };
                 let gone: Vec<VisitId> = ids.iter().filter_map(|id| known.open.remove(id)).collect();
                 gone.into_iter().for_each(|visit| self.left(visit));
             }
@@ -394,15 +390,13 @@
             until,
             way: Way::default(),
         };
-        let Some(mailbox) = self.hosts.get(&host).map(|known| known.mailbox.clone()) else {
-            self.brain.ended(now, never_sent(id));
-            return;
-        };
         let way = hand_off.way.clone();
-        if mailbox.send(ToHost::HandOff(hand_off)).is_err() {
+        let mailbox = self.hosts.get(&host).map(|known| known.mailbox.clone());
+        let sent = mailbox.filter(|mailbox| mailbox.send(ToHost::HandOff(hand_off)).is_ok());
+        let Some(mailbox) = sent else {
             self.brain.ended(now, never_sent(id));
             return;
-        }
+        };
         self.hand_offs.insert(id, Out { mailbox, sent: now, read, way, stopping: None });
         self.due.put(until, Due::Until(id));
         self.due.put(now + self.config.reach.connect_limit, Due::Connect(id));
@@ -420,7 +414,6 @@
                 }
                 hosts.into_iter().for_each(|host| self.listed(host));
                 self.brain.listed(now, &entries, whole);
-                self.listed |= !self.hosts.is_empty();
             }
             Change::Purge { group, object, at } => self.brain.purged(now, group, object, now - at),
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,11 +14,11 @@
     number(value, path).ok_or_else(|| format!("the settings lack the number {path}"))
 }
 
-pub fn span(value: &Value, path: &str) -> Span {
+fn span(value: &Value, path: &str) -> Span {
     Span(number(value, path).unwrap_or(0.0).max(0.0) as u64)
 }
 
-pub fn flag(value: &Value, path: &str) -> bool {
+fn flag(value: &Value, path: &str) -> bool {
     value.pointer(path).and_then(Value::as_bool).unwrap_or(false)
 }
 
