--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -2,11 +2,12 @@
 //! holds. Whatever goes wrong, the last good list stays and the log is asked again.
 use crate::clock;
 use crate::config::Names;
+use crate::line::is_wait;
 use crate::router::Input;
 use cherrypass::calls::{Listing, Phase};
 use cherrypass::ids::*;
 use cherrypass::time::{Span, Time};
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Receiver, Sender};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
@@ -14,12 +15,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-const POLL: Span = Span::millis(5_000);
-/// An answer comes after the poll's time at the latest; the rest is left for the way.
-const SILENCE: Duration = Duration::from_millis(7_000);
+/// Short, since a change log that stops in the middle is found out only once the wait is over.
+const POLL: Span = Span::millis(1_000);
+/// A whole answer comes after the poll's time at the latest; the rest is left for the way.
+const WHOLE: Span = Span::millis(1_700);
+/// How often a read looks whether it is to go on.
+const LOOK: Duration = Duration::from_millis(100);
 const CONNECT: Duration = Duration::from_millis(1_000);
 const WAIT_FIRST: Span = Span::millis(50);
-const WAIT_MOST: Span = Span::millis(1_000);
+const WAIT_MOST: Span = Span::millis(500);
 const HEAD_MOST: usize = 8 * 1024;
 const ANSWER_MOST: usize = 8 * 1024 * 1024;
 
@@ -29,6 +33,8 @@
     Unreachable(io::Error),
     #[error("silent or cut: {0}")]
     Cut(#[from] io::Error),
+    #[error("it has moved")]
+    Moved,
     #[error("not HTTP as expected: {0}")]
     NotHttp(&'static str),
     #[error("not JSON")]
@@ -136,14 +142,25 @@
 }
 
 /// Follows the change log until the router is gone.
-pub fn follow(at: SocketAddr, names: Names, mut last: u64, seed: u64, router: Sender<Input>) {
+pub fn follow(
+    mut at: SocketAddr,
+    moved: Receiver<SocketAddr>,
+    names: Names,
+    mut last: u64,
+    seed: u64,
+    router: Sender<Input>,
+) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
     let mut wait = WAIT_FIRST;
     let mut line: Option<TcpStream> = None;
     let mut failing = false;
     loop {
+        if let Some(new) = moved.try_iter().last() {
+            (at, line, wait) = (new, None, WAIT_FIRST);
+        }
         let asked = clock::now();
-        let (changes, fault) = match ask(&mut line, at, last) {
+        let (changes, fault) = match ask(&mut line, at, &moved, last) {
+            Err(Fault::Moved) => continue,
             Ok(answer) => decode(&answer, &names, &mut last),
             Err(fault) => (Vec::new(), Some(fault)),
         };
@@ -164,18 +181,46 @@
         // Guards against asking in a tight loop, also where answers come at once and bring nothing.
         wait = if failing { (wait + wait).min(WAIT_MOST) } else { WAIT_FIRST };
         if failing || clock::now() - asked < Span::millis(2) {
-            std::thread::sleep(clock::duration(wait.times(chance.gen_range(0.5..1.0))));
+            // A move ends the wait.
+            let mut select = crossbeam_channel::Select::new();
+            select.recv(&moved);
+            let _ = select.ready_timeout(clock::duration(wait.times(chance.gen_range(0.5..1.0))));
         }
     }
 }
 
-fn ask(line: &mut Option<TcpStream>, at: SocketAddr, last: u64) -> Result<Value, Fault> {
+/// One answer's reading. Guards against an answer that stops or drips, by one end for the whole of it, and
+/// against waiting for one that won't come, as the change log has moved.
+struct Reading<'a> {
+    stream: &'a TcpStream,
+    moved: &'a Receiver<SocketAddr>,
+    until: Time,
+}
+
+impl Read for Reading<'_> {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        while self.moved.is_empty() && clock::now() < self.until {
+            match (&mut self.stream).read(into) {
+                Err(error) if is_wait(&error) => {}
+                other => return other,
+            }
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    }
+}
+
+fn ask(
+    line: &mut Option<TcpStream>,
+    at: SocketAddr,
+    moved: &Receiver<SocketAddr>,
+    last: u64,
+) -> Result<Value, Fault> {
     let stream = match line.take() {
         Some(stream) => stream,
         None => {
             let stream = TcpStream::connect_timeout(&at, CONNECT).map_err(Fault::Unreachable)?;
             stream.set_nodelay(true)?;
-            stream.set_read_timeout(Some(SILENCE))?;
+            stream.set_read_timeout(Some(LOOK))?;
             stream.set_write_timeout(Some(CONNECT))?;
             stream
         }
@@ -185,7 +230,12 @@
         "GET /changes?since={last}&timeout={poll} HTTP/1.1\r\nHost: {at}\r\nAccept: application/json\r\n\r\n"
     );
     (&stream).write_all(request.as_bytes())?;
-    let (body, keep) = answer(&stream)?;
+    let reading = Reading { stream: &stream, moved, until: clock::now() + WHOLE };
+    let found = answer(reading);
+    if !moved.is_empty() {
+        return Err(Fault::Moved);
+    }
+    let (body, keep) = found?;
     *line = Some(stream).filter(|_| keep);
     serde_json::from_slice(&body).map_err(|_| Fault::NotJson)
 }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -23,7 +23,7 @@
 }
 
 /// The names that messages use, each at the place of its number.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     pub bands: Vec<String>,
     pub locations: Vec<String>,
@@ -31,7 +31,7 @@
 }
 
 /// What connections to hosts may do and hold.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reach {
     pub connect_limit: Span,
     pub idle: Span,
@@ -39,7 +39,7 @@
     pub connections: usize,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -49,8 +49,8 @@
     pub settings: Settings,
     pub names: Names,
     pub reach: Reach,
-    /// The longest that a visit of any band may take.
-    pub longest: Span,
+    /// The longest that a visit of each band may take.
+    pub limits: Vec<Span>,
     pub clients: usize,
     /// Bytes of answers that may wait for clients to read them, and those of all answers on their way.
     pub unread: usize,
@@ -81,7 +81,11 @@
         let seed = string(&all, "seed")?;
         let need = |path: &str| settings::need(own, path).map_err(Error::Settings);
         let services = list(own, "/services");
-        let limits = services.iter().filter_map(|band| settings::number(band, "/deadline"));
+        let limit = |band: &Value| {
+            settings::number(band, "/deadline").ok_or(Error::Lacks("settings/services/deadline"))
+        };
+        let limits =
+            services.iter().map(|band| Ok(Span(limit(band)? as u64))).collect::<Result<_, Error>>()?;
         Ok(Config {
             name: string(&all, "name")?.to_owned(),
             listen: address(&all, "listen")?,
@@ -103,7 +107,7 @@
                     .min(6 * sixteenth / HOST_MESSAGE)
                     .max(1),
             },
-            longest: Span(limits.fold(0.0, f64::max) as u64),
+            limits,
             clients,
             unread: 3 * sixteenth,
             held: 4 * sixteenth,
@@ -112,6 +116,19 @@
     }
 }
 
+impl Config {
+    /// The longest that a visit of any band may take.
+    pub fn longest(&self) -> Span {
+        self.limits.iter().copied().max().unwrap_or(Span::ZERO)
+    }
+
+    /// Whether another configuration differs in more than what is taken while this one is in force.
+    pub fn is_new_beyond_changelog(&self, other: &Config) -> bool {
+        let same = Config { changelog: self.changelog, known: self.known.clone(), ..other.clone() };
+        Config { seed: self.seed, ..same } != *self
+    }
+}
+
 fn number(all: &Value, path: &'static str) -> Result<f64, Error> {
     settings::number(all, path).ok_or(Error::Lacks(path.trim_start_matches('/')))
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -383,7 +383,7 @@
         messages: Receiver<ToLine>,
         sent: &mut u64,
     ) -> Code {
-        let _ = line.set_up(None);
+        let _ = line.set_up(None, None);
         let (reads, host, id, room) = (line.clone(), self.host.clone(), self.line, self.room.clone());
         let reader = spawn("reads", move || {
             reads.end(read(id, &reads, &host, &room));
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -16,5 +16,5 @@
 pub mod resp;
 pub mod router;
 pub mod serve;
-pub mod shutdown;
+pub mod signals;
 pub mod spent;
--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -14,7 +14,11 @@
     Unreadable,
     TooLong,
     IdNotUp,
+    IdOpen,
+    TooManyOpen,
     HalfMessage,
+    Mute,
+    RoomNeeded,
     SlowReader,
     WriteFailed,
     TooManyClients,
@@ -37,7 +41,11 @@
             Code::Unreadable => "unreadable",
             Code::TooLong => "too-long",
             Code::IdNotUp => "id-not-up",
+            Code::IdOpen => "id-open",
+            Code::TooManyOpen => "too-many-open",
             Code::HalfMessage => "half-message",
+            Code::Mute => "mute",
+            Code::RoomNeeded => "room-needed",
             Code::SlowReader => "slow-reader",
             Code::WriteFailed => "write-failed",
             Code::TooManyClients => "too-many-clients",
@@ -76,11 +84,11 @@
         Line { stream, end: OnceLock::new() }
     }
 
-    /// Messages go out at once; with a limit, a read or a write stands still no longer.
-    pub fn set_up(&self, limit: Option<Duration>) -> io::Result<()> {
+    /// Messages go out at once; with limits, a read or a write stands still no longer.
+    pub fn set_up(&self, read: Option<Duration>, write: Option<Duration>) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        self.stream.set_read_timeout(limit)?;
-        self.stream.set_write_timeout(limit)
+        self.stream.set_read_timeout(read)?;
+        self.stream.set_write_timeout(write)
     }
 
     /// Ends the connection for both threads; the first reason given is the one that is logged.
@@ -89,26 +97,26 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    pub fn is_ended(&self) -> bool {
+        self.end.get().is_some()
+    }
+
     pub fn code(&self) -> Code {
         *self.end.get_or_init(|| Code::ClosedByPeer)
     }
 
-    /// Reads what has come, at least one byte; an end of the stream or a failure ends the connection.
-    pub fn read(&self, into: &mut bytes::BytesMut, room: usize) -> Result<(), Code> {
+    /// Reads what has come and tells whether anything did before the limit; an end of the stream or a failure
+    /// ends the connection.
+    pub fn read(&self, into: &mut bytes::BytesMut, room: usize) -> Result<bool, Code> {
         let held = into.len();
         into.resize(held + room, 0);
-        let found = loop {
-            match (&self.stream).read(&mut into[held..]) {
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                other => break other,
-            }
-        };
+        let found = (&self.stream).read(&mut into[held..]);
         into.truncate(held + found.as_ref().map_or(0, |n| *n));
         match found {
             Ok(0) if held > 0 => Err(Code::CutInMessage),
             Ok(0) => Err(Code::ClosedByPeer),
-            Ok(_) => Ok(()),
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(()),
+            Ok(_) => Ok(true),
+            Err(error) if is_wait(&error) => Ok(false),
             Err(_) => Err(Code::Reset),
         }
     }
@@ -130,6 +138,12 @@
     }
 }
 
+/// Whether a read or a write came to no end in its time, or a signal broke it off: the machine does so to those
+/// with a limit each time the process goes on after it was stopped.
+pub fn is_wait(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
+}
+
 /// Stack of the threads of connections; what they don't touch costs no memory.
 const STACK: usize = 128 * 1024;
 
--- a/crates/dispatcher/src/mailbox.rs
+++ b/crates/dispatcher/src/mailbox.rs
@@ -1,7 +1,7 @@
 //! Waiting for the next message of a mailbox. A channel's own recv yields the core some ten times before it
 //! sleeps, which on one core with many threads costs more switches than the messages do; a select sleeps at
 //! once.
-use crossbeam_channel::{Receiver, RecvTimeoutError, Select};
+use crossbeam_channel::{Receiver, Select};
 use std::time::Duration;
 
 pub fn next<T>(mailbox: &Receiver<T>) -> Option<T> {
@@ -13,12 +13,13 @@
     select.select().recv(mailbox).ok()
 }
 
-pub fn next_within<T>(mailbox: &Receiver<T>, wait: Duration) -> Result<T, RecvTimeoutError> {
-    if let Ok(message) = mailbox.try_recv() {
-        return Ok(message);
+/// Waits until one of several has a message, whose senders may be gone, but no longer than told.
+pub fn wait_for<T>(mailboxes: &[Receiver<T>], wait: Duration) {
+    if mailboxes.iter().all(Receiver::is_empty) {
+        let mut select = Select::new();
+        for mailbox in mailboxes {
+            select.recv(mailbox);
+        }
+        let _ = select.ready_timeout(wait);
     }
-    let mut select = Select::new();
-    select.recv(mailbox);
-    let found = select.select_timeout(wait).map_err(|_| RecvTimeoutError::Timeout)?;
-    found.recv(mailbox).map_err(|_| RecvTimeoutError::Disconnected)
 }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,7 +1,7 @@
 #![forbid(unsafe_code)]
 use cherrypass_dispatcher::config::{Config, Error};
 use cherrypass_dispatcher::serve::Dispatcher;
-use cherrypass_dispatcher::{logger, shutdown};
+use cherrypass_dispatcher::{logger, signals};
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
 use std::path::PathBuf;
@@ -41,8 +41,8 @@
 
 fn main() -> ExitCode {
     match Cli::parse().command {
-        Command::Serve { config, log } => load(config, |config| serve(config, log)),
-        Command::Check { config } => load(config, check),
+        Command::Serve { config, log } => load(config, |path, config| serve(path, config, log)),
+        Command::Check { config } => load(config, |_, config| check(config)),
         Command::Version => {
             println!("cherrypass {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
@@ -50,9 +50,9 @@
     }
 }
 
-fn load(path: Option<PathBuf>, then: impl FnOnce(Config) -> ExitCode) -> ExitCode {
-    match path.ok_or(Error::Unnamed).and_then(|path| Config::load(&path)) {
-        Ok(config) => then(config),
+fn load(path: Option<PathBuf>, then: impl FnOnce(PathBuf, Config) -> ExitCode) -> ExitCode {
+    match path.ok_or(Error::Unnamed).and_then(|path| Ok((Config::load(&path)?, path))) {
+        Ok((config, path)) => then(path, config),
         Err(error) => {
             eprintln!("cherrypass: {error}");
             ExitCode::from(BAD_CONFIGURATION)
@@ -60,11 +60,11 @@
     }
 }
 
-fn serve(config: Config, level: LevelFilter) -> ExitCode {
+fn serve(path: PathBuf, config: Config, level: LevelFilter) -> ExitCode {
     logger::start(level);
     let listen = config.listen;
-    let started = Dispatcher::start(config).and_then(|dispatcher| {
-        shutdown::watch(dispatcher.mailbox.clone())?;
+    let started = Dispatcher::start(config.clone()).and_then(|(dispatcher, tell)| {
+        signals::watch(path, config, tell)?;
         Ok(dispatcher)
     });
     match started {
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -19,7 +19,7 @@
 use cherrypass::ids::*;
 use cherrypass::settings::Effect;
 use cherrypass::time::{Span, Time};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, Sender};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -30,8 +30,12 @@
 const OPEN_MOST: usize = 32;
 /// And the most answers that it may leave unread.
 const UNREAD_MOST: usize = 4 * OPEN_MOST;
+/// By so much a limit may pass its band's hard limit, for the way and for rounding.
+const LIMIT_SLACK: Span = Span::millis(50);
 const SWEEP: Span = Span::millis(1_000);
 const TOLD: u32 = 10;
+/// How many messages of clients are taken before others are looked for.
+const AT_ONCE: usize = 16;
 /// For so long after SIGTERM visits may still come.
 const STILL_COMING: Span = Span::millis(1_000);
 const STOP_LOOK: Span = Span::millis(20);
@@ -66,6 +70,7 @@
     asked: Asked,
     read: Time,
     hand_offs: u8,
+    busy: Held,
 }
 
 struct Out {
@@ -88,7 +93,8 @@
 pub struct Router {
     config: Config,
     brain: Brain,
-    mailbox: Receiver<Input>,
+    /// Of hosts, the change log and signals; and of clients.
+    mailboxes: [Receiver<Input>; 2],
     own: Sender<Input>,
     room: Room,
     /// What open visits keep, and what answers that are not written yet do.
@@ -97,6 +103,8 @@
     due: DueTimes<Due>,
     clients: BTreeMap<ClientId, Client>,
     visits: BTreeMap<VisitId, Open>,
+    /// The clients' own ids of open visits.
+    txns: BTreeMap<Bytes, ClientId>,
     hand_offs: BTreeMap<HandOffId, Out>,
     hosts: BTreeMap<HostId, Known>,
     next: u32,
@@ -115,7 +123,7 @@
 }
 
 impl Router {
-    pub fn new(config: Config, own: Sender<Input>, mailbox: Receiver<Input>) -> Router {
+    pub fn new(config: Config, own: Sender<Input>, mailboxes: [Receiver<Input>; 2]) -> Router {
         let now = clock::now();
         let room = Room::new(config.reach.connections, config.held);
         let brain = Brain::start(config.settings.clone(), config.seed, now);
@@ -124,7 +132,7 @@
         Router {
             config,
             brain,
-            mailbox,
+            mailboxes,
             own,
             room,
             kept: 0,
@@ -132,6 +140,7 @@
             due,
             clients: BTreeMap::new(),
             visits: BTreeMap::new(),
+            txns: BTreeMap::new(),
             hand_offs: BTreeMap::new(),
             hosts: BTreeMap::new(),
             next: 0,
@@ -148,17 +157,16 @@
         while !self.done {
             let now = clock::now();
             let wait = self.due.first().map_or(SWEEP, |at| at - now);
-            let first = match mailbox::next_within(&self.mailbox, clock::duration(wait)) {
-                Ok(input) => Some(input),
-                Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return,
-            };
-            // What has come meanwhile is taken together, but due times don't wait for a full mailbox.
-            let waiting = self.mailbox.len();
-            let more: Vec<Input> = self.mailbox.try_iter().take(waiting).collect();
-            for input in first.into_iter().chain(more) {
-                self.take(input);
-                self.pull();
+            mailbox::wait_for(&self.mailboxes, clock::duration(wait));
+            // What has come meanwhile is taken together, of clients a part at a time; neither due times nor what
+            // hosts tell wait for a full mailbox.
+            for (place, most) in [(0, usize::MAX), (1, AT_ONCE)] {
+                let waiting = self.mailboxes[place].len().min(most);
+                for _ in 0..waiting {
+                    let Ok(input) = self.mailboxes[place].try_recv() else { break };
+                    self.take(input);
+                    self.pull();
+                }
             }
             self.fire();
             self.pull();
@@ -219,11 +227,11 @@
                 let (answers, unread) = Default::default();
                 self.clients.insert(client, Client { mailbox, line, open: BTreeMap::new(), answers, unread });
             }
-            FromClient::Visit { id, asked, at } => self.arrived(client, id, *asked, at),
-            FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None),
+            FromClient::Visit { id, asked, at, busy } => self.arrived(client, id, *asked, at, busy),
+            FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None, None),
             FromClient::Status { id } => {
                 let parts = msgpack::status(id, !self.hosts.is_empty());
-                self.answer(client, parts, None);
+                self.answer(client, parts, None, None);
             }
             FromClient::Withdrawn { ids } => {
                 let Some(known) = self.clients.get_mut(&client) else { return };
@@ -245,17 +253,31 @@
     fn close(&mut self, visit: VisitId) -> Option<Open> {
         let open = self.visits.remove(&visit)?;
         self.kept -= open.asked.weight();
+        self.txns.remove(&open.asked.txn);
         Some(open)
     }
 
-    fn arrived(&mut self, client: ClientId, id: u32, asked: Asked, at: Time) {
+    fn arrived(&mut self, client: ClientId, id: u32, asked: Asked, at: Time, busy: Held) {
         let Some(known) = self.clients.get_mut(&client) else { return };
         let names = &self.config.names.bands;
         let band = names.iter().position(|name| name.as_bytes() == &asked.band[..]);
         let found = band.and_then(|place| Some((place, self.config.settings.bands.get(place)?)));
+        // Guards against a client that keeps to no bounds: it pays for that itself, with all that it has open.
+        let twin = self.txns.get(&asked.txn);
+        let breach = match twin {
+            _ if known.open.len() >= OPEN_MOST => Some(Code::TooManyOpen),
+            Some(twin) if *twin == client => Some(Code::IdOpen),
+            _ => None,
+        };
+        if let Some(code) = breach {
+            known.line.end(code);
+            return;
+        }
         let fault = match found {
-            _ if known.open.len() >= OPEN_MOST => Some("too many open"),
             None => Some("method"),
+            // Guards against answers that could be taken for another visit's, and against hand-offs kept for ever.
+            Some(_) if twin.is_some() => Some("txn"),
+            Some((place, _)) if asked.limit > self.config.limits[place] + LIMIT_SLACK => Some("limit"),
             Some((_, band))
                 if matches!(band.effect, Effect::Deduplicated { .. }) && asked.unique.is_none() =>
             {
@@ -265,17 +287,18 @@
             Some(_) => None,
         };
         let Some((band, _)) = found.filter(|_| fault.is_none()) else {
-            self.answer(client, msgpack::bad(id, fault.unwrap_or("method")), None);
+            self.answer(client, msgpack::bad(id, fault.unwrap_or("method")), None, None);
             return;
         };
         if self.kept + asked.weight() > self.config.kept {
-            self.answer(client, msgpack::turned_back(id, Span::ZERO), None);
+            self.answer(client, msgpack::turned_back(id, Span::ZERO), None, Some(busy));
             return;
         }
         self.kept += asked.weight();
         let visit = VisitId(self.next);
         self.next = self.next.wrapping_add(1);
         known.open.insert(id, visit);
+        self.txns.insert(asked.txn.clone(), client);
         let call = Visit {
             id: visit,
             band: BandId(band as u8),
@@ -285,16 +308,16 @@
             kilobytes: None,
             hard_limit: at + asked.limit,
         };
-        self.visits.insert(visit, Open { client, id, asked, read: at, hand_offs: 0 });
+        self.visits.insert(visit, Open { client, id, asked, read: at, hand_offs: 0, busy });
         self.spent.open_most.fetch_max(self.visits.len(), Relaxed);
         self.spent.mailbox.push(clock::now() - at);
         self.brain.arrived(at, call);
     }
 
-    fn answer(&mut self, client: ClientId, parts: Parts, from: Option<(Time, Held)>) {
+    fn answer(&mut self, client: ClientId, parts: Parts, from: Option<(Time, Held)>, busy: Option<Held>) {
         let Some(known) = self.clients.get_mut(&client) else { return };
         let (answered, held) = from.unzip();
-        let mut answer = ToClient { parts, answered, held, unread: None };
+        let mut answer = ToClient { parts, answered, held, unread: None, busy };
         let weight = answer.weight();
         answer.unread = Some([known.answers.hold(1), known.unread.hold(weight), self.unread.hold(weight)]);
         let all = self.unread.amount();
@@ -317,7 +340,7 @@
         if let Some(known) = self.clients.get_mut(&open.client) {
             known.open.remove(&open.id);
         }
-        self.answer(open.client, parts(open.id), from);
+        self.answer(open.client, parts(open.id), from, Some(open.busy));
     }
 
     fn ended(&mut self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
@@ -479,7 +502,7 @@
     fn leave(&mut self, now: Time) {
         let unread: usize = self.clients.values().map(|client| client.answers.amount()).sum();
         let begun = self.stopping.unwrap_or(now);
-        if self.visits.is_empty() && unread == 0 || now > begun + self.config.longest + STILL_COMING {
+        if self.visits.is_empty() && unread == 0 || now > begun + self.config.longest() + STILL_COMING {
             self.tell_spent();
             log::info!("stopped: {} visits open, {unread} answers unread", self.visits.len());
             self.done = true;
@@ -544,7 +567,8 @@
     #[test_case(false; "one that is not")]
     fn no_next_hand_off_before_the_host_is_told(begun: bool) {
         let (own, mailbox) = unbounded();
-        let mut router = Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, mailbox);
+        let mut router =
+            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]);
         let hosts: Vec<_> = ["a", "b"].map(|name| (host_id(name), unbounded())).into_iter().collect();
         let entry = |host, phase| Listing {
             host,
@@ -571,7 +595,8 @@
         let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else {
             panic!()
         };
-        router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now() }));
+        let busy = Gauge::default().hold(1);
+        router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now(), busy }));
         router.pull();
         let sent = |(_, (_, sent)): &(HostId, (_, Receiver<ToHost>))| match sent.try_recv() {
             Ok(ToHost::HandOff(hand_off)) => Some(hand_off.way),
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -1,42 +1,45 @@
 //! Starts all actors of one dispatcher.
 use crate::config::Config;
 use crate::line::spawn;
-use crate::router::{Input, Router};
+use crate::router::Router;
+use crate::signals::Signalled;
 use crate::{changes, clients};
 use cherrypass::time::Span;
-use crossbeam_channel::{bounded, Sender};
+use crossbeam_channel::{bounded, unbounded};
 use std::io;
 use std::net::TcpListener;
 
 /// A dispatcher that listens; `run` serves until it is told to stop.
 pub struct Dispatcher {
     router: Router,
-    pub mailbox: Sender<Input>,
 }
 
-/// What may wait for the router; who sends more waits.
-const MAILBOX: usize = 128;
+/// What of clients may wait for the router; who sends more waits. What hosts, the change log and signals tell
+/// has a mailbox of its own: guards against a flood of clients that keeps answers and purges waiting.
+const CLIENTS: usize = 128;
 const PATIENCE_LEAST: Span = Span::millis(1_000);
 
 impl Dispatcher {
-    pub fn start(config: Config) -> io::Result<Dispatcher> {
+    pub fn start(config: Config) -> io::Result<(Dispatcher, Signalled)> {
         let listener = TcpListener::bind(config.listen)?;
-        let (own, mailbox) = bounded(MAILBOX);
+        let (own, mailbox) = unbounded();
+        let (clients_own, clients) = bounded(CLIENTS);
+        let (moves, moved) = unbounded();
         let mut last = 0;
         let (known, fault) = changes::decode(&config.known, &config.names, &mut last);
         if let Some(fault) = fault.filter(|_| !config.known.is_null()) {
             log::warn!("known changes: {fault}; taken up to change {last}");
         }
         log::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
-        let mut router = Router::new(config.clone(), own.clone(), mailbox);
+        let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients]);
         known.into_iter().for_each(|change| router.changed(change));
-        let (clients_own, changes_own, spent) = (own.clone(), own.clone(), router.spent.clone());
-        let patience = config.longest.max(PATIENCE_LEAST);
+        let (changes_own, spent) = (own.clone(), router.spent.clone());
+        let patience = config.longest().max(PATIENCE_LEAST);
         spawn("listener", move || clients::listen(listener, config.clients, patience, spent, clients_own))?;
         spawn("changes", move || {
-            changes::follow(config.changelog, config.names, last, config.seed, changes_own);
+            changes::follow(config.changelog, moved, config.names, last, config.seed, changes_own);
         })?;
-        Ok(Dispatcher { router, mailbox: own })
+        Ok((Dispatcher { router }, Signalled { router: own, changes: moves }))
     }
 
     pub fn run(mut self) {
--- /dev/null
+++ b/crates/dispatcher/src/signals.rs
@@ -0,0 +1,46 @@
+//! Signals: SIGTERM tells the router, which serves on what comes and finishes what is open; SIGHUP reads the
+//! configuration anew. What can't be used leaves the one in force as it is.
+use crate::config::Config;
+use crate::line::spawn;
+use crate::router::Input;
+use crossbeam_channel::Sender;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+pub struct Signalled {
+    pub router: Sender<Input>,
+    /// The change log's thread, which is told of new addresses.
+    pub changes: Sender<SocketAddr>,
+}
+
+/// Signals are taken from here on; a thread of their own follows them.
+pub fn watch(path: PathBuf, config: Config, tell: Signalled) -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    spawn("signals", move || {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                reload(&path, &config, &tell.changes);
+            } else if tell.router.send(Input::Stop).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(())
+}
+
+fn reload(path: &std::path::Path, config: &Config, changes: &Sender<SocketAddr>) {
+    let new = match Config::load(path) {
+        Ok(new) => new,
+        Err(error) => {
+            log::warn!("reload: {error}; the configuration in force stays");
+            return;
+        }
+    };
+    log::info!("reload: change log at {}", new.changelog);
+    if config.is_new_beyond_changelog(&new) {
+        log::warn!("reload: more than the change log's address is new; that is taken at the next start");
+    }
+    let _ = changes.send(new.changelog);
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -16,7 +16,7 @@
     Unrepeatable,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Band {
     pub effect: Effect,
     pub quoted: Span,
@@ -26,7 +26,7 @@
     pub writes: bool,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ColdStart {
     pub share: f64,
     pub ramp: Span,
@@ -34,7 +34,7 @@
     pub window: Span,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub me: u32,
     pub dispatchers: u32,
