--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,7 +14,7 @@
 // The design's open values.
 const ALPHA: f64 = 1.0;
 const HALVING: Span = Span::millis(10_000);
-const FORGET: Span = Span::millis(30_000);
+pub(crate) const FORGET: Span = Span::millis(30_000);
 const TOP_RANK: u8 = 3;
 const LOWEST_RANK: u8 = 1;
 const TOP_SHARE: f64 = 0.2;
@@ -34,6 +34,8 @@
 const BAD_LEAST: f64 = 0.35;
 const BAD_OVER_PEERS: f64 = 5.0;
 const BAD_ALONE: f64 = 0.75;
+const BAD_WEIGHT: [f64; 2] = [0.12, 0.15];
+const ERRORS_ALIKE: usize = 2;
 const TRIALS_TO_OPEN: u32 = 3;
 const REST_FIRST: Span = Span::millis(500);
 const REST_MOST: Span = Span::millis(4_000);
@@ -117,10 +119,9 @@
     pub fn ended(&mut self, now: Time, end: Ended) {
         let Some(sent) = self.sent.remove(&(end.visit, end.number)) else { return };
         let by_cache = self.hosts.get(&sent.host).is_some_and(|h| self.is_cache(h));
-        if let (true, Some(full)) = (by_cache, end.link_full) {
-            self.gate.link = Some((now, full));
-        }
+        self.gate.link = end.link_full.filter(|_| by_cache).map(|full| (now, full)).or(self.gate.link);
         self.learn(now, &sent, &end);
+        self.weigh_errors(now, &sent, &end);
         if end.outcome == Outcome::Settled && sent.host == sent.copy.2 {
             self.copies.entry(sent.copy).or_default().settled = Some(now);
         }
@@ -144,6 +145,25 @@
         }
     }
 
+    /// An error is held against its host once the visit goes well elsewhere. Guards against visits that no host
+    /// can serve: the third host's error ends them, none is blamed, and they give back the further hand-offs
+    /// they took. Harms where three hosts fail alike: that is found out late.
+    fn weigh_errors(&mut self, now: Time, sent: &Sent, end: &Ended) {
+        let Some(open) = self.visits.get_mut(&end.visit) else { return };
+        if end.outcome == Outcome::Error && !source_at_fault(end) {
+            let others = open.errors.iter().filter(|other| other.host != sent.host).count();
+            open.errors.push(Sent { source: sent.source.filter(|_| end.note == Note::Untold), ..*sent });
+            open.hand_offs = if others >= ERRORS_ALIKE { u8::MAX } else { open.hand_offs };
+        } else if matches!(end.outcome, Outcome::Settled | Outcome::Miss) {
+            for sent in std::mem::take(&mut open.errors) {
+                self.judge(now, sent.at, sent.host, true, BAD_WEIGHT[0]);
+                if let Some(source) = sent.source {
+                    self.judge(now, sent.at, source, true, BAD_WEIGHT[1]);
+                }
+            }
+        }
+    }
+
     pub fn purged(&mut self, now: Time, group: GroupId, object: Option<ObjectId>, ago: Span) {
         self.purges.note(group, object, now - ago);
     }
@@ -232,10 +252,15 @@
             return false;
         }
         let Some((_, first)) = open.may_have_run else { return true };
-        let (Some(a), Some(b)) = (self.hosts.get(&first), self.hosts.get(&host)) else { return false };
+        let both = self.hosts.get(&first).zip(self.hosts.get(&host));
+        let alike = |same: fn(&Host, &Host) -> bool| both.is_some_and(|(a, b)| same(a, b));
         match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Deduplicated { group: Group::Location, .. }) => a.entry.location == b.entry.location,
-            Some(Effect::Deduplicated { group: Group::Cell, .. }) => a.entry.cell == b.entry.cell,
+            Some(Effect::Deduplicated { group: Group::Location, .. }) => {
+                alike(|a, b| a.entry.location == b.entry.location)
+            }
+            Some(Effect::Deduplicated { group: Group::Cell, .. }) => {
+                alike(|a, b| a.entry.cell == b.entry.cell)
+            }
             _ => true,
         }
     }
@@ -248,6 +273,7 @@
             Some(Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. }) => true,
             _ => !may_have_run,
         };
+        self.further.level += open.errors.len().saturating_sub(1) as f64;
         self.left(id);
         self.ready.push_back(if harmless {
             let come_back = COME_BACK.times(self.chance.gen_range(1.0..2.0));
@@ -272,8 +298,7 @@
         let Some(open) = self.visits.get(&visit.id) else { return Choice::GiveUp };
         let (popular, looked, lacks, since) = (open.popular, open.looked, open.lacks, open.since);
         let fits = |host: &HostId| self.fits(open, *host);
-        // Past the designated cache the parts of an object go apart, so that one large object does not take
-        // the next cache down with the first.
+        // Past the designated cache parts go apart: a large object doesn't take the next cache down as well.
         let home = self.by_hash(visit.object.0, |h| self.is_cache(h)).first().copied();
         let mut caches =
             self.by_hash(visit.object.0 ^ (u64::from(visit.part) + 1) << 52, |h| self.is_cache(h));
@@ -326,20 +351,6 @@
         }
     }
 
-    /// Whether a cache was seen to hold a part since it started, since the part's last purge, and lately.
-    fn knows(&self, now: Time, visit: &Visit, cache: HostId) -> bool {
-        let copy = self.copies.get(&(visit.object, visit.part, cache));
-        let void = self.purges.last(visit.group, visit.object);
-        let void = void.max(self.hosts.get(&cache).and_then(|h| h.entry.since));
-        copy.and_then(|c| c.settled).is_some_and(|at| now < at + FORGET && Some(at) > void)
-    }
-
-    /// Whether another of this dispatcher's hand-offs likely fills the part at that cache now.
-    fn is_led(&self, now: Time, visit: &Visit, cache: HostId) -> bool {
-        let copy = self.copies.get(&(visit.object, visit.part, cache));
-        copy.is_some_and(|copy| copy.leads > 0) && !self.knows(now, visit, cache)
-    }
-
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).first().copied();
@@ -411,15 +422,10 @@
         caches.get(place).map(|h| h.entry.host)
     }
 
-    pub(crate) fn hash_weight(&self, host: &Host) -> f64 {
-        Some(host.entry.weight).filter(|weight| self.set.weights_steady && *weight > 0.0).unwrap_or(1.0)
-    }
-
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
         if let Some((rate, burst)) = self.cold_budget(now, id) {
-            // Less than one hand-off is a chance in proportion, and spent whether it comes or not, so that
-            // the parts of many dispatchers hold in sum.
+            // Less than one hand-off is a chance, spent whether it comes or not: many parts hold in sum.
             let level = self.hosts.get_mut(&id).map_or(0.0, |h| h.cold.refill(now, rate, burst));
             let comes = self.has_part(level / work);
             if let Some(host) = self.hosts.get_mut(&id).filter(|_| level < work) {
@@ -449,20 +455,6 @@
         Some((rate, rate * rules.window.as_seconds() * COLD_BURST))
     }
 
-    fn busy(&self, id: HostId) -> f64 {
-        self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
-    }
-
-    fn has_room(&mut self, id: HostId) -> bool {
-        let room = self.hosts.get(&id).map_or(0.0, |h| self.limit(h) - f64::from(h.in_flight));
-        self.has_part(room)
-    }
-
-    /// Whether a share of room takes one more: below one by chance, so that many shares hold in sum.
-    fn has_part(&mut self, room: f64) -> bool {
-        room >= 1.0 || room > 0.0 && self.chance.gen_bool(room)
-    }
-
     /// Guards against slow parents (ageing, crowded, cold, half broken, one or all): one whose fills take too
     /// much of the quoted time, and more than at its best, is named for a part in proportion, and the next
     /// source for the rest. Harms where the next one is no better: it starts empty for the object.
@@ -476,7 +468,7 @@
 
     /// The limit on what is in flight at a host, held to what its listed size can serve in time: the gradient
     /// alone can't tell where all it ever saw was overload.
-    fn limit(&self, host: &Host) -> f64 {
+    pub(crate) fn limit(&self, host: &Host) -> f64 {
         let told = self.set.weights_told;
         let whole = if told { LIMIT_A_TRANSFER * host.entry.weight } else { LIMIT_START };
         let share = whole / self.set.sharers();
@@ -516,7 +508,10 @@
         let work = self.sending(sent.band);
         let sharers = self.set.sharers();
         let limit = self.hosts.get(&sent.host).map_or(LIMIT_LEAST, |h| self.limit(h));
+        let mut again = false;
         if let Some(host) = self.hosts.get_mut(&sent.host) {
+            // One connection's end speaks once, whatever was out on it.
+            again = end.outcome == Reset && std::mem::replace(&mut host.reset, now) == now;
             if host_answered {
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
@@ -536,8 +531,8 @@
         }
         self.learn_of_source(now, sent, end, filled);
         self.count(sent, -1);
-        if !matches!(end.outcome, Cancelled | Moot) {
-            self.judge(now, sent.at, sent.host, failed && !source_at_fault(end), 0.12);
+        if !matches!(end.outcome, Cancelled | Moot | Error) && !again || source_at_fault(end) {
+            self.judge(now, sent.at, sent.host, failed && !source_at_fault(end), BAD_WEIGHT[0]);
         }
     }
 
@@ -547,11 +542,14 @@
         let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else { return };
         let (untold, by_source) = (end.note == Untold, source_at_fault(end));
         let (settled, lacks) = (end.outcome == Settled, sent.held && end.outcome == Miss);
-        let lost = matches!(end.outcome, Error | TimedOut) && untold;
+        let lost = end.outcome == TimedOut && untold;
         if !untold {
             source.cold.level += f64::from(!filled && !by_source && !lacks) * work;
         }
-        let sure = filled || by_source || lost || sent.fill_share == 1.0 && end.outcome != Cancelled;
+        let sure = filled
+            || by_source
+            || lost
+            || sent.fill_share == 1.0 && !matches!(end.outcome, Cancelled | Error);
         let part = if sure { 1.0 } else { MAYBE_HIT };
         let onward = match end.note {
             FilledByOrigin | OriginFailed => 1.0,
@@ -579,7 +577,7 @@
         // A hit says nothing of a source on trial: only a part that was not seen at the cache counts there.
         let (id, bad, trial) = (source.entry.host, source.bad.value, source.shut.is_some());
         if sure || settled && untold && !(trial && sent.known) {
-            self.judge(now, sent.at, id, by_source || lost, 0.15 * part);
+            self.judge(now, sent.at, id, by_source || lost, BAD_WEIGHT[1] * part);
         }
         // One source that fails alone is the breaker's matter.
         let peers_bad = || self.peers(id).map(|h| h.bad.value).fold(0.0, f64::max);
@@ -615,20 +613,18 @@
         let Some(host) = self.hosts.get_mut(&id) else { return };
         host.bad.push(f64::from(failed), weight);
         let bad = host.bad.value;
-        if let Some(shut) = &mut host.shut {
-            if sent < shut.since {
-                return;
+        let Some(shut) = host.shut.as_mut().filter(|shut| sent >= shut.since) else {
+            if failed && host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad {
+                self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
             }
-            shut.passed = if failed { 0 } else { shut.passed + 1 };
-            shut.rest = if failed { (shut.rest + shut.rest).min(REST_MOST) } else { REST_FIRST };
-            shut.next_trial = if failed { now + shut.rest } else { now };
-            if shut.passed >= TRIALS_TO_OPEN {
-                host.shut = None;
-                host.bad = Mean::default();
-                self.log(format!("host {:x} back after {TRIALS_TO_OPEN} good trials", id.0));
-            }
-        } else if failed && host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad {
-            self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
+            return;
+        };
+        shut.passed = if failed { 0 } else { shut.passed + 1 };
+        shut.rest = if failed { (shut.rest + shut.rest).min(REST_MOST) } else { REST_FIRST };
+        shut.next_trial = if failed { now + shut.rest } else { now };
+        if shut.passed >= TRIALS_TO_OPEN {
+            (host.shut, host.bad) = (None, Mean::default());
+            self.log(format!("host {:x} back after {TRIALS_TO_OPEN} good trials", id.0));
         }
     }
 
@@ -666,9 +662,9 @@
 
     fn each_second(&mut self, now: Time) {
         self.purges.forget(now - self.set.purge_memory());
+        self.hosts.retain(|_, host| !host.is_gone() || host.in_flight > 0);
         for host in self.hosts.values_mut() {
-            host.carried.push(host.settled_work, 0.2);
-            host.settled_work = 0.0;
+            host.carried.push(std::mem::take(&mut host.settled_work), 0.2);
         }
         // Guards against fills that hang: what is overdue speaks before it ends.
         let age = |s: &Sent| (now - s.at).as_seconds() / self.quoted(s.band);
@@ -713,8 +709,7 @@
     limit + weight * (wanted - limit)
 }
 
-/// Whether a failure lies with the source of the fill rather than with the host that was asked: by the
-/// notes, and without them by the time that a turn-away took.
+/// Whether a failure is the source's, not the host's: by the notes, or by the time a turn-away took.
 fn source_at_fault(end: &Ended) -> bool {
     use Note::*;
     let late = end.outcome == Outcome::Full && end.note == Untold && end.took > AT_ONCE;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,12 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
+use crate::brain::FORGET;
 use crate::calls::{Decision, Fill, Listing, Phase, Visit};
 use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
 use crate::ids::{BandId, GroupId, HandOffNo, HostId, ObjectId, VisitId};
 use crate::popularity::Popularity;
 use crate::settings::{Band, Settings};
 use crate::time::{Span, Time};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -23,6 +24,8 @@
     pub entry: Listing,
     pub in_flight: u32,
     pub heard: Time,
+    /// When a connection to it last broke.
+    pub reset: Time,
     pub waiting_since: Time,
     pub gap: Mean,
     pub bad: Mean,
@@ -45,6 +48,7 @@
             entry,
             in_flight: 0,
             heard: now,
+            reset: Time::default(),
             waiting_since: now,
             gap: Mean::default(),
             bad: Mean::default(),
@@ -108,6 +112,8 @@
     /// The first hand-off that may have run: when it was sent and where to.
     pub may_have_run: Option<(Time, HostId)>,
     pub avoid: Vec<HostId>,
+    /// Hand-offs that ended in an error, and none in an answer since.
+    pub errors: Vec<Sent>,
 }
 
 impl Open {
@@ -122,6 +128,7 @@
             lacks: false,
             may_have_run: None,
             avoid: Vec::new(),
+            errors: Vec::new(),
         }
     }
 }
@@ -327,6 +334,38 @@
         self.hosts.values().filter(move |h| h.entry.host != id && h.is_ready() && alike(h))
     }
 
+    /// Whether another of this dispatcher's hand-offs likely fills the part at that cache now.
+    pub(crate) fn is_led(&self, now: Time, visit: &Visit, cache: HostId) -> bool {
+        let copy = self.copies.get(&(visit.object, visit.part, cache));
+        copy.is_some_and(|copy| copy.leads > 0) && !self.knows(now, visit, cache)
+    }
+
+    pub(crate) fn hash_weight(&self, host: &Host) -> f64 {
+        Some(host.entry.weight).filter(|weight| self.set.weights_steady && *weight > 0.0).unwrap_or(1.0)
+    }
+
+    pub(crate) fn busy(&self, id: HostId) -> f64 {
+        self.hosts.get(&id).map_or(f64::MAX, |h| f64::from(h.in_flight) / self.limit(h))
+    }
+
+    /// Whether a share of room takes one more: below one by chance, so that many shares hold in sum.
+    pub(crate) fn has_part(&mut self, room: f64) -> bool {
+        room >= 1.0 || room > 0.0 && self.chance.gen_bool(room)
+    }
+
+    /// Whether a cache was seen to hold a part since it started, since the part's last purge, and lately.
+    pub(crate) fn knows(&self, now: Time, visit: &Visit, cache: HostId) -> bool {
+        let copy = self.copies.get(&(visit.object, visit.part, cache));
+        let void = self.purges.last(visit.group, visit.object);
+        let void = void.max(self.hosts.get(&cache).and_then(|h| h.entry.since));
+        copy.and_then(|c| c.settled).is_some_and(|at| now < at + FORGET && Some(at) > void)
+    }
+
+    pub(crate) fn has_room(&mut self, id: HostId) -> bool {
+        let room = self.hosts.get(&id).map_or(0.0, |h| self.limit(h) - f64::from(h.in_flight));
+        self.has_part(room)
+    }
+
     pub(crate) fn log(&mut self, line: String) {
         self.ready.push_back(Decision::Log(line));
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -344,6 +344,8 @@
 #[test_case(include_str!("scenarios/cold_share.txt"); "cold_share")]
 #[test_case(include_str!("scenarios/cache_share.txt"); "cache_share")]
 #[test_case(include_str!("scenarios/own_pause.txt"); "own_pause")]
+#[test_case(include_str!("scenarios/bad_visits.txt"); "bad_visits")]
+#[test_case(include_str!("scenarios/broken_line.txt"); "broken_line")]
 fn scenario(text: &str) {
     let mut play = Play::new();
     let lines = text.lines().map(|line| line.split('#').next().unwrap_or(""));
