Nothing is kept for hosts gone; bounds sum from 32 MB on; a planned end answers all in time

Seen: the router kept every host ever listed with a mailbox (router.rs, retire), the module its figures; what clients hold in half-read messages (64 kB each) was in no bound, which came to more than 32 MB with 256 descriptors; an answer of the change log could take 8 MB as text; what was open with a long limit after SIGTERM was answered only at its own limit, after the time at which the process may be killed.

Changed: a host that has gone is dropped and its actor ends once nothing is out there; buffers are let go when they are empty; smaller parts for connections to hosts (4/16 of the memory), answers on their way (3/16) and unread ones (2/16); the change log's answers follow the memory; before the time of the kill the module gives up what is still open.

--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -25,7 +25,6 @@
 const WAIT_FIRST: Span = Span::millis(50);
 const WAIT_MOST: Span = Span::millis(500);
 const HEAD_MOST: usize = 8 * 1024;
-const ANSWER_MOST: usize = 8 * 1024 * 1024;
 
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -147,6 +146,7 @@
     moved: Receiver<SocketAddr>,
     names: Names,
     mut last: u64,
+    most: usize,
     seed: u64,
     router: Sender<Input>,
 ) {
@@ -159,7 +159,7 @@
             (at, line, wait) = (new, None, WAIT_FIRST);
         }
         let asked = clock::now();
-        let (changes, fault) = match ask(&mut line, at, &moved, last) {
+        let (changes, fault) = match ask(&mut line, at, &moved, last, most) {
             Err(Fault::Moved) => continue,
             Ok(answer) => decode(&answer, &names, &mut last),
             Err(fault) => (Vec::new(), Some(fault)),
@@ -214,6 +214,7 @@
     at: SocketAddr,
     moved: &Receiver<SocketAddr>,
     last: u64,
+    most: usize,
 ) -> Result<Value, Fault> {
     let stream = match line.take() {
         Some(stream) => stream,
@@ -231,7 +232,7 @@
     );
     (&stream).write_all(request.as_bytes())?;
     let reading = Reading { stream: &stream, moved, until: clock::now() + WHOLE };
-    let found = answer(reading);
+    let found = answer(reading, most);
     if !moved.is_empty() {
         return Err(Fault::Moved);
     }
@@ -240,8 +241,8 @@
     serde_json::from_slice(&body).map_err(|_| Fault::NotJson)
 }
 
-/// The body of an answer, and whether the connection stays open after it.
-pub fn answer(mut stream: impl Read) -> Result<(Vec<u8>, bool), Fault> {
+/// The body of an answer, no longer than that, and whether the connection stays open after it.
+pub fn answer(mut stream: impl Read, most: usize) -> Result<(Vec<u8>, bool), Fault> {
     let mut held = Vec::new();
     let mut more = |held: &mut Vec<u8>| -> Result<bool, Fault> {
         let mut piece = [0; 8192];
@@ -277,14 +278,14 @@
         }
     };
     held.drain(..head);
-    if length.is_some_and(|length| length > ANSWER_MOST) {
+    if length.is_some_and(|length| length > most) {
         return Err(Fault::NotHttp("its length"));
     }
     let mut body = Vec::new();
     loop {
         if chunked {
             match httparse::parse_chunk_size(&held).map_err(|_| Fault::NotHttp("a chunk"))? {
-                httparse::Status::Complete((_, size)) if size > ANSWER_MOST as u64 => {
+                httparse::Status::Complete((_, size)) if size > most as u64 => {
                     return Err(Fault::NotHttp("a chunk's length"));
                 }
                 httparse::Status::Complete((from, size)) if held.len() >= from + size as usize + 2 => {
@@ -302,7 +303,7 @@
             held.truncate(length);
             return Ok((held, keep));
         }
-        if body.len() + held.len() > 2 * ANSWER_MOST {
+        if body.len() + held.len() > most + HEAD_MOST {
             return Err(Fault::NotHttp("its length"));
         }
         if !more(&mut held)? {
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -246,6 +246,10 @@
                 messages.push(message);
             }
             self.place.line.left_over(buffer, !messages.is_empty());
+            if buffer.is_empty() {
+                // Guards against large messages whose room stays with connections that stand.
+                *buffer = BytesMut::new();
+            }
         }
         Ok(messages)
     }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -57,6 +57,8 @@
     pub held: usize,
     /// Bytes that open visits may keep.
     pub kept: usize,
+    /// An answer of the change log; read, it takes several times as much.
+    pub changes: usize,
 }
 
 /// The largest message of a host: an object of 240,000 bytes and room for its fields.
@@ -104,14 +106,15 @@
                 streams: (need("/bounds/streams_per_conn")? as usize).max(1),
                 connections: sockets
                     .saturating_sub(clients + OTHER_DESCRIPTORS)
-                    .min(6 * sixteenth / HOST_MESSAGE)
+                    .min(4 * sixteenth / HOST_MESSAGE)
                     .max(1),
             },
             limits,
             clients,
-            unread: 3 * sixteenth,
-            held: 4 * sixteenth,
+            unread: 2 * sixteenth,
+            held: 3 * sixteenth,
             kept: sixteenth,
+            changes: sixteenth / 4,
         })
     }
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -498,7 +498,10 @@
                 Ok(Begun::Spoilt) => return Code::Spoilt,
                 Ok(Begun::Short(more)) => {
                     line.left_over(&buffer, any);
-                    break more.max(PIECE);
+                    if buffer.is_empty() {
+                        buffer = BytesMut::new();
+                    }
+                    break more.clamp(PIECE, 4 * PIECE);
                 }
                 Err(code) => return code,
             };
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -60,10 +60,11 @@
     }
 }
 
-fn serve(path: PathBuf, config: Config, level: LevelFilter) -> ExitCode {
+fn serve(path: PathBuf, mut config: Config, level: LevelFilter) -> ExitCode {
     logger::start(level);
     let listen = config.listen;
     let started = Dispatcher::start(config.clone()).and_then(|(dispatcher, tell)| {
+        config.known = serde_json::Value::Null;
         signals::watch(path, config, tell)?;
         Ok(dispatcher)
     });
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -38,6 +38,10 @@
 const AT_ONCE: usize = 16;
 /// For so long after SIGTERM visits may still come.
 const STILL_COMING: Span = Span::millis(1_000);
+/// After SIGTERM it may be killed no sooner than the longest hard limit, counted as so much at most, and 0.7 s.
+const KILLED_MOST: Span = Span::millis(3_000);
+const LAST_ANSWERS: Span = Span::millis(400);
+const LAST_WRITES: Span = Span::millis(200);
 const STOP_LOOK: Span = Span::millis(20);
 
 pub enum Input {
@@ -87,7 +91,6 @@
     address: SocketAddr,
     since: Option<Time>,
     mailbox: Sender<ToHost>,
-    retired: bool,
 }
 
 pub struct Router {
@@ -444,10 +447,9 @@
         }
     }
 
-    /// The name stays known, so that a fill can name it as long as the module may.
+    /// Nothing is kept for a host that has gone; its actor ends by itself once nothing is out there.
     fn retire(&mut self, id: HostId) {
-        if let Some(known) = self.hosts.get_mut(&id) {
-            known.retired = true;
+        if let Some(known) = self.hosts.remove(&id) {
             let _ = known.mailbox.send(ToHost::Retire);
         }
     }
@@ -462,14 +464,13 @@
             return;
         };
         // A process that started anew has new connections, wherever it listens.
-        let same = known.is_some_and(|known| known.address == address && known.since >= since);
-        if same && !known.is_some_and(|known| known.retired) {
+        if known.is_some_and(|known| known.address == address && known.since >= since) {
             return;
         }
         self.retire(id);
         match Host::start(&name, address, self.config.reach, self.room.clone(), self.own.clone()) {
             Ok(mailbox) => {
-                self.hosts.insert(id, Known { name, address, since, mailbox, retired: false });
+                self.hosts.insert(id, Known { name, address, since, mailbox });
             }
             Err(error) => log::warn!("host {name} has no actor: {error}"),
         }
@@ -500,11 +501,17 @@
         );
     }
 
-    /// Ends the process once all is answered and written; until then it serves on what comes.
+    /// Ends the process once all is answered and written; until then it serves on what comes. Guards against
+    /// an end from outside: what would still be open then is given up in time to be told.
     fn leave(&mut self, now: Time) {
         let unread: usize = self.clients.values().map(|client| client.answers.amount()).sum();
-        let begun = self.stopping.unwrap_or(now);
-        if self.visits.is_empty() && unread == 0 || now > begun + self.config.longest() + STILL_COMING {
+        let last = self.stopping.unwrap_or(now) + self.config.longest().min(KILLED_MOST) + LAST_ANSWERS;
+        if now > last {
+            let open: Vec<VisitId> = self.visits.keys().copied().collect();
+            open.into_iter().for_each(|visit| self.brain.give_up(visit));
+            self.pull();
+        }
+        if self.visits.is_empty() && unread == 0 || now > last + LAST_WRITES {
             self.tell_spent();
             log::info!("stopped: {} visits open, {unread} answers unread", self.visits.len());
             self.done = true;
@@ -586,7 +593,7 @@
         router.brain.listed(clock::now(), &entries, true);
         for (id, (mailbox, _)) in &hosts {
             let (name, address) = (String::new(), "127.0.0.1:1".parse().unwrap());
-            let known = Known { name, address, since: None, mailbox: mailbox.clone(), retired: false };
+            let known = Known { name, address, since: None, mailbox: mailbox.clone() };
             router.hosts.insert(*id, known);
         }
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -20,14 +20,15 @@
 const PATIENCE_LEAST: Span = Span::millis(1_000);
 
 impl Dispatcher {
-    pub fn start(config: Config) -> io::Result<(Dispatcher, Signalled)> {
+    pub fn start(mut config: Config) -> io::Result<(Dispatcher, Signalled)> {
         let listener = TcpListener::bind(config.listen)?;
         let (own, mailbox) = unbounded();
         let (clients_own, clients) = bounded(CLIENTS);
         let (moves, moved) = unbounded();
         let mut last = 0;
-        let (known, fault) = changes::decode(&config.known, &config.names, &mut last);
-        if let Some(fault) = fault.filter(|_| !config.known.is_null()) {
+        let events = config.known.take();
+        let (known, fault) = changes::decode(&events, &config.names, &mut last);
+        if let Some(fault) = fault.filter(|_| !events.is_null()) {
             log::warn!("known changes: {fault}; taken up to change {last}");
         }
         log::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
@@ -41,7 +42,15 @@
             }
         })?;
         spawn("changes", move || {
-            changes::follow(config.changelog, moved, config.names, last, config.seed, changes_own);
+            changes::follow(
+                config.changelog,
+                moved,
+                config.names,
+                last,
+                config.changes,
+                config.seed,
+                changes_own,
+            );
         })?;
         Ok((Dispatcher { router }, Signalled { router: own, changes: moves }))
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -266,7 +266,7 @@
     }
 
     /// The final answer where none came by itself: turned back where that is harmless, else written off.
-    fn give_up(&mut self, id: VisitId) {
+    pub fn give_up(&mut self, id: VisitId) {
         let Some(open) = self.visits.get(&id) else { return };
         let may_have_run = open.may_have_run.is_some() || open.out > 0;
         let harmless = match self.band(open.visit.band).map(|band| band.effect) {
