The router writes to clients what goes at once, and sleeps at once again; a change not usable is passed over

Changed: the router waits by a select again and writes to clients itself what the machine takes at once; the thread of a client's own serves only while something waits for it, and send buffers hold a whole answer. Ids are numbers on the way, those given up go with their visit's time.

--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -64,8 +64,14 @@
     HostId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
 }
 
-/// The changes of an answer that come after the last one taken, and the fault that ended the reading.
-pub fn decode(answer: &Value, names: &Names, last: &mut u64) -> (Vec<Change>, Option<Fault>) {
+/// The changes of an answer that come after the last one taken, and the fault that ended the reading. Of the one
+/// that could not be used before only what can be is taken: guards against one that holds up all after it.
+pub fn decode(
+    answer: &Value,
+    names: &Names,
+    last: &mut u64,
+    unusable: Option<u64>,
+) -> (Vec<Change>, Option<Fault>) {
     let mut changes = Vec::new();
     let Some(results) = answer.get("results").and_then(Value::as_array) else {
         return (changes, Some(Fault::NotJson));
@@ -81,8 +87,13 @@
         if number > *last + 1 {
             return (changes, Some(Fault::Gap(number, *last)));
         }
-        match change(result, names) {
+        let partly = unusable == Some(number);
+        if partly {
+            log::warn!("change {number} is passed over in part");
+        }
+        match change(result, names, partly) {
             Ok(change) => changes.extend(change),
+            Err(_) if partly => {}
             Err(what) => return (changes, Some(Fault::Unusable(number, what))),
         }
         *last = number;
@@ -90,11 +101,14 @@
     (changes, None)
 }
 
-fn change(result: &Value, names: &Names) -> Result<Option<Change>, &'static str> {
+fn change(result: &Value, names: &Names, partly: bool) -> Result<Option<Change>, &'static str> {
     if let Some(fleet) = result.get("fleet") {
         let servers = fleet.get("servers").and_then(Value::as_array).ok_or("servers")?;
-        let hosts = servers.iter().map(|entry| listed(entry, names)).collect::<Result<_, _>>()?;
-        let whole = fleet.get("full").and_then(Value::as_bool).unwrap_or(false);
+        let hosts = servers.iter().map(|entry| listed(entry, names)).filter(|host| !partly || host.is_ok());
+        let hosts = hosts.collect::<Result<Vec<Listed>, _>>()?;
+        // Whoever can't be read is not gone for that.
+        let all = hosts.len() == servers.len();
+        let whole = all && fleet.get("full").and_then(Value::as_bool).unwrap_or(false);
         return Ok(Some(Change::List { whole, hosts }));
     }
     let Some(purge) = result.get("invalidate") else { return Ok(None) };
@@ -154,6 +168,7 @@
     let mut wait = WAIT_FIRST;
     let mut line: Option<TcpStream> = None;
     let mut failing = false;
+    let mut unusable = None;
     loop {
         if let Some(new) = moved.try_iter().last() {
             (at, line, wait) = (new, None, WAIT_FIRST);
@@ -161,7 +176,7 @@
         let asked = clock::now();
         let (changes, fault) = match ask(&mut line, at, &moved, last, most) {
             Err(Fault::Moved) => continue,
-            Ok(answer) => decode(&answer, &names, &mut last),
+            Ok(answer) => decode(&answer, &names, &mut last, unusable),
             Err(fault) => (Vec::new(), Some(fault)),
         };
         for change in changes {
@@ -169,6 +184,9 @@
                 return;
             }
         }
+        if let Some(Fault::Unusable(number, _)) = &fault {
+            unusable = Some(*number);
+        }
         if let Some(fault) = &fault {
             line = None;
             if !failing {
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -1,4 +1,4 @@
-//! Clients: the listener, for each connection a thread that reads, and one that writes to all.
+//! Clients: the listener, for each connection a thread that reads, and what is to go to each.
 use crate::bounds::{Gauge, Held};
 use crate::clock;
 use crate::ids::ClientId;
@@ -13,7 +13,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// What is read at once, which an open visit may keep.
@@ -34,7 +34,7 @@
 
 /// What clients tell the router; a visit with the time of its last byte.
 pub enum FromClient {
-    Opened { mailbox: Sender<(Arc<Outlet>, ToClient)>, outlet: Arc<Outlet> },
+    Opened { line: Arc<Line> },
     Visit { id: u32, asked: Box<Asked>, at: Time, busy: Held },
     Bad { id: u32, field: &'static str },
     Status { id: u32 },
@@ -57,8 +57,15 @@
 impl ToClient {
     /// What it counts for while it is not read; a body may keep the whole buffer that it was read into.
     pub fn weight(&self) -> usize {
-        let held = if self.held.is_some() { PIECE } else { 0 };
-        self.parts.iter().map(|part| part.len()).sum::<usize>().max(held)
+        self.length().max(if self.held.is_some() { PIECE } else { 0 })
+    }
+
+    fn length(&self) -> usize {
+        self.parts.iter().map(Bytes::len).sum()
+    }
+
+    fn bytes(&self) -> [&[u8]; 3] {
+        self.parts.each_ref().map(|part| &part[..])
     }
 
     fn written(&self, spent: &Spent) {
@@ -68,15 +75,48 @@
     }
 }
 
-/// What is to go to one client. Once it has left something unread it has a thread of its own.
+/// What is to go to one client.
 pub struct Outlet {
     pub line: Arc<Line>,
-    slow: OnceLock<Sender<ToClient>>,
+    /// A thread of its own, once there was a need for it, and how many answers wait for that.
+    slow: Option<Sender<Late>>,
+    waiting: Gauge,
+}
+
+/// An answer of which so much is written already.
+struct Late {
+    answer: ToClient,
+    written: usize,
+    _waiting: Held,
 }
 
 impl Outlet {
     pub fn new(line: Arc<Line>) -> Outlet {
-        Outlet { line, slow: OnceLock::new() }
+        Outlet { line, slow: None, waiting: Gauge::default() }
+    }
+
+    /// Writes what the machine takes at once, and never waits. Guards against a client that reads slowly and
+    /// holds the others up: the rest, and what comes until that is written, goes to a thread of its own.
+    pub fn send(&mut self, answer: ToClient, spent: &Arc<Spent>) {
+        let mut written = 0;
+        if self.waiting.amount() == 0 {
+            match self.line.write_now(&answer.bytes()) {
+                Ok(n) if n == answer.length() => return answer.written(spent),
+                Ok(n) => written = n,
+                Err(_) => return self.line.end(Code::WriteFailed),
+            }
+        }
+        if self.slow.is_none() {
+            let (mailbox, late) = unbounded();
+            let (line, spent) = (self.line.clone(), spent.clone());
+            if spawn("slow", move || write_slowly(&line, late, &spent)).is_err() {
+                return self.line.end(Code::NoThread);
+            }
+            self.slow = Some(mailbox);
+        }
+        if let Some(slow) = &self.slow {
+            let _ = slow.send(Late { answer, written, _waiting: self.waiting.hold(1) });
+        }
     }
 }
 
@@ -153,15 +193,7 @@
 }
 
 /// Takes connections in until the process ends.
-pub fn listen(
-    listener: TcpListener,
-    most: usize,
-    patience: Span,
-    spent: Arc<Spent>,
-    router: Sender<Input>,
-) -> io::Result<()> {
-    let (mailbox, answers) = unbounded();
-    spawn("answers", move || write_all(answers, &spent))?;
+pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) -> io::Result<()> {
     let places = Arc::new(Places { most, taken: Arc::default() });
     let looked_after = places.clone();
     spawn("places", move || looked_after.look_after())?;
@@ -182,7 +214,7 @@
         failing = false;
         let line = Arc::new(Line::new(stream));
         let place = Arc::new(Place { line, busy: Gauge::default(), asked: AtomicBool::new(false) });
-        let client = Client { id: ClientId(number), from, place, answers: mailbox.clone() };
+        let client = Client { id: ClientId(number), from, place };
         if !places.make_room() {
             client.ended(Code::TooManyClients, 0);
             continue;
@@ -208,7 +240,6 @@
     id: ClientId,
     from: SocketAddr,
     place: Arc<Place>,
-    answers: Sender<(Arc<Outlet>, ToClient)>,
 }
 
 impl Client {
@@ -226,8 +257,7 @@
         let set_up = line.set_up(Some(clock::duration(patience))).map_err(|_| Code::Reset);
         let end = set_up.and_then(|()| self.next(&mut buffer)).and_then(|messages| {
             self.place.asked.store(true, Relaxed);
-            let outlet = Arc::new(Outlet::new(line.clone()));
-            tell(FromClient::Opened { mailbox: self.answers.clone(), outlet })?;
+            tell(FromClient::Opened { line: line.clone() })?;
             self.take_all(buffer, messages, &mut visits, &tell)
         });
         line.end(end.err().unwrap_or(Code::ClosedByPeer));
@@ -291,39 +321,12 @@
     }
 }
 
-/// Writes to all clients what each takes at once. Guards against one that reads slowly and holds the others
-/// up: the rest of what is for it goes to a thread of its own.
-fn write_all(answers: Receiver<(Arc<Outlet>, ToClient)>, spent: &Arc<Spent>) {
-    while let Some((to, answer)) = mailbox::next(&answers) {
-        if let Some(slow) = to.slow.get() {
-            let _ = slow.send(answer);
-            continue;
-        }
-        match to.line.write_now(&answer.parts.each_ref().map(|part| &part[..])) {
-            Ok(written) if written == answer.parts.iter().map(Bytes::len).sum::<usize>() => {
-                answer.written(spent)
-            }
-            Ok(written) => {
-                let (mailbox, rest) = unbounded();
-                let _ = to.slow.set(mailbox);
-                let (line, spent) = (to.line.clone(), spent.clone());
-                if spawn("slow", move || write_slowly(&line, answer, written, rest, &spent)).is_err() {
-                    to.line.end(Code::NoThread);
-                }
-            }
-            Err(_) => to.line.end(Code::WriteFailed),
-        }
-    }
-}
-
-fn write_slowly(line: &Line, first: ToClient, written: usize, rest: Receiver<ToClient>, spent: &Spent) {
-    let (mut next, mut written) = (Some(first), written);
-    while let Some(answer) = next {
-        if let Err(error) = line.write(&answer.parts.each_ref().map(|part| &part[..]), written) {
+fn write_slowly(line: &Line, late: Receiver<Late>, spent: &Spent) {
+    while let Some(Late { answer, written, _waiting }) = mailbox::next(&late) {
+        if let Err(error) = line.write(&answer.bytes(), written) {
             line.end(if is_wait(&error) { Code::SlowReader } else { Code::WriteFailed });
             return;
         }
         answer.written(spent);
-        (next, written) = (mailbox::next(&rest), 0);
     }
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -3,7 +3,7 @@
 use crate::bounds::{Held, Room};
 use crate::clock;
 use crate::config::Reach;
-use crate::ids::{HandOffId, LineId};
+use crate::ids::{HandOffId, LineId, Txn};
 use crate::line::{spawn, Code, Line};
 use crate::mailbox;
 use crate::resp::{self, Answer, Begun};
@@ -20,6 +20,8 @@
 const PIECE: usize = 16 * 1024;
 /// A connection with less than this part of its most out takes one more before another is opened.
 const LIGHT: usize = 8;
+/// Past a visit's time its id may not come again, but for the time on the way.
+const LATE: Span = Span::millis(100);
 const FULL: std::time::Duration = std::time::Duration::from_millis(1);
 
 /// How far a hand-off has got on its way out: when it was wholly written, before which it can't have run.
@@ -119,6 +121,8 @@
 
 struct Out {
     id: HandOffId,
+    /// As what it stands on the wire.
+    wire: Bytes,
     seen: bool,
     copy: bool,
     until: Time,
@@ -132,9 +136,9 @@
     sent: u64,
     /// Hand-offs that wait for the connection to come up.
     pending: VecDeque<HandOff>,
-    out: BTreeMap<Bytes, Out>,
+    out: BTreeMap<Txn, Out>,
     /// Ids given up, and until when a late answer to them may come.
-    given_up: BTreeMap<Bytes, Time>,
+    given_up: BTreeMap<Txn, Time>,
     /// Those of which the host is not told yet.
     untold: Vec<HandOffId>,
     used: Time,
@@ -144,9 +148,9 @@
 }
 
 impl Pooled {
-    fn may_take(&self, txn: &Bytes, streams: usize) -> bool {
+    fn may_take(&self, txn: Txn, streams: usize) -> bool {
         // Guards against an answer to a hand-off given up that is taken for one of the same visit's next.
-        let taken = self.out.contains_key(txn) || self.given_up.contains_key(txn);
+        let taken = self.out.contains_key(&txn) || self.given_up.contains_key(&txn);
         !self.ending && self.worn.is_none() && !taken && self.out.len() < streams
     }
 
@@ -263,7 +267,8 @@
     /// Answers on one connection don't hold each other up, and each connection costs two threads.
     fn hand_off(&mut self, hand_off: HandOff) {
         let streams = self.reach.streams;
-        let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(&hand_off.txn, streams));
+        let txn = Txn::of(&hand_off.txn);
+        let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(txn, streams));
         let best = free.min_by_key(|(_, pooled)| {
             (pooled.out.len(), pooled.line.is_none(), std::cmp::Reverse(pooled.used))
         });
@@ -277,8 +282,8 @@
             return;
         };
         let HandOff { id, seen, copy, until, .. } = hand_off;
-        let out = Out { id, seen, copy, until, way: hand_off.way.clone() };
-        pooled.out.insert(hand_off.txn.clone(), out);
+        let (wire, way) = (hand_off.txn.clone(), hand_off.way.clone());
+        pooled.out.insert(txn, Out { id, wire, seen, copy, until, way });
         match line.filter(|_| pooled.line.is_some()) {
             Some(line) => self.say(line, ToLine::HandOff(hand_off)),
             None => pooled.pending.push_back(hand_off),
@@ -361,7 +366,7 @@
     fn never_mind(&mut self, id: HandOffId) {
         let now = clock::now();
         let found = self.lines.iter_mut().find_map(|(line, pooled)| {
-            let txn = pooled.out.iter().find(|(_, out)| out.id == id)?.0.clone();
+            let txn = *pooled.out.iter().find(|(_, out)| out.id == id)?.0;
             Some((*line, pooled.out.remove(&txn)?, txn, pooled))
         });
         let Some((line, out, txn, pooled)) = found else { return };
@@ -371,22 +376,24 @@
             return;
         }
         pooled.untold.push(id);
-        pooled.given_up.insert(txn.clone(), out.until.max(now));
+        pooled.given_up.insert(txn, out.until.max(now));
         // Guards against a connection on which nothing comes any more: what is on it won't be answered, and it
         // would look the least busy.
         let mute = |line: &Arc<Line>| out.way.written_at().is_some_and(|at| line.heard() < at);
         if now >= out.until && pooled.line.as_ref().is_some_and(mute) {
             pooled.worn = Some(Code::Mute);
         }
-        self.say(line, ToLine::NeverMind(id, resp::never_mind(&txn)));
+        self.say(line, ToLine::NeverMind(id, resp::never_mind(&out.wire)));
     }
 
     fn answered(&mut self, line: LineId, answer: Answer, held: Held, at: Time) {
         let Some(pooled) = self.lines.get_mut(&line) else { return };
         pooled.used = at;
-        let Some(out) = pooled.out.remove(&answer.id) else {
+        let txn = Txn::of(&answer.id);
+        let named = pooled.out.get(&txn).is_some_and(|out| out.wire == answer.id);
+        let Some(out) = named.then(|| pooled.out.remove(&txn)).flatten() else {
             // An answer to what was given up, or to nothing: dropped by its id.
-            pooled.given_up.remove(&answer.id);
+            pooled.given_up.remove(&txn);
             return;
         };
         // A copy that the client holds can only be the one where the client told of it. Guards also against bytes
@@ -404,7 +411,7 @@
     fn sweep(&mut self, now: Time) {
         let idle = self.reach.idle.times(0.8);
         for pooled in self.lines.values_mut() {
-            pooled.given_up.retain(|_, until| now < *until + idle);
+            pooled.given_up.retain(|_, until| now < *until + LATE);
             let Some(line) = pooled.line.as_ref().filter(|_| !pooled.ending) else { continue };
             // Guards against an answer that stops short or drips: nothing behind it can come through.
             if line.half_for(now).is_some_and(|span| span > self.reach.connect_limit) {
--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -1,5 +1,6 @@
 //! One connection, shared by the threads that read and write it, and the reason of its end.
 use crate::clock;
+use crate::config::HOST_MESSAGE;
 use cherrypass::time::{Span, Time};
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -98,6 +99,8 @@
     /// and connections that stand ends them.
     pub fn set_up(&self, write: Option<Duration>) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
+        // A whole answer is taken at once by one who reads, and more than that piles up for none.
+        socket2::SockRef::from(&self.stream).set_send_buffer_size(HOST_MESSAGE)?;
         self.stream.set_write_timeout(write)
     }
 
--- a/crates/dispatcher/src/mailbox.rs
+++ b/crates/dispatcher/src/mailbox.rs
@@ -13,13 +13,17 @@
     select.select().recv(mailbox).ok()
 }
 
-/// Waits until one of several has a message, whose senders may be gone, but no longer than told.
-pub fn wait_for<T>(mailboxes: &[Receiver<T>], wait: Duration) {
-    if mailboxes.iter().all(Receiver::is_empty) {
-        let mut select = Select::new();
-        for mailbox in mailboxes {
-            select.recv(mailbox);
-        }
-        let _ = select.ready_timeout(wait);
+/// The next message of the first of two mailboxes that has one, waited for no longer than told.
+pub fn next_within<T>(mailboxes: &[Receiver<T>; 2], wait: Duration) -> Option<T> {
+    let found = mailboxes.iter().find_map(|mailbox| mailbox.try_recv().ok());
+    if found.is_some() || wait.is_zero() {
+        return found;
     }
+    let mut select = Select::new();
+    for mailbox in mailboxes {
+        select.recv(mailbox);
+    }
+    let ready = select.select_timeout(wait).ok()?;
+    let mailbox = &mailboxes[ready.index()];
+    ready.recv(mailbox).ok()
 }
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::config::Config;
 use crate::hosts::{FromHost, HandOff, Host, ToHost, Way};
-use crate::ids::{ClientId, HandOffId};
+use crate::ids::{ClientId, HandOffId, Txn};
 use crate::line::Code;
 use crate::mailbox;
 use crate::msgpack::{self, Asked, Parts};
@@ -60,8 +60,7 @@
 }
 
 struct Client {
-    mailbox: Sender<(Arc<Outlet>, ToClient)>,
-    outlet: Arc<Outlet>,
+    outlet: Outlet,
     open: BTreeMap<u32, VisitId>,
     /// Answers given and not written yet, and their bytes.
     answers: Gauge,
@@ -107,7 +106,7 @@
     clients: BTreeMap<ClientId, Client>,
     visits: BTreeMap<VisitId, Open>,
     /// The clients' own ids of open visits.
-    txns: BTreeMap<Bytes, ClientId>,
+    txns: BTreeMap<Txn, ClientId>,
     hand_offs: BTreeMap<HandOffId, Out>,
     hosts: BTreeMap<HostId, Known>,
     next: u32,
@@ -160,7 +159,10 @@
         while !self.done {
             let now = clock::now();
             let wait = self.due.first().map_or(SWEEP, |at| at - now);
-            mailbox::wait_for(&self.mailboxes, clock::duration(wait));
+            if let Some(input) = mailbox::next_within(&self.mailboxes, clock::duration(wait)) {
+                self.take(input);
+                self.pull();
+            }
             // What has come meanwhile is taken together, of clients a part at a time; neither due times nor what
             // hosts tell wait for a full mailbox.
             for (place, most) in [(0, usize::MAX), (1, AT_ONCE)] {
@@ -226,10 +228,10 @@
 
     fn heard(&mut self, client: ClientId, what: FromClient) {
         match what {
-            FromClient::Opened { mailbox, outlet } => {
+            FromClient::Opened { line } => {
+                let outlet = Outlet::new(line);
                 let (answers, unread) = Default::default();
-                self.clients
-                    .insert(client, Client { mailbox, outlet, open: BTreeMap::new(), answers, unread });
+                self.clients.insert(client, Client { outlet, open: BTreeMap::new(), answers, unread });
             }
             FromClient::Visit { id, asked, at, busy } => self.arrived(client, id, *asked, at, busy),
             FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None, None),
@@ -257,7 +259,7 @@
     fn close(&mut self, visit: VisitId) -> Option<Open> {
         let open = self.visits.remove(&visit)?;
         self.kept -= open.asked.weight();
-        self.txns.remove(&open.asked.txn);
+        self.txns.remove(&Txn::of(&open.asked.txn));
         Some(open)
     }
 
@@ -267,7 +269,7 @@
         let band = names.iter().position(|name| name.as_bytes() == &asked.band[..]);
         let found = band.and_then(|place| Some((place, self.config.settings.bands.get(place)?)));
         // Guards against a client that keeps to no bounds: it pays for that itself, with all that it has open.
-        let twin = self.txns.get(&asked.txn);
+        let twin = self.txns.get(&Txn::of(&asked.txn));
         let breach = match twin {
             _ if known.open.len() >= OPEN_MOST => Some(Code::TooManyOpen),
             Some(twin) if *twin == client => Some(Code::IdOpen),
@@ -302,7 +304,7 @@
         let visit = VisitId(self.next);
         self.next = self.next.wrapping_add(1);
         known.open.insert(id, visit);
-        self.txns.insert(asked.txn.clone(), client);
+        self.txns.insert(Txn::of(&asked.txn), client);
         let call = Visit {
             id: visit,
             band: BandId(band as u8),
@@ -326,7 +328,7 @@
         answer.unread = Some([known.answers.hold(1), known.unread.hold(weight), self.unread.hold(weight)]);
         let all = self.unread.amount();
         self.spent.unread_most.fetch_max(all, Relaxed);
-        let _ = known.mailbox.send((known.outlet.clone(), answer));
+        known.outlet.send(answer, &self.spent);
         // Guards against clients that don't read: past the bounds the one that owes most pays for it alone.
         if known.answers.amount() > UNREAD_MOST {
             known.outlet.line.end(Code::SlowReader);
@@ -598,9 +600,8 @@
         }
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-        let outlet = Arc::new(Outlet::new(line.into()));
         let client = ClientId(0);
-        router.take(Input::Client(client, FromClient::Opened { mailbox: unbounded().0, outlet }));
+        router.take(Input::Client(client, FromClient::Opened { line: line.into() }));
         let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
             \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
         let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else {
@@ -628,4 +629,23 @@
         assert!(sent(other).is_some());
         assert!(!way.begin(), "written after it was called off");
     }
+
+    #[test]
+    fn nothing_is_kept_for_a_host_that_has_gone() {
+        let (own, mailbox) = unbounded();
+        let mut router =
+            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]);
+        for (seq, state) in ["in_service", "terminating", "terminated"].iter().enumerate() {
+            let entry = format!(
+                r#"{{"id":"s-a","addr":"127.0.0.1:1","zone":"edge","kind":"small","state":"{state}"}}"#
+            );
+            let text = format!(r#"{{"results":[{{"seq":{},"fleet":{{"servers":[{entry}]}}}}]}}"#, seq + 1);
+            let answer = serde_json::from_str(&text).unwrap();
+            let (changes, fault) =
+                crate::changes::decode(&answer, &router.config.names, &mut (seq as u64), None);
+            assert!(fault.is_none());
+            changes.into_iter().for_each(|change| router.changed(change));
+            assert_eq!(router.hosts.len(), usize::from(*state != "terminated"), "{state}");
+        }
+    }
 }
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -27,17 +27,17 @@
         let (moves, moved) = unbounded();
         let mut last = 0;
         let events = config.known.take();
-        let (known, fault) = changes::decode(&events, &config.names, &mut last);
+        let (known, fault) = changes::decode(&events, &config.names, &mut last, None);
         if let Some(fault) = fault.filter(|_| !events.is_null()) {
             log::warn!("known changes: {fault}; taken up to change {last}");
         }
         log::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
         let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients]);
         known.into_iter().for_each(|change| router.changed(change));
-        let (changes_own, spent) = (own.clone(), router.spent.clone());
+        let changes_own = own.clone();
         let patience = config.longest().max(PATIENCE_LEAST);
         spawn("listener", move || {
-            if let Err(error) = clients::listen(listener, config.clients, patience, spent, clients_own) {
+            if let Err(error) = clients::listen(listener, config.clients, patience, clients_own) {
                 log::error!("no clients are taken: {error}");
             }
         })?;
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -2,14 +2,14 @@
 //! and clients. Commands on lines or between `;`, `#` starts a comment:
 //! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `descriptors N`, `crowd N` (connections that only stand), `unknown` (an empty
 //! list at the start, and a change log that is mute), `start [N]`, `restart` (killed, and started anew),
-//! `list NAME STATE`, `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state), `client NAME [N] [deaf]`,
+//! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
 //! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
 //! `cut HOST` (ends its connections), `down HOST`, `deaf HOST` (new connections never come up), `term`,
 //! `move` (the change log goes on at another address, the old one is mute; SIGHUP), `reload TEXT` (so it reads then; SIGHUP),
-//! `exit CODE`, `log WORDS`, `wait MS`.
+//! `exit CODE`, `log WORDS`, `wait MS`, `holds N M` (no more threads and open files than that, before long).
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -184,6 +184,7 @@
                         break r#"{"seq":1,"results":[{"seq":1,"fleet":{"full":true,"servers":[]}}]}"#
                             .to_owned()
                     }
+                    "cut" | "stop" | "drip" => break self.results(since),
                     "state" => {
                         break format!(
                             r#"{{"seq":99,"results":[{{"seq":{},"fleet":{{"full":true,"servers":[{{"id":"x","state":"odd"}}]}}}}]}}"#,
@@ -197,7 +198,19 @@
                 }
                 sleep(Duration::from_millis(5));
             };
-            let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let mode = self.mode.lock().unwrap().clone();
+            match &mode[..] {
+                "cut" | "stop" => drop(stream.write_all(&answer.as_bytes()[..answer.len() - 9])),
+                "drip" => answer.bytes().for_each(|byte| {
+                    let _ = stream.write_all(&[byte]);
+                    sleep(QUIET);
+                }),
+                _ => drop(stream.write_all(answer.as_bytes())),
+            }
+            if mode == "cut" {
+                return;
+            }
         }
     }
 }
@@ -563,9 +576,12 @@
                 self.dispatchers.clear();
                 self.run_all();
             }
-            ["list", name, state] => {
-                self.list(&[(name, state)], false);
-                self.dispatchers.iter().for_each(|d| drop(d.log(&format!("is s-{name},"))));
+            ["list", name, state, more @ ..] => {
+                let odd = more.contains(&"odd").then_some((*name, "odd"));
+                self.list(&[Some((*name, *state)), odd].into_iter().flatten().collect::<Vec<_>>(), false);
+                if more.is_empty() {
+                    self.dispatchers.iter().for_each(|d| drop(d.log(&format!("is s-{name},"))));
+                }
             }
             ["purge", what] => {
                 let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis();
@@ -655,6 +671,16 @@
                 assert_eq!(status.code(), Some(code.parse().unwrap()));
             }
             ["log", words @ ..] => drop(self.dispatchers[0].log(&words.join(" "))),
+            ["holds", threads, files] => {
+                let folder = |name: &str| format!("/proc/{}/{name}", self.dispatchers[0].child.id());
+                let count = |name| std::fs::read_dir(folder(name)).unwrap().count();
+                let end = Instant::now() + PATIENCE;
+                let most: [usize; 2] = [threads.parse().unwrap(), files.parse().unwrap()];
+                while count("task") > most[0] || count("fd") > most[1] {
+                    assert!(Instant::now() < end, "{} threads, {} files", count("task"), count("fd"));
+                    sleep(QUIET);
+                }
+            }
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())),
             other => panic!("no such command: {other:?}"),
         }
@@ -676,6 +702,7 @@
 #[test_case(include_str!("sockets/bad_host.txt"); "bad_host")]
 #[test_case(include_str!("sockets/bad_feed.txt"); "bad_feed")]
 #[test_case(include_str!("sockets/reload.txt"); "reload")]
+#[test_case(include_str!("sockets/churn.txt"); "churn")]
 #[test_case(include_str!("sockets/standing.txt"); "standing")]
 fn plays(text: &str) {
     let mut play = Play::default();
