A failing cache takes what no other can; only trials bring a host back

A probe that wrote down the caches behind such a turn-back: one sound cache at its limit, the other shut out with 0.6 to 0.8 of its trials failing, idle. Ruled out: a reload or restart at fault (turn-backs at the two dispatchers of that location alike, whether restarted or not), cold budgets, the limit falling.

Changed in src/brain.rs: where no other cache takes a visit it goes to one that fails now and then, if that is warm and has room; not to one shut out for silence. Only hand-offs sent as trials bring a host back, and errors of one that is shut out count at once.

A scenario, failing without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -89,9 +89,7 @@
 
     /// A list of hosts, whole or only what changed. Hosts missing from a whole list are gone.
     pub fn listed(&mut self, now: Time, entries: &[Listing], whole: bool) {
-        for host in self.hosts.values_mut().filter(|_| whole) {
-            host.entry.phase = Phase::Gone;
-        }
+        self.hosts.values_mut().filter(|_| whole).for_each(|host| host.entry.phase = Phase::Gone);
         for entry in entries {
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
             if entry.since > host.entry.since {
@@ -108,9 +106,8 @@
     pub fn arrived(&mut self, now: Time, visit: Visit) {
         let popular = self.is_popular(now, &visit);
         self.further.level = (self.further.level + RETRY_SHARE).min(RETRY_BURST);
-        if let (Some(kb), Some(seen)) = (visit.kilobytes, self.bands.get_mut(usize::from(visit.band.0))) {
-            seen.kilobytes.push(kb, 0.01);
-        }
+        let told = self.bands.get_mut(usize::from(visit.band.0)).zip(visit.kilobytes);
+        told.into_iter().for_each(|(seen, kb)| seen.kilobytes.push(kb, 0.01));
         self.visits.insert(visit.id, Open::new(visit, popular, now));
         self.due.put(visit.hard_limit - ANSWER_MARGIN, Due::HardLimit(visit.id));
         self.waiting.push_back(visit.id);
@@ -140,16 +137,15 @@
             let source = sent.source.filter(|_| source_at_fault(&end));
             open.avoid.push(source.unwrap_or(sent.host));
         }
-        if open.out == 0 {
-            self.waiting.push_back(end.visit);
-        }
+        self.waiting.extend((open.out == 0).then_some(end.visit));
     }
 
     /// An error is held against its host once the visit goes well elsewhere. Guards against visits that no host
     /// can serve: the third host's error ends them, none is blamed, and they give back the further hand-offs
     /// they took. Harms where three hosts fail alike: that is found out late.
     fn weigh_errors(&mut self, now: Time, sent: &Sent, end: &Ended) {
-        let Some(open) = self.visits.get_mut(&end.visit) else { return };
+        let shut = self.hosts.get(&sent.host).is_some_and(|h| h.shut.is_some());
+        let Some(open) = self.visits.get_mut(&end.visit).filter(|_| !shut) else { return };
         if end.outcome == Outcome::Error && !source_at_fault(end) {
             let others = open.errors.iter().filter(|other| other.host != sent.host).count();
             open.errors.push(Sent { source: sent.source.filter(|_| end.note == Note::Untold), ..*sent });
@@ -317,7 +313,12 @@
         let (rank, join) = (if popular { TOP_RANK } else { LOWEST_RANK }, self.set.joins);
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
         let no_caches = caches.is_empty();
-        let cache = caches.into_iter().find(|cache| self.has_room(*cache) && self.able(now, *cache, work));
+        let mut cache = caches.iter().copied().find(|c| self.has_room(*c) && self.able(now, *c, work));
+        // A cache that fails now and then is better than none: it goes on where no other takes the visit.
+        if cache.is_none() {
+            let fails = |b: &Brain, c| b.hosts[&c].bad.value > BAD_LEAST && b.cold_budget(now, c).is_none();
+            cache = caches.into_iter().find(|c| fails(self, *c) && self.has_room(*c));
+        }
         if !no_caches && cache.is_none() {
             return Choice::GiveUp;
         }
@@ -384,12 +385,11 @@
         let lacks = std::mem::take(&mut open.lacks);
         let share = if sure { 1.0 } else { misses };
         let fill_share = if source.is_none() || joins { 0.0 } else { share };
-        for part in [Some(host), source] {
-            if let Some(known) = part.and_then(|part| self.hosts.get_mut(&part)) {
-                known.cold.level -= work;
-                if let Some(shut) = &mut known.shut {
-                    shut.next_trial = now + shut.rest;
-                }
+        for part in [Some(host), source].into_iter().flatten() {
+            let Some(known) = self.hosts.get_mut(&part) else { continue };
+            known.cold.level -= work;
+            for shut in known.shut.iter_mut().filter(|shut| now >= shut.next_trial) {
+                (shut.trial, shut.next_trial) = (now, now + shut.rest);
             }
         }
         let held = fill.is_some_and(|fill| fill.held);
@@ -505,13 +505,13 @@
             }
             slower = self.popularity.slower(sent.copy.0, end.took);
         }
-        let work = self.sending(sent.band);
-        let sharers = self.set.sharers();
+        let (work, sharers) = (self.sending(sent.band), self.set.sharers());
         let limit = self.hosts.get(&sent.host).map_or(LIMIT_LEAST, |h| self.limit(h));
         let mut again = false;
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             // One connection's end speaks once, whatever was out on it.
             again = end.outcome == Reset && std::mem::replace(&mut host.reset, now) == now;
+            again |= end.outcome == Error && host.shut.is_none();
             if host_answered {
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
@@ -531,7 +531,7 @@
         }
         self.learn_of_source(now, sent, end, filled);
         self.count(sent, -1);
-        if !matches!(end.outcome, Cancelled | Moot | Error) && !again || source_at_fault(end) {
+        if !matches!(end.outcome, Cancelled | Moot) && !again || source_at_fault(end) {
             self.judge(now, sent.at, sent.host, failed && !source_at_fault(end), BAD_WEIGHT[0]);
         }
     }
@@ -613,7 +613,7 @@
         let Some(host) = self.hosts.get_mut(&id) else { return };
         host.bad.push(f64::from(failed), weight);
         let bad = host.bad.value;
-        let Some(shut) = host.shut.as_mut().filter(|shut| sent >= shut.since) else {
+        let Some(shut) = host.shut.as_mut().filter(|shut| sent == shut.trial) else {
             if failed && host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad {
                 self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
             }
@@ -635,7 +635,7 @@
         let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
         let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else { return };
         if parent || all == 1 || shut * 2 <= all {
-            host.shut = Some(Shut { since: now, next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
+            host.shut = Some(Shut { trial: now, next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
             self.log(format!("host {:x} shut out: {why}", id.0));
             self.call_off(id);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,10 +10,11 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
-/// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
+/// An open circuit breaker: when trial visits go, and how many in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shut {
-    pub since: Time,
+    /// When the last trial was sent.
+    pub trial: Time,
     pub next_trial: Time,
     pub rest: Span,
     pub passed: u32,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -345,6 +345,7 @@
 #[test_case(include_str!("scenarios/cache_share.txt"); "cache_share")]
 #[test_case(include_str!("scenarios/own_pause.txt"); "own_pause")]
 #[test_case(include_str!("scenarios/bad_visits.txt"); "bad_visits")]
+#[test_case(include_str!("scenarios/last_cache.txt"); "last_cache")]
 #[test_case(include_str!("scenarios/broken_line.txt"); "broken_line")]
 fn scenario(text: &str) {
     let mut play = Play::new();
