Trials count however late their answers come; only errors at once wait for what follows

Cause: a result counted as a trial's only if it was the last trial sent, and a parent's answers take longer than the rest between trials, so that silent parents never came back (judge, shut.trial). Changed: each hand-off carries whether it was sent as a trial; those sent for want of another host are none.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,8 +15,7 @@
 const ALPHA: f64 = 1.0;
 const HALVING: Span = Span::millis(10_000);
 pub(crate) const FORGET: Span = Span::millis(30_000);
-const TOP_RANK: u8 = 3;
-const LOWEST_RANK: u8 = 1;
+const RANKS: [u8; 2] = [1, 3];
 const TOP_SHARE: f64 = 0.2;
 // Timer, final answers and further hand-offs.
 const ROUND: Span = Span::millis(10);
@@ -28,8 +27,7 @@
 // Health.
 const PHI_SILENT: f64 = 8.0;
 const SILENT_LEAST: Span = Span::millis(400);
-const GAP_LEAST: f64 = 0.02;
-const GAP_UNSURE: f64 = 0.6;
+const GAP: [f64; 2] = [0.02, 0.6];
 const PAUSED: Span = Span::millis(100);
 const BAD_LEAST: f64 = 0.35;
 const BAD_OVER_PEERS: f64 = 5.0;
@@ -37,8 +35,7 @@
 const BAD_WEIGHT: [f64; 2] = [0.12, 0.15];
 const ERRORS_ALIKE: usize = 2;
 const TRIALS_TO_OPEN: u32 = 3;
-const REST_FIRST: Span = Span::millis(500);
-const REST_MOST: Span = Span::millis(4_000);
+const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.7;
 const COLD_BURST: f64 = 0.2;
@@ -140,13 +137,13 @@
         self.waiting.extend((open.out == 0).then_some(end.visit));
     }
 
-    /// An error is held against its host once the visit goes well elsewhere. Guards against visits that no host
-    /// can serve: the third host's error ends them, none is blamed, and they give back the further hand-offs
-    /// they took. Harms where three hosts fail alike: that is found out late.
+    /// An error at once is held against its host when the visit goes well elsewhere. Guards against visits
+    /// that no host can serve: a third host's error ends them, none is blamed, and further hand-offs are
+    /// given back. Harms where three hosts fail alike: that is found out late.
     fn weigh_errors(&mut self, now: Time, sent: &Sent, end: &Ended) {
         let shut = self.hosts.get(&sent.host).is_some_and(|h| h.shut.is_some());
         let Some(open) = self.visits.get_mut(&end.visit).filter(|_| !shut) else { return };
-        if end.outcome == Outcome::Error && !source_at_fault(end) {
+        if is_hasty(end) {
             let others = open.errors.iter().filter(|other| other.host != sent.host).count();
             open.errors.push(Sent { source: sent.source.filter(|_| end.note == Note::Untold), ..*sent });
             open.hand_offs = if others >= ERRORS_ALIKE { u8::MAX } else { open.hand_offs };
@@ -310,7 +307,7 @@
         let deep = !self.origin.is_late() || self.has_part(self.origin.limit - self.origin.fills);
         sources.extend(origin.filter(|_| deep));
         let work = self.sending(visit.band);
-        let (rank, join) = (if popular { TOP_RANK } else { LOWEST_RANK }, self.set.joins);
+        let (rank, join) = (RANKS[usize::from(popular)], self.set.joins);
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
         let no_caches = caches.is_empty();
         let mut cache = caches.iter().copied().find(|c| self.has_room(*c) && self.able(now, *c, work));
@@ -385,19 +382,20 @@
         let lacks = std::mem::take(&mut open.lacks);
         let share = if sure { 1.0 } else { misses };
         let fill_share = if source.is_none() || joins { 0.0 } else { share };
+        let due = self.hosts.get(&host).and_then(|h| h.shut).is_none_or(|shut| now >= shut.next_trial);
+        let tried = if due { now } else { Time::default() };
         for part in [Some(host), source].into_iter().flatten() {
             let Some(known) = self.hosts.get_mut(&part) else { continue };
             known.cold.level -= work;
-            for shut in known.shut.iter_mut().filter(|shut| now >= shut.next_trial) {
-                (shut.trial, shut.next_trial) = (now, now + shut.rest);
-            }
+            known.shut.iter_mut().filter(|s| now >= s.next_trial).for_each(|s| s.next_trial = now + s.rest);
         }
         let held = fill.is_some_and(|fill| fill.held);
         let onward = if lacks || to_origin { 1.0 } else { self.origin.onward.or(ONWARD_START) };
         let origin_share = if held { 0.0 } else { fill_share * onward };
         let leads = !known && fill_share > 0.0;
         let band = visit.band;
-        let sent = Sent { at: now, host, source, band, copy, known, leads, fill_share, origin_share, held };
+        let sent =
+            Sent { at: now, tried, host, source, band, copy, known, leads, fill_share, origin_share, held };
         self.count(&sent, 1);
         self.sent.insert((id, number), sent);
         let until = visit.hard_limit - ANSWER_MARGIN;
@@ -492,7 +490,6 @@
 
     fn learn(&mut self, now: Time, sent: &Sent, end: &Ended) {
         use Outcome::*;
-        let host_answered = matches!(end.outcome, Settled | Error | Full | Miss);
         let failed = matches!(end.outcome, Error | TimedOut | ConnectFailed | Reset);
         let (settled, untold) = (end.outcome == Settled, end.note == Note::Untold);
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin | Note::Joined);
@@ -500,9 +497,8 @@
         let late = took / self.band(sent.band).map_or(SECOND, |band| band.quoted).as_seconds();
         let mut slower = None;
         if settled && !filled {
-            if let Some(seen) = self.bands.get_mut(usize::from(sent.band.0)) {
-                seen.sending.push(took, 0.02);
-            }
+            let seen = self.bands.get_mut(usize::from(sent.band.0));
+            seen.into_iter().for_each(|seen| seen.sending.push(took, 0.02));
             slower = self.popularity.slower(sent.copy.0, end.took);
         }
         let (work, sharers) = (self.sending(sent.band), self.set.sharers());
@@ -511,8 +507,8 @@
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             // One connection's end speaks once, whatever was out on it.
             again = end.outcome == Reset && std::mem::replace(&mut host.reset, now) == now;
-            again |= end.outcome == Error && host.shut.is_none();
-            if host_answered {
+            again |= is_hasty(end) && host.shut.is_none();
+            if matches!(end.outcome, Settled | Error | Full | Miss) {
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
             }
@@ -531,8 +527,8 @@
         }
         self.learn_of_source(now, sent, end, filled);
         self.count(sent, -1);
-        if !matches!(end.outcome, Cancelled | Moot) && !again || source_at_fault(end) {
-            self.judge(now, sent.at, sent.host, failed && !source_at_fault(end), BAD_WEIGHT[0]);
+        if !matches!(end.outcome, Cancelled | Moot) && !again {
+            self.judge(now, sent.tried, sent.host, failed && !source_at_fault(end), BAD_WEIGHT[0]);
         }
     }
 
@@ -542,14 +538,14 @@
         let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) else { return };
         let (untold, by_source) = (end.note == Untold, source_at_fault(end));
         let (settled, lacks) = (end.outcome == Settled, sent.held && end.outcome == Miss);
-        let lost = end.outcome == TimedOut && untold;
+        let lost = matches!(end.outcome, Error | TimedOut) && untold && !is_hasty(end);
         if !untold {
             source.cold.level += f64::from(!filled && !by_source && !lacks) * work;
         }
         let sure = filled
             || by_source
             || lost
-            || sent.fill_share == 1.0 && !matches!(end.outcome, Cancelled | Error);
+            || sent.fill_share == 1.0 && end.outcome != Cancelled && !is_hasty(end);
         let part = if sure { 1.0 } else { MAYBE_HIT };
         let onward = match end.note {
             FilledByOrigin | OriginFailed => 1.0,
@@ -613,14 +609,14 @@
         let Some(host) = self.hosts.get_mut(&id) else { return };
         host.bad.push(f64::from(failed), weight);
         let bad = host.bad.value;
-        let Some(shut) = host.shut.as_mut().filter(|shut| sent == shut.trial) else {
+        let Some(shut) = host.shut.as_mut().filter(|shut| sent >= shut.since) else {
             if failed && host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad {
                 self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
             }
             return;
         };
         shut.passed = if failed { 0 } else { shut.passed + 1 };
-        shut.rest = if failed { (shut.rest + shut.rest).min(REST_MOST) } else { REST_FIRST };
+        shut.rest = if failed { (shut.rest + shut.rest).min(REST[1]) } else { REST[0] };
         shut.next_trial = if failed { now + shut.rest } else { now };
         if shut.passed >= TRIALS_TO_OPEN {
             (host.shut, host.bad) = (None, Mean::default());
@@ -635,7 +631,7 @@
         let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
         let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else { return };
         if parent || all == 1 || shut * 2 <= all {
-            host.shut = Some(Shut { trial: now, next_trial: now + REST_FIRST, rest: REST_FIRST, passed: 0 });
+            host.shut = Some(Shut { since: now, next_trial: now + REST[0], rest: REST[0], passed: 0 });
             self.log(format!("host {:x} shut out: {why}", id.0));
             self.call_off(id);
         }
@@ -651,7 +647,7 @@
 
     /// Phi accrual: a host is silent when its present silence is very unlikely given the gaps before.
     fn watch_silence(&mut self, now: Time) {
-        let phi = |h: &Host| h.phi(now, GAP_LEAST.max(GAP_UNSURE / f64::from(h.gap.seen.max(1))));
+        let phi = |h: &Host| h.phi(now, GAP[0].max(GAP[1] / f64::from(h.gap.seen.max(1))));
         let waits = |h: &&Host| h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
         let found = self.hosts.values().filter(waits).filter(|h| phi(h) > PHI_SILENT && !self.is_origin(h));
         let found: Vec<(HostId, f64)> = found.map(|h| (h.entry.host, phi(h))).collect();
@@ -709,6 +705,11 @@
     limit + weight * (wanted - limit)
 }
 
+/// An error that came at once, which may be the visit's own fault.
+fn is_hasty(end: &Ended) -> bool {
+    end.outcome == Outcome::Error && end.took <= AT_ONCE && !source_at_fault(end)
+}
+
 /// Whether a failure is the source's, not the host's: by the notes, or by the time a turn-away took.
 fn source_at_fault(end: &Ended) -> bool {
     use Note::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,11 +10,10 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
-/// An open circuit breaker: when trial visits go, and how many in a row went well.
+/// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shut {
-    /// When the last trial was sent.
-    pub trial: Time,
+    pub since: Time,
     pub next_trial: Time,
     pub rest: Span,
     pub passed: u32,
@@ -137,6 +136,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Sent {
     pub at: Time,
+    /// The same for a breaker that is open, or long ago: what goes to a host for want of another is no trial.
+    pub tried: Time,
     pub host: HostId,
     pub source: Option<HostId>,
     pub band: BandId,
