--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -123,6 +123,7 @@
 /// A connection as the listener sees it, for as long as its reader lives.
 struct Place {
     line: Arc<Line>,
+    opened: Time,
     /// Visits that are open, and answers to them that are not written yet.
     busy: Gauge,
     asked: AtomicBool,
@@ -135,13 +136,15 @@
 
     /// Why it is to end. Guards against connections that stay mute, break off in a message or are not used.
     fn fault(&self, now: Time) -> Option<Code> {
-        let asked = self.asked.load(Relaxed);
+        let mute = (!self.asked.load(Relaxed)).then(|| now - self.opened);
         let half = self.line.half_for(now);
         let unused = self.unused_for(now).filter(|_| half.is_none());
         let at_most = |span: Option<Span>, most: Span, code| span.filter(|span| *span > most).map(|_| code);
-        at_most(half, HALF, Code::HalfMessage)
-            .or(at_most(unused, MUTE, Code::Mute).filter(|_| !asked))
-            .or(at_most(unused, IDLE, Code::Idle))
+        at_most(half, HALF, Code::HalfMessage).or(at_most(mute, MUTE, Code::Mute)).or(at_most(
+            unused,
+            IDLE,
+            Code::Idle,
+        ))
     }
 }
 
@@ -149,7 +152,7 @@
 /// those that ask: the longest mute and then the longest unused makes room.
 struct Places {
     most: usize,
-    taken: Arc<Mutex<Vec<Arc<Place>>>>,
+    taken: Mutex<Vec<Arc<Place>>>,
 }
 
 impl Places {
@@ -165,15 +168,14 @@
             if now > begun + ROOM_WAIT {
                 return false;
             }
-            let all = self.all();
-            let standing = all.iter().filter(|place| !place.line.is_ended());
-            let unused = standing.filter_map(|place| Some((place.unused_for(now)?, place)));
-            let unused = unused.filter(|(span, _)| *span > NEW);
-            let longest = unused.max_by_key(|(span, p)| (!p.asked.load(Relaxed), *span));
-            let longest = longest.map(|(_, place)| place.line.clone());
-            drop(all);
-            if let Some(line) = longest {
-                line.end(Code::RoomNeeded);
+            let standing: Vec<_> =
+                self.all().iter().filter(|place| !place.line.is_ended()).cloned().collect();
+            // One that has ended makes room as soon as its thread has seen it.
+            if standing.len() >= self.most {
+                let unused = standing.iter().filter_map(|place| Some((place.unused_for(now)?, place)));
+                let unused = unused.filter(|(span, _)| *span > NEW);
+                let longest = unused.max_by_key(|(span, p)| (!p.asked.load(Relaxed), *span));
+                longest.into_iter().for_each(|(_, place)| place.line.end(Code::RoomNeeded));
             }
             std::thread::sleep(ROOM_LOOK);
         }
@@ -194,7 +196,7 @@
 
 /// Takes connections in until the process ends.
 pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) -> io::Result<()> {
-    let places = Arc::new(Places { most, taken: Arc::default() });
+    let places = Arc::new(Places { most, taken: Mutex::default() });
     let looked_after = places.clone();
     spawn("places", move || looked_after.look_after())?;
     let mut failing = false;
@@ -213,7 +215,12 @@
         };
         failing = false;
         let line = Arc::new(Line::new(stream));
-        let place = Arc::new(Place { line, busy: Gauge::default(), asked: AtomicBool::new(false) });
+        let place = Arc::new(Place {
+            line,
+            opened: clock::now(),
+            busy: Gauge::default(),
+            asked: AtomicBool::new(false),
+        });
         let client = Client { id: ClientId(number), from, place };
         if !places.make_room() {
             client.ended(Code::TooManyClients, 0);
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -264,7 +264,7 @@
     }
 
     /// The connection with the least out, or a new one where that has its part and this host's share permits.
-    /// Answers on one connection don't hold each other up, and each connection costs two threads.
+    /// Answers on one connection don't hold each other up, and each connection costs a thread.
     fn hand_off(&mut self, hand_off: HandOff) {
         let streams = self.reach.streams;
         let txn = Txn::of(&hand_off.txn);
