Clean-up after a second reading: one write loop, one place for a message's parts, one gauge

Behaviour as before. line.rs had two loops that write the parts, one of them with no end where a write takes nothing: one now, and that is an error in both. hosts.rs worded a message's parts twice (written_by and the start of write_slowly): with_parts and begin, and the thread of a connection's own takes what has begun as its first message. Answers not yet written were counted by the router and by the outlet: the outlet's count serves both. A client's place is given back in one function; a visit's id is parsed once as it arrives.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -49,7 +49,7 @@
     /// The host's answer that this passes on takes room until it is written.
     pub held: Option<Held>,
     /// So does any answer at its client and in all until it is written.
-    pub unread: Option<[Held; 3]>,
+    pub unread: Option<[Held; 2]>,
     /// Until then the visit's connection is in use.
     pub busy: Option<Held>,
 }
@@ -91,6 +91,11 @@
 }
 
 impl Outlet {
+    /// How many answers are not written yet.
+    pub fn waiting(&self) -> usize {
+        self.waiting.amount()
+    }
+
     pub fn new(line: Arc<Line>) -> Outlet {
         Outlet { line, slow: None, waiting: Gauge::default() }
     }
@@ -99,7 +104,7 @@
     /// holds the others up: the rest, and what comes until that is written, goes to a thread of its own.
     pub fn send(&mut self, answer: ToClient, spent: &Arc<Spent>) {
         let mut written = 0;
-        if self.waiting.amount() == 0 {
+        if self.waiting() == 0 {
             match self.line.write_now(&answer.bytes()) {
                 Ok(n) if n == answer.length() => return answer.written(spent),
                 Ok(n) => written = n,
@@ -160,6 +165,10 @@
         self.taken.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn leave(&self, gone: &Arc<Place>) {
+        self.all().retain(|place| !Arc::ptr_eq(place, gone));
+    }
+
     /// Waits until there is room, but not for long: a newcomer that is not taken waits as well.
     fn make_room(&self) -> bool {
         let begun = clock::now();
@@ -230,13 +239,13 @@
         places.all().push(place.clone());
         let run = move || {
             let visits = client.run(patience, &router);
-            own.all().retain(|place| !Arc::ptr_eq(place, &client.place));
+            own.leave(&client.place);
             client.ended(Code::ClosedByPeer, visits);
         };
         if spawn("client", run).is_err() {
             log::info!("client {number} {from} closed: {}", Code::NoThread.word());
             place.line.end(Code::NoThread);
-            places.all().retain(|other| !Arc::ptr_eq(other, &place));
+            places.leave(&place);
         }
     }
     Ok(())
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -117,9 +117,7 @@
             changes: sixteenth / 4,
         })
     }
-}
 
-impl Config {
     /// The longest that a visit of any band may take.
     pub fn longest(&self) -> Span {
         self.limits.iter().copied().max().unwrap_or(Span::ZERO)
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -106,19 +106,25 @@
 }
 
 impl ToLine {
-    /// Gives the message's parts to be written, unless it is not to go out any more.
-    fn written_by<T>(&self, write: impl FnOnce(&[&[u8]]) -> T) -> Option<T> {
+    /// Whether it is still to go out; from then on it can't be called off unwritten.
+    fn begin(&self) -> bool {
+        !matches!(self, ToLine::HandOff(hand_off) if !hand_off.way.begin())
+    }
+
+    fn with_parts<T>(&self, write: impl FnOnce(&[&[u8]]) -> T) -> T {
         match self {
-            ToLine::HandOff(hand_off) if !hand_off.way.begin() => None,
             ToLine::HandOff(hand_off) => {
                 let head = resp::want(&hand_off.txn, &hand_off.fields, hand_off.body.len());
-                Some(write(&[&head, &hand_off.body, resp::END]))
+                write(&[&head, &hand_off.body, resp::END])
             }
-            ToLine::NeverMind(_, message) => Some(write(&[message])),
+            ToLine::NeverMind(_, message) => write(&[message]),
         }
     }
 }
 
+/// A message for the thread of a connection's own, and how much of it is written if it has begun.
+type Late = (ToLine, Option<usize>);
+
 struct Out {
     id: HandOffId,
     /// As what it stands on the wire.
@@ -132,7 +138,7 @@
 struct Pooled {
     line: Option<Arc<Line>>,
     /// Once the machine has not taken a message at once, a thread of its own writes.
-    slow: Option<Sender<ToLine>>,
+    slow: Option<Sender<Late>>,
     sent: u64,
     /// Hand-offs that wait for the connection to come up.
     pending: VecDeque<HandOff>,
@@ -296,29 +302,32 @@
         let Some(line) = pooled.line.clone() else { return };
         pooled.sent += u64::from(matches!(message, ToLine::HandOff(_)));
         if let Some(slow) = &pooled.slow {
-            let _ = slow.send(message);
+            let _ = slow.send((message, None));
+            return;
+        }
+        if !message.begin() {
             return;
         }
         let mut all = 0;
-        let written = message.written_by(|parts| {
+        let written = message.with_parts(|parts| {
             all = parts.iter().map(|part| part.len()).sum();
             line.write_now(parts)
         });
         match (written, &message) {
-            (None, _) => {}
-            (Some(Ok(written)), ToLine::HandOff(hand_off)) if written == all => hand_off.way.written(),
-            (Some(Ok(written)), ToLine::NeverMind(hand_off, _)) if written == all => {
+            (Ok(written), ToLine::HandOff(hand_off)) if written == all => hand_off.way.written(),
+            (Ok(written), ToLine::NeverMind(hand_off, _)) if written == all => {
                 self.given_up(id, *hand_off, clock::now());
             }
-            (Some(Ok(written)), _) => {
+            (Ok(written), _) => {
                 let (mailbox, messages) = unbounded();
+                let _ = mailbox.send((message, Some(written)));
                 pooled.slow = Some(mailbox);
                 let (host, own) = (self.own.clone(), line.clone());
-                if spawn("slow", move || write_slowly(id, &own, &host, message, written, messages)).is_err() {
+                if spawn("slow", move || write_slowly(id, &own, &host, messages)).is_err() {
                     line.end(Code::NoThread);
                 }
             }
-            (Some(Err(_)), _) => line.end(Code::WriteFailed),
+            (Err(_), _) => line.end(Code::WriteFailed),
         }
     }
 
@@ -449,36 +458,21 @@
 }
 
 /// Writes the rest of a message and all that come after it, as fast as the host takes them.
-fn write_slowly(
-    id: LineId,
-    line: &Line,
-    host: &Sender<ToHost>,
-    first: ToLine,
-    written: usize,
-    messages: Receiver<ToLine>,
-) {
-    let rest = match &first {
-        ToLine::HandOff(hand_off) => {
-            let head = resp::want(&hand_off.txn, &hand_off.fields, hand_off.body.len());
-            line.write(&[&head, &hand_off.body, resp::END], written)
+fn write_slowly(id: LineId, line: &Line, host: &Sender<ToHost>, messages: Receiver<Late>) {
+    while let Some((message, begun)) = mailbox::next(&messages) {
+        if begun.is_none() && !message.begin() {
+            continue;
         }
-        ToLine::NeverMind(_, message) => line.write(&[message], written),
-    };
-    let (mut next, mut done) = (Some(first), Some(rest));
-    while let Some(message) = next {
-        match (done, &message) {
-            (None, _) => {}
-            (Some(Ok(())), ToLine::HandOff(hand_off)) => hand_off.way.written(),
-            (Some(Ok(())), ToLine::NeverMind(hand_off, _)) => {
-                let _ = host.send(ToHost::GivenUp(id, *hand_off, clock::now()));
-            }
-            (Some(Err(_)), _) => {
-                line.end(Code::WriteFailed);
-                return;
+        if message.with_parts(|parts| line.write(parts, begun.unwrap_or(0))).is_err() {
+            line.end(Code::WriteFailed);
+            return;
+        }
+        match message {
+            ToLine::HandOff(hand_off) => hand_off.way.written(),
+            ToLine::NeverMind(hand_off, _) => {
+                let _ = host.send(ToHost::GivenUp(id, hand_off, clock::now()));
             }
         }
-        next = mailbox::next(&messages);
-        done = next.as_ref().and_then(|message| message.written_by(|parts| line.write(parts, 0)));
     }
 }
 
--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -162,43 +162,42 @@
 
     /// Writes what the machine takes at once; returns how much that was.
     pub fn write_now(&self, parts: &[&[u8]]) -> io::Result<usize> {
-        let all = parts.iter().map(|part| part.len()).sum();
         let mut written = 0;
-        while written < all {
-            let found = past(parts, written, |left| {
-                socket2::SockRef::from(&self.stream).send_vectored_with_flags(left, libc::MSG_DONTWAIT)
-            });
-            match found {
-                Ok(n) => written += n,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
-            }
+        let socket = socket2::SockRef::from(&self.stream);
+        match write_all(parts, &mut written, |left| socket.send_vectored_with_flags(left, libc::MSG_DONTWAIT))
+        {
+            Err(error) if error.kind() != ErrorKind::WouldBlock => Err(error),
+            _ => Ok(written),
         }
-        Ok(written)
     }
 
     /// Writes all of the parts past the first bytes, however long the other side takes for it.
     pub fn write(&self, parts: &[&[u8]], mut written: usize) -> io::Result<()> {
-        let all = parts.iter().map(|part| part.len()).sum();
-        while written < all {
-            match past(parts, written, |left| (&self.stream).write_vectored(left)) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => written += n,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(())
+        write_all(parts, &mut written, |left| (&self.stream).write_vectored(left))
     }
 }
 
-/// Writes without joining the parts.
-fn past<T>(parts: &[&[u8]], bytes: usize, write: impl FnOnce(&[IoSlice]) -> T) -> T {
+/// Writes the parts past what is written already, without joining them, until all is out or a write fails.
+fn write_all(
+    parts: &[&[u8]],
+    written: &mut usize,
+    mut write: impl FnMut(&[IoSlice]) -> io::Result<usize>,
+) -> io::Result<()> {
     let mut slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
     let mut left = &mut slices[..];
-    IoSlice::advance_slices(&mut left, bytes);
-    write(left)
+    IoSlice::advance_slices(&mut left, *written);
+    while !left.is_empty() {
+        match write(left) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => {
+                *written += n;
+                IoSlice::advance_slices(&mut left, n);
+            }
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
 }
 
 /// Whether a read or a write came to no end in its time, or a signal broke it off: the machine does so to those
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -62,8 +62,7 @@
 struct Client {
     outlet: Outlet,
     open: BTreeMap<u32, VisitId>,
-    /// Answers given and not written yet, and their bytes.
-    answers: Gauge,
+    /// Bytes of answers given and not written yet.
     unread: Gauge,
 }
 
@@ -230,8 +229,8 @@
         match what {
             FromClient::Opened { line } => {
                 let outlet = Outlet::new(line);
-                let (answers, unread) = Default::default();
-                self.clients.insert(client, Client { outlet, open: BTreeMap::new(), answers, unread });
+                let (open, unread) = Default::default();
+                self.clients.insert(client, Client { outlet, open, unread });
             }
             FromClient::Visit { id, asked, at, busy } => self.arrived(client, id, *asked, at, busy),
             FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None, None),
@@ -269,7 +268,8 @@
         let band = names.iter().position(|name| name.as_bytes() == &asked.band[..]);
         let found = band.and_then(|place| Some((place, self.config.settings.bands.get(place)?)));
         // Guards against a client that keeps to no bounds: it pays for that itself, with all that it has open.
-        let twin = self.txns.get(&Txn::of(&asked.txn));
+        let txn = Txn::of(&asked.txn);
+        let twin = self.txns.get(&txn);
         let breach = match twin {
             _ if known.open.len() >= OPEN_MOST => Some(Code::TooManyOpen),
             Some(twin) if *twin == client => Some(Code::IdOpen),
@@ -304,7 +304,7 @@
         let visit = VisitId(self.next);
         self.next = self.next.wrapping_add(1);
         known.open.insert(id, visit);
-        self.txns.insert(Txn::of(&asked.txn), client);
+        self.txns.insert(txn, client);
         let call = Visit {
             id: visit,
             band: BandId(band as u8),
@@ -325,12 +325,12 @@
         let (answered, held) = from.unzip();
         let mut answer = ToClient { parts, answered, held, unread: None, busy };
         let weight = answer.weight();
-        answer.unread = Some([known.answers.hold(1), known.unread.hold(weight), self.unread.hold(weight)]);
+        answer.unread = Some([known.unread.hold(weight), self.unread.hold(weight)]);
         let all = self.unread.amount();
         self.spent.unread_most.fetch_max(all, Relaxed);
         known.outlet.send(answer, &self.spent);
         // Guards against clients that don't read: past the bounds the one that owes most pays for it alone.
-        if known.answers.amount() > UNREAD_MOST {
+        if known.outlet.waiting() > UNREAD_MOST {
             known.outlet.line.end(Code::SlowReader);
         }
         if all > self.config.unread {
@@ -506,7 +506,7 @@
     /// Ends the process once all is answered and written; until then it serves on what comes. Guards against
     /// an end from outside: what would still be open then is given up in time to be told.
     fn leave(&mut self, now: Time) {
-        let unread: usize = self.clients.values().map(|client| client.answers.amount()).sum();
+        let unread: usize = self.clients.values().map(|client| client.outlet.waiting()).sum();
         let last = self.stopping.unwrap_or(now) + self.config.longest().min(KILLED_MOST) + LAST_ANSWERS;
         if now > last {
             let open: Vec<VisitId> = self.visits.keys().copied().collect();
