--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -1,9 +1,9 @@
-//! Hosts (caches, parents, origin): each an actor that writes to a pool of connections, and for each connection
-//! a thread that opens and reads it.
+//! Hosts (caches, parents, origin): each an actor that writes to a pool of connections, all of them on one thread,
+//! and for each connection a thread that opens and reads it.
 use crate::bounds::{Held, Room};
 use crate::clock;
 use crate::config::Reach;
-use crate::ids::{HandOffId, LineId, Txn};
+use crate::ids::{HandOffId, HostNo, LineId, Txn};
 use crate::line::{spawn, Code, Line};
 use crate::mailbox;
 use crate::resp::{self, Answer, Begun};
@@ -92,7 +92,6 @@
     NeverMind(HandOffId),
     /// The hand-off's connection had to be up by now.
     ConnectLimit(HandOffId),
-    Sweep(Time),
     Retire,
     Up(LineId, Arc<Line>),
     GivenUp(LineId, HandOffId, Time),
@@ -100,6 +99,101 @@
     Closed(LineId, Code, Time),
 }
 
+/// What the thread of all hosts is sent. It is one, however long the list: guards against fleets in which each
+/// dispatcher keeps a thread for each host that it may never send to.
+pub enum Letter {
+    Join(HostNo, Box<Host>),
+    For(HostNo, ToHost),
+    Sweep(Time),
+}
+
+/// A host's mailbox.
+#[derive(Clone, Debug)]
+pub struct Mailbox {
+    pub number: HostNo,
+    pub letters: Sender<Letter>,
+}
+
+impl Mailbox {
+    /// Whether it was taken: it is until the thread of all hosts has ended.
+    pub fn send(&self, message: ToHost) -> bool {
+        self.letters.send(Letter::For(self.number, message)).is_ok()
+    }
+}
+
+/// All hosts' actors.
+pub struct Hosts {
+    letters: Sender<Letter>,
+    next: u64,
+    reach: Reach,
+    room: Room,
+    router: Sender<Input>,
+}
+
+impl Hosts {
+    pub fn start(reach: Reach, room: Room, router: Sender<Input>) -> std::io::Result<Hosts> {
+        let (letters, mailbox) = unbounded();
+        let tell = router.clone();
+        spawn("hosts", move || run(&mailbox, &tell))?;
+        Ok(Hosts { letters, next: 0, reach, room, router })
+    }
+
+    /// One more host, and its mailbox.
+    pub fn join(&mut self, name: &str, address: SocketAddr) -> Mailbox {
+        let number = HostNo(self.next);
+        self.next += 1;
+        let own = Mailbox { number, letters: self.letters.clone() };
+        let (reach, room) = (self.reach, self.room.clone());
+        let host = Box::new(Host {
+            name: name.to_owned(),
+            address,
+            reach,
+            _joined: room.join(),
+            room,
+            own: own.clone(),
+            router: self.router.clone(),
+            lines: BTreeMap::new(),
+            next: 0,
+            retired: false,
+        });
+        let _ = self.letters.send(Letter::Join(number, host));
+        own
+    }
+
+    pub fn sweep(&self, now: Time) {
+        let _ = self.letters.send(Letter::Sweep(now));
+    }
+}
+
+fn run(mailbox: &Receiver<Letter>, router: &Sender<Input>) {
+    let mut hosts: BTreeMap<HostNo, Box<Host>> = BTreeMap::new();
+    while let Some(letter) = mailbox::next(mailbox) {
+        match letter {
+            Letter::Join(number, host) => {
+                hosts.insert(number, host);
+            }
+            Letter::For(number, message) => match (hosts.get_mut(&number), message) {
+                (Some(host), message) => {
+                    host.take(message);
+                    host.end_unused();
+                    if host.retired && host.lines.is_empty() {
+                        hosts.remove(&number);
+                    }
+                }
+                (None, ToHost::HandOff(HandOff { id, .. })) => {
+                    let (outcome, at) = (Outcome::ConnectFailed, clock::now());
+                    let _ = router.send(Input::HandOff(id, FromHost::Ended { outcome, answer: None, at }));
+                }
+                (None, _) => {}
+            },
+            Letter::Sweep(now) => hosts.values_mut().for_each(|host| {
+                host.sweep(now);
+                host.end_unused();
+            }),
+        }
+    }
+}
+
 enum ToLine {
     HandOff(HandOff),
     NeverMind(HandOffId, Bytes),
@@ -173,7 +267,7 @@
     address: SocketAddr,
     reach: Reach,
     room: Room,
-    own: Sender<ToHost>,
+    own: Mailbox,
     router: Sender<Input>,
     lines: BTreeMap<LineId, Pooled>,
     next: u64,
@@ -182,35 +276,6 @@
 }
 
 impl Host {
-    /// Starts a host's actor and returns its mailbox.
-    pub fn start(
-        name: &str,
-        address: SocketAddr,
-        reach: Reach,
-        room: Room,
-        router: Sender<Input>,
-    ) -> std::io::Result<Sender<ToHost>> {
-        let (own, mailbox) = unbounded();
-        let lines = BTreeMap::new();
-        let name = name.to_owned();
-        let _joined = room.join();
-        let (next, retired) = (0, false);
-        let mut host =
-            Host { name, address, reach, room, own: own.clone(), router, lines, next, retired, _joined };
-        spawn("host", move || host.run(mailbox))?;
-        Ok(own)
-    }
-
-    fn run(&mut self, mailbox: Receiver<ToHost>) {
-        while let Some(message) = mailbox::next(&mailbox) {
-            self.take(message);
-            self.end_unused();
-            if self.retired && self.lines.is_empty() {
-                return;
-            }
-        }
-    }
-
     fn take(&mut self, message: ToHost) {
         match message {
             ToHost::HandOff(hand_off) => self.hand_off(hand_off),
@@ -223,7 +288,6 @@
                     self.ended(id, Outcome::ConnectFailed, None, clock::now());
                 }
             }
-            ToHost::Sweep(now) => self.sweep(now),
             ToHost::Retire => self.retired = true,
             ToHost::Up(line, shared) => {
                 let Some(pooled) = self.lines.get_mut(&line) else { return };
@@ -445,7 +509,7 @@
     line: LineId,
     address: SocketAddr,
     limit: Span,
-    host: Sender<ToHost>,
+    host: Mailbox,
     room: Room,
 }
 
@@ -466,7 +530,7 @@
 }
 
 /// Writes the rest of a message and all that come after it, as fast as the host takes them.
-fn write_slowly(id: LineId, line: &Line, host: &Sender<ToHost>, messages: Receiver<Late>) {
+fn write_slowly(id: LineId, line: &Line, host: &Mailbox, messages: Receiver<Late>) {
     while let Some((message, begun)) = mailbox::next(&messages) {
         if begun.is_none() && !message.begin() {
             continue;
@@ -484,7 +548,7 @@
     }
 }
 
-fn read(id: LineId, line: &Line, host: &Sender<ToHost>, room: &Room) -> Code {
+fn read(id: LineId, line: &Line, host: &Mailbox, room: &Room) -> Code {
     let mut buffer = BytesMut::new();
     let mut wanted = PIECE;
     loop {
@@ -515,7 +579,7 @@
                 Err(code) => return code,
             };
             any = true;
-            if host.send(told).is_err() {
+            if !host.send(told) {
                 return Code::Stopped;
             }
         };
--- a/crates/dispatcher/src/ids.rs
+++ b/crates/dispatcher/src/ids.rs
@@ -5,6 +5,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClientId(pub u64);
 
+/// A host's actor; a host that is listed anew has a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HostNo(pub u64);
+
 /// A connection to a host, counted by host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LineId(pub u64);
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -5,7 +5,7 @@
 use crate::clients::{FromClient, Outlet, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
-use crate::hosts::{FromHost, HandOff, Host, ToHost, Way};
+use crate::hosts::{FromHost, HandOff, Hosts, Mailbox, ToHost, Way};
 use crate::ids::{ClientId, HandOffId, Txn};
 use crate::keeping::Keeper;
 use crate::line::Code;
@@ -89,7 +89,7 @@
 }
 
 struct Out {
-    mailbox: Sender<ToHost>,
+    mailbox: Mailbox,
     sent: Time,
     read: Time,
     way: Way,
@@ -103,7 +103,7 @@
     name: String,
     address: SocketAddr,
     since: Option<Time>,
-    mailbox: Sender<ToHost>,
+    mailbox: Mailbox,
 }
 
 pub struct Router {
@@ -111,8 +111,7 @@
     brain: Brain,
     /// Of hosts, the change log and signals; and of clients.
     mailboxes: [Receiver<Input>; 2],
-    own: Sender<Input>,
-    room: Room,
+    actors: Hosts,
     /// What open visits keep, and what answers that are not written yet do.
     kept: usize,
     unread: Gauge,
@@ -140,18 +139,22 @@
 }
 
 impl Router {
-    pub fn new(config: Config, own: Sender<Input>, mailboxes: [Receiver<Input>; 2]) -> Router {
+    pub fn new(
+        config: Config,
+        own: Sender<Input>,
+        mailboxes: [Receiver<Input>; 2],
+    ) -> std::io::Result<Router> {
         let now = clock::now();
         let room = Room::new(config.reach.connections, config.held);
         let brain = Brain::start(config.settings.clone(), config.seed, now);
         let mut due = DueTimes::default();
         due.put(now + SWEEP, Due::Sweep);
-        Router {
+        let actors = Hosts::start(config.reach, room, own)?;
+        Ok(Router {
             config,
             brain,
             mailboxes,
-            own,
-            room,
+            actors,
             kept: 0,
             unread: Gauge::default(),
             due,
@@ -166,7 +169,7 @@
             sweeps: 0,
             done: false,
             keeper: None,
-        }
+        })
     }
 
     /// From here on what must last is kept, and the module hears of what was known before.
@@ -498,7 +501,7 @@
     /// against a stall of this process that looks like a host's faster answers before it.
     fn send(&mut self, id: HandOffId, hand_off: HandOff, at: Time) {
         let Some(out) = self.hand_offs.get_mut(&id) else { return };
-        if out.mailbox.send(ToHost::HandOff(hand_off)).is_ok() {
+        if out.mailbox.send(ToHost::HandOff(hand_off)) {
             out.sent = at;
             self.due.put(at + self.config.reach.connect_limit, Due::Connect(id));
         } else {
@@ -558,19 +561,13 @@
             return;
         }
         self.retire(id);
-        match Host::start(&name, address, self.config.reach, self.room.clone(), self.own.clone()) {
-            Ok(mailbox) => {
-                self.hosts.insert(id, Known { name, address, since, mailbox });
-            }
-            Err(error) => tracing::warn!(host = &name[..], "host {name} has no actor: {error}"),
-        }
+        let mailbox = self.actors.join(&name, address);
+        self.hosts.insert(id, Known { name, address, since, mailbox });
     }
 
     fn sweep(&mut self, now: Time) {
         self.due.put(now + SWEEP, Due::Sweep);
-        self.hosts.values().for_each(|known| {
-            let _ = known.mailbox.send(ToHost::Sweep(now));
-        });
+        self.actors.sweep(now);
         self.sweeps += 1;
         if self.sweeps.is_multiple_of(TOLD) {
             if let Some(keeper) = &mut self.keeper {
@@ -654,6 +651,8 @@
 mod tests {
     use super::*;
     use crate::changes::host_id;
+    use crate::hosts::Letter;
+    use crate::ids::HostNo;
     use crate::keeping::Kept;
     use crate::line::Line;
     use cherrypass_operator as operator;
@@ -673,13 +672,18 @@
         "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
         "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
 
+    fn known(letters: &Sender<Letter>) -> Known {
+        let mailbox = Mailbox { number: HostNo(0), letters: letters.clone() };
+        Known { name: String::new(), address: "127.0.0.1:1".parse().unwrap(), since: None, mailbox }
+    }
+
     #[test_case(true; "one that is on its way")]
     #[test_case(false; "one that is not")]
     fn no_next_hand_off_before_the_host_is_told(begun: bool) {
         let (own, mailbox) = unbounded();
         let mut router =
-            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]);
-        let hosts: Vec<_> = ["a", "b"].map(|name| (host_id(name), unbounded())).into_iter().collect();
+            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]).unwrap();
+        let hosts = ["a", "b"].map(|name| (host_id(name), unbounded()));
         let entry = |host, phase| Listing {
             host,
             location: LocationId(0),
@@ -691,10 +695,8 @@
         };
         let entries: Vec<Listing> = hosts.iter().map(|(id, _)| entry(*id, Phase::Ready)).collect();
         router.brain.listed(clock::now(), &entries, true);
-        for (id, (mailbox, _)) in &hosts {
-            let (name, address) = (String::new(), "127.0.0.1:1".parse().unwrap());
-            let known = Known { name, address, since: None, mailbox: mailbox.clone() };
-            router.hosts.insert(*id, known);
+        for (id, (letters, _)) in &hosts {
+            router.hosts.insert(*id, known(letters));
         }
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
@@ -708,8 +710,8 @@
         let busy = Gauge::default().hold(1);
         router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now(), busy }));
         router.pull();
-        let sent = |(_, (_, sent)): &(HostId, (_, Receiver<ToHost>))| match sent.try_recv() {
-            Ok(ToHost::HandOff(hand_off)) => Some(hand_off.way),
+        let sent = |(_, (_, sent)): &(HostId, (_, Receiver<Letter>))| match sent.try_recv() {
+            Ok(Letter::For(_, ToHost::HandOff(hand_off))) => Some(hand_off.way),
             _ => None,
         };
         let found = hosts.iter().enumerate().find_map(|(place, host)| Some((place, sent(host)?)));
@@ -718,7 +720,9 @@
         assert!(!begun || way.begin());
         router.brain.listed(clock::now(), &[entry(hosts[first].0, Phase::Gone)], false);
         router.pull();
-        let Ok(ToHost::NeverMind(id)) = hosts[first].1 .1.try_recv() else { panic!("not called off") };
+        let Ok(Letter::For(_, ToHost::NeverMind(id))) = hosts[first].1 .1.try_recv() else {
+            panic!("not called off")
+        };
         if begun {
             assert!(sent(other).is_none(), "a second copy");
             router.take(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
@@ -749,11 +753,10 @@
         let (own, mailbox) = unbounded();
         let config = Config::decode(SETTINGS.as_bytes()).unwrap();
         let settings = config.settings.clone();
-        let mut router = Router::new(config, own.clone(), [mailbox, unbounded().1]);
+        let mut router = Router::new(config, own.clone(), [mailbox, unbounded().1]).unwrap();
         router.keep(Keeper::start(Kept::with(Some(Arc::new(store)), set), &settings, own));
         let (id, host) = (host_id("a"), unbounded());
-        let (name, address) = (String::new(), "127.0.0.1:1".parse().unwrap());
-        router.hosts.insert(id, Known { name, address, since: None, mailbox: host.0 });
+        router.hosts.insert(id, known(&host.0));
         let listing = Listing {
             host: id,
             location: LocationId(0),
@@ -782,7 +785,8 @@
                 router.take(input);
             }
             router.fire();
-            went |= matches!(host.1.try_recv(), Ok(ToHost::HandOff(hand_off)) if hand_off.way.begin());
+            let sent = host.1.try_recv();
+            went |= matches!(sent, Ok(Letter::For(_, ToHost::HandOff(sent))) if sent.way.begin());
         }
         assert!(router.visits.is_empty() && clock::now() - begun < Span::millis(600));
         assert_eq!(went, goes);
@@ -792,7 +796,7 @@
     fn nothing_is_kept_for_a_host_that_has_gone() {
         let (own, mailbox) = unbounded();
         let mut router =
-            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]);
+            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]).unwrap();
         for (seq, state) in ["in_service", "terminating", "terminated"].iter().enumerate() {
             let entry = format!(
                 r#"{{"id":"s-a","addr":"127.0.0.1:1","zone":"edge","kind":"small","state":"{state}"}}"#
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -33,7 +33,7 @@
             tracing::warn!("known changes: {fault}; taken up to change {last}");
         }
         tracing::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
-        let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients]);
+        let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients])?;
         if let Some(kept) = kept {
             router.keep(Keeper::start(kept, &config.settings, own.clone()));
         }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -2,6 +2,7 @@
 //! and clients. Commands on lines or between `;`, `#` starts a comment:
 //! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `descriptors N`, `crowd N` (connections that only stand), `unknown` (an empty
 //! list at the start, and a change log that is mute), `start [N]`, `restart` (killed, and started anew),
+//! `many N NAME` (as many more hosts are listed at that one's address),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
 //! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
@@ -434,6 +435,7 @@
     it: String,
     memory: u32,
     unknown: bool,
+    many: Vec<(usize, String)>,
     descriptors: u32,
     crowd: Vec<TcpStream>,
     store: Option<tempfile::TempDir>,
@@ -476,8 +478,12 @@
 
     fn list(&self, entries: &[(&str, &str)], whole: bool) {
         self.change(|number| {
-            let entries: Vec<String> =
+            let mut entries: Vec<String> =
                 entries.iter().map(|(name, state)| self.entry(name, state, number)).collect();
+            for (count, name) in self.many.iter().filter(|_| whole) {
+                let entry = self.entry(name, "in_service", number);
+                entries.extend((0..*count).map(|k| entry.replace("s-", &format!("s-{k}-"))));
+            }
             format!(r#""fleet":{{"version":1,"full":{whole},"servers":[{}]}}"#, entries.join(","))
         });
     }
@@ -578,6 +584,7 @@
                 let sort = ["cache", "parent", "origin"].into_iter().find(|s| s == sort).unwrap();
                 self.hosts.insert((*name).into(), Host::start(sort));
             }
+            ["many", count, name] => self.many.push((count.parse().unwrap(), (*name).into())),
             ["unknown"] => self.unknown = true,
             ["descriptors", count] => self.descriptors = count.parse().unwrap(),
             ["crowd", count] => {
@@ -740,6 +747,7 @@
 #[test_case(include_str!("sockets/copies.txt"); "copies")]
 #[test_case(include_str!("sockets/list.txt"); "list")]
 #[test_case(include_str!("sockets/two.txt"); "two")]
+#[test_case(include_str!("sockets/wide.txt"); "wide")]
 #[test_case(include_str!("sockets/stop.txt"); "stop")]
 #[test_case(include_str!("sockets/start.txt"); "start")]
 #[test_case(include_str!("sockets/descriptors.txt"); "descriptors")]
