A hot object's parts go apart over parents where locations outnumber a parent's transfers

At dispatcher n0: "7.051 module: fills held back: limit 3.3, at 0.3 of the quoted time, link 0.0": places are gone though fills are not late on average.

A dispatcher can't learn it: it sees one fill in ten seconds from each parent.

At fault: choose() in src/brain.rs, which takes an object's parent by the object alone. 46 to 50 locations ask one parent that carries 13 to 64 transfers for the same part at the same time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -307,7 +307,7 @@
             self.own_cache().filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
         caches.sort_by_key(|cache| (Some(*cache) != second, Some(*cache) != home));
         caches.retain(fits);
-        let mut sources = self.by_hash(visit.object.0, |h| self.is_parent(h));
+        let mut sources = self.by_hash(self.parent_key(&visit), |h| self.is_parent(h));
         sources.retain(fits);
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).into_iter().find(fits);
         // Guards against an origin that is slow, full or fallen: with no room there the parent is asked for
@@ -357,6 +357,16 @@
         }
     }
 
+    /// What a fill's parent is hashed by: the object. Guards against an object that all locations want at once and
+    /// no parent can send to all: where they outnumber a parent's transfers each part has a parent of its own, the
+    /// same one for all. Harms a viewing when one parent is lost: a few parts of it are, instead of all or none.
+    fn parent_key(&self, visit: &Visit) -> u64 {
+        let parents = self.hosts.values().filter(|h| h.is_ready() && self.is_parent(h));
+        let (count, carried) = parents.fold((0.0, 0.0), |(n, sum), h| (n + 1.0, sum + h.entry.weight));
+        let apart = self.set.weights_told && f64::from(self.set.locations) * count > carried;
+        visit.object.0 ^ if apart { u64::from(visit.part) << 52 } else { 0 }
+    }
+
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).first().copied();
