Parts go apart where all caches outnumber a parent's transfers, not locations

A popular object has its copies at all caches of a location (the second one by the dispatcher's own number), so it is all caches that may ask its parent at once: 184 to 200 of them, and no parent carries more than 64 transfers.

At fault: parent_key() in src/brain.rs. It counts ready caches of all locations now, from the list alone; the setting that counted locations is gone again. `parts_apart` and `one_home` stand on both sides of that bound.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -69,8 +69,6 @@
     let dispatchers = need(all, "/balancers")? as u32;
     let location = need(all, "/zone")? as u8;
     let by_location = number(all, &format!("/domain/count_by_zone/{location}"));
-    let counts = all.pointer("/domain/count_by_zone").and_then(Value::as_array);
-    let locations = counts.map_or(1, |counts| counts.iter().filter(|n| n.as_f64() > Some(0.0)).count());
     let links = all.pointer("/domain/zone_link_kb_per_s").and_then(Value::as_array);
     let links = links.map(|list| list.iter().filter_map(Value::as_f64).collect()).unwrap_or_default();
     let window = span(all, "/rules/overload_for");
@@ -79,7 +77,6 @@
         dispatchers,
         location: LocationId(location),
         location_dispatchers: by_location.map_or(dispatchers, |n| n as u32).max(1),
-        locations: locations as u32,
         bands,
         parent_kind: kind(all, "/domain/parent_kind"),
         origin_kind: kind(all, "/domain/source_kind"),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -357,13 +357,14 @@
         }
     }
 
-    /// What a fill's parent is hashed by: the object. Guards against an object that all locations want at once and
-    /// no parent can send to all: where they outnumber a parent's transfers each part has a parent of its own, the
+    /// What a fill's parent is hashed by: the object. Guards against an object that all caches want at once and no
+    /// parent can send to all: where they outnumber a parent's transfers each part has a parent of its own, the
     /// same one for all. Harms a viewing when one parent is lost: a few parts of it are, instead of all or none.
     fn parent_key(&self, visit: &Visit) -> u64 {
-        let parents = self.hosts.values().filter(|h| h.is_ready() && self.is_parent(h));
+        let ready = || self.hosts.values().filter(|h| h.is_ready() && !self.is_origin(h));
+        let parents = ready().filter(|h| self.is_parent(h));
         let (count, carried) = parents.fold((0.0, 0.0), |(n, sum), h| (n + 1.0, sum + h.entry.weight));
-        let apart = self.set.weights_told && f64::from(self.set.locations) * count > carried;
+        let apart = self.set.weights_told && (ready().count() as f64 - count) * count > carried;
         visit.object.0 ^ if apart { u64::from(visit.part) << 52 } else { 0 }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,8 +40,6 @@
     pub dispatchers: u32,
     pub location: LocationId,
     pub location_dispatchers: u32,
-    /// How many locations have dispatchers.
-    pub locations: u32,
     pub bands: Vec<Band>,
     pub parent_kind: Option<KindId>,
     pub origin_kind: Option<KindId>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Plays the scenarios in `tests/scenarios/`: commands on lines or between `;`, `#` starts a comment.
 //! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT`, `fleet` (six hosts, band video), `untold` (sizes),
-//! `dispatchers N`, `sharers N` (at the location) and `locations N` come first, then `part N` (of all visits from now on),
+//! `dispatchers N`, `sharers N` (at the location) and `elsewhere N` (caches of other locations) come first, then
+//! `part N` (of all visits from now on),
 //! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
 //! `ran HOST AGO ID BAND OBJECT` (a visit whose earlier try may have run there), `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
@@ -271,7 +272,14 @@
             ["pause", time] => (self.now, self.wake) = (self.now + ms(time), self.now + ms(time)),
             ["dispatchers", count] => self.set.dispatchers = count.parse().unwrap(),
             ["sharers", count] => self.set.location_dispatchers = count.parse().unwrap(),
-            ["locations", count] => self.set.locations = count.parse().unwrap(),
+            ["elsewhere", count] => {
+                for n in 0..count.parse().unwrap() {
+                    let name = format!("elsewhere {n}");
+                    self.play(&["host", &name, "cache", "6"]);
+                    let host = self.names[&name];
+                    self.listings.get_mut(&host).unwrap().location = LocationId(3);
+                }
+            }
             ["part", part] => self.part = part.parse().unwrap(),
             ["untold"] => (self.set.weights_told, self.set.weights_steady) = (false, false),
             ["fleet"] => {
