One thread reads all clients and one all hosts: seven threads a dispatcher, whatever connects

At fault: listen() in clients.rs and Reader in hosts.rs, a thread for each connection. Now an epoll loop reads all clients and takes them in (one piece a turn, so that who sends much waits its turn; room for newcomers and connections that stand are looked after there too), and another one sees connections to hosts come up and reads them (`lines.rs`). Sockets stay those of the standard library, blocking for writers; reads ask with MSG_DONTWAIT. `nix` gives both calls without unsafe code; the standard library has neither.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -1,4 +1,5 @@
-//! Clients: the listener, for each connection a thread that reads, and what is to go to each.
+//! Clients: one thread that takes them in and reads them all, and what is to go to each. Guards against connections
+//! that each cost a thread: hundreds that say nothing, at hundreds of dispatchers, use up a machine's threads.
 use crate::bounds::{Gauge, Held};
 use crate::clock;
 use crate::ids::ClientId;
@@ -10,10 +11,12 @@
 use bytes::{Bytes, BytesMut};
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::{unbounded, Receiver, Sender};
+use nix::errno::Errno;
+use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
+use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What is read at once, which an open visit may keep.
@@ -25,12 +28,15 @@
 /// Clients close what they don't use after 4 s; what stands longer is not used again.
 const IDLE: Span = Span::millis(4_500);
 /// How often connections are looked after.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Span = Span::millis(250);
 /// A connection this new may still be about to ask: it doesn't make room for others.
 const NEW: Span = Span::millis(250);
 /// How long a newcomer waits for room before it is turned away, and how often it is looked for.
 const ROOM_WAIT: Span = Span::millis(400);
-const ROOM_LOOK: Duration = Duration::from_millis(2);
+const ROOM_LOOK: Span = Span::millis(2);
+/// How many connections are served for one look, and what stands for the listener among them.
+const EVENTS: usize = 64;
+const LISTENER: u64 = u64::MAX;
 
 /// What clients tell the router; a visit with the time of its last byte.
 pub enum FromClient {
@@ -125,145 +131,194 @@
     }
 }
 
-/// A connection as the listener sees it, for as long as its reader lives.
-struct Place {
-    line: Arc<Line>,
-    opened: Time,
-    /// Visits that are open, and answers to them that are not written yet.
-    busy: Gauge,
-    asked: AtomicBool,
+/// A newcomer that waits for a place.
+struct Newcomer {
+    stream: TcpStream,
+    from: SocketAddr,
+    since: Time,
 }
 
-impl Place {
-    fn unused_for(&self, now: Time) -> Option<Span> {
-        (self.busy.amount() == 0).then(|| now - self.line.heard())
-    }
-
-    /// Why it is to end. Guards against connections that stay mute, break off in a message or are not used.
-    fn fault(&self, now: Time) -> Option<Code> {
-        let mute = (!self.asked.load(Relaxed)).then(|| now - self.opened);
-        let half = self.line.half_for(now);
-        let unused = self.unused_for(now).filter(|_| half.is_none());
-        let at_most = |span: Option<Span>, most: Span, code| span.filter(|span| *span > most).map(|_| code);
-        at_most(half, HALF, Code::HalfMessage).or(at_most(mute, MUTE, Code::Mute)).or(at_most(
-            unused,
-            IDLE,
-            Code::Idle,
-        ))
-    }
+/// Takes connections in and reads them until the process ends.
+pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
+    epoll.add(&listener, EpollEvent::new(EpollFlags::EPOLLIN, LISTENER))?;
+    let (taken, newcomer, next, failing) = Default::default();
+    let mut clients = Clients { listener, epoll, most, patience, router, taken, newcomer, next, failing };
+    clients.run()
 }
 
-/// All places for clients. Guards against connections that say nothing, or no more, and leave no room for
-/// those that ask: the longest mute and then the longest unused makes room.
-struct Places {
+struct Clients {
+    listener: TcpListener,
+    epoll: Epoll,
     most: usize,
-    taken: Mutex<Vec<Arc<Place>>>,
+    patience: Span,
+    router: Sender<Input>,
+    taken: BTreeMap<u64, Client>,
+    newcomer: Option<Newcomer>,
+    next: u64,
+    failing: bool,
 }
 
-impl Places {
-    fn all(&self) -> MutexGuard<'_, Vec<Arc<Place>>> {
-        self.taken.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn leave(&self, gone: &Arc<Place>) {
-        self.all().retain(|place| !Arc::ptr_eq(place, gone));
-    }
-
-    /// Waits until there is room, but not for long: a newcomer that is not taken waits as well.
-    fn make_room(&self) -> bool {
-        let begun = clock::now();
-        while self.all().len() >= self.most {
+impl Clients {
+    fn run(&mut self) -> io::Result<()> {
+        let mut events = [EpollEvent::empty(); EVENTS];
+        let mut look = clock::now() + LOOK;
+        loop {
+            let until = if self.newcomer.is_some() { ROOM_LOOK } else { look - clock::now() };
+            let found = match self.epoll.wait(&mut events, EpollTimeout::from((until.0 / 1000 + 1) as u16)) {
+                Err(Errno::EINTR) => 0,
+                found => found?,
+            };
+            for event in &events[..found] {
+                match event.data() {
+                    LISTENER => self.accept()?,
+                    number => {
+                        let turn = self.taken.get_mut(&number).map(|client| client.turn(&self.router));
+                        match turn {
+                            Some(Err(Code::Stopped)) => return Ok(()),
+                            Some(Err(code)) => self.close(number, code),
+                            Some(Ok(())) | None => {}
+                        }
+                    }
+                }
+            }
+            self.make_room()?;
             let now = clock::now();
-            if now > begun + ROOM_WAIT {
-                return false;
+            if now >= look {
+                look = now + LOOK;
+                let ends = |client: &Client| Some((client.line.clone(), client.fault(now)?));
+                let ending: Vec<_> = self.taken.values().filter_map(ends).collect();
+                ending.into_iter().for_each(|(line, code)| line.end(code));
             }
-            let standing: Vec<_> =
-                self.all().iter().filter(|place| !place.line.is_ended()).cloned().collect();
-            // One that has ended makes room as soon as its thread has seen it.
-            if standing.len() >= self.most {
-                let unused = standing.iter().filter_map(|place| Some((place.unused_for(now)?, place)));
-                let unused = unused.filter(|(span, _)| *span > NEW);
-                let longest = unused.max_by_key(|(span, p)| (!p.asked.load(Relaxed), *span));
-                longest.into_iter().for_each(|(_, place)| place.line.end(Code::RoomNeeded));
+        }
+    }
+
+    /// Takes what waits at the listener, until there is no place for one.
+    fn accept(&mut self) -> io::Result<()> {
+        while self.newcomer.is_none() {
+            match self.listener.accept() {
+                Ok((stream, from)) if self.taken.len() < self.most => self.take(stream, from),
+                Ok((stream, from)) => {
+                    self.newcomer = Some(Newcomer { stream, from, since: clock::now() });
+                    self.epoll.modify(&self.listener, &mut EpollEvent::new(EpollFlags::empty(), LISTENER))?;
+                }
+                Err(error) if is_wait(&error) => return Ok(()),
+                // Guards against a loop that burns the core while no descriptor is to be had.
+                Err(error) => {
+                    if !self.failing {
+                        tracing::warn!("accept fails: {error}");
+                    }
+                    self.failing = true;
+                    std::thread::sleep(Duration::from_millis(5));
+                    return Ok(());
+                }
             }
-            std::thread::sleep(ROOM_LOOK);
+            self.failing = false;
         }
-        true
+        Ok(())
     }
 
-    /// Ends what stands too long, until the process ends.
-    fn look_after(&self) {
-        loop {
-            std::thread::sleep(LOOK);
-            let now = clock::now();
-            let ends = |place: &Arc<Place>| Some((place.line.clone(), place.fault(now)?));
-            let ending: Vec<_> = self.all().iter().filter_map(ends).collect();
-            ending.into_iter().for_each(|(line, code)| line.end(code));
+    fn take(&mut self, stream: TcpStream, from: SocketAddr) {
+        let number = self.next;
+        self.next += 1;
+        let client = Client::new(ClientId(number), stream, from);
+        let set_up = client.line.set_up(Some(clock::duration(self.patience)));
+        let event = EpollEvent::new(EpollFlags::EPOLLIN, number);
+        if set_up.is_err() || self.epoll.add(&*client.line, event).is_err() {
+            client.ended(Code::Reset);
+            return;
         }
+        self.taken.insert(number, client);
     }
-}
 
-/// Takes connections in until the process ends.
-pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) -> io::Result<()> {
-    let places = Arc::new(Places { most, taken: Mutex::default() });
-    let looked_after = places.clone();
-    spawn("places", move || looked_after.look_after())?;
-    let mut failing = false;
-    for number in 0.. {
-        let (stream, from) = match listener.accept() {
-            Ok(found) => found,
-            // Guards against a loop that burns the core while no descriptor is to be had.
-            Err(error) => {
-                if !failing {
-                    tracing::warn!("accept fails: {error}");
-                }
-                failing = true;
-                std::thread::sleep(Duration::from_millis(5));
-                continue;
+    /// Guards against connections that say nothing, or no more, and leave no room for those that ask: the longest
+    /// mute and then the longest unused makes room for a newcomer, which waits for that, but not for long.
+    fn make_room(&mut self) -> io::Result<()> {
+        let Some(newcomer) = &self.newcomer else { return Ok(()) };
+        let now = clock::now();
+        if self.taken.len() >= self.most && now <= newcomer.since + ROOM_WAIT {
+            // One that has ended makes room as soon as its end was read.
+            let standing = || self.taken.values().filter(|client| !client.line.is_ended());
+            if standing().count() >= self.most {
+                let unused = standing().filter_map(|client| Some((client.unused_for(now)?, client)));
+                let unused = unused.filter(|(span, _)| *span > NEW);
+                let longest = unused.max_by_key(|(span, client)| (!client.asked, *span));
+                longest.into_iter().for_each(|(_, client)| client.line.end(Code::RoomNeeded));
             }
-        };
-        failing = false;
-        let line = Arc::new(Line::new(stream));
-        let place = Arc::new(Place {
-            line,
-            opened: clock::now(),
-            busy: Gauge::default(),
-            asked: AtomicBool::new(false),
-        });
-        let client = Client { id: ClientId(number), from, place };
-        if !places.make_room() {
-            client.ended(Code::TooManyClients, 0);
-            continue;
+            return Ok(());
+        }
+        let Some(Newcomer { stream, from, .. }) = self.newcomer.take() else { return Ok(()) };
+        if self.taken.len() < self.most {
+            self.take(stream, from);
+        } else {
+            let number = ClientId(self.next);
+            self.next += 1;
+            Client::new(number, stream, from).ended(Code::TooManyClients);
         }
-        let (router, own, place) = (router.clone(), places.clone(), client.place.clone());
-        places.all().push(place.clone());
-        let run = move || {
-            let visits = client.run(patience, &router);
-            own.leave(&client.place);
-            client.ended(Code::ClosedByPeer, visits);
-        };
-        if spawn("client", run).is_err() {
-            let code = Code::NoThread.word();
-            tracing::info!(client = number, code, "client {number} {from} closed: {code}");
-            place.line.end(Code::NoThread);
-            places.leave(&place);
+        Ok(self.epoll.modify(&self.listener, &mut EpollEvent::new(EpollFlags::EPOLLIN, LISTENER))?)
+    }
+
+    fn close(&mut self, number: u64, code: Code) {
+        let Some(client) = self.taken.remove(&number) else { return };
+        let _ = self.epoll.delete(&*client.line);
+        client.ended(code);
+        if client.asked {
+            let _ = self.router.send(Input::Client(client.id, FromClient::Closed));
         }
     }
-    Ok(())
 }
 
-/// The reading side of one connection, which sees it to its end.
+/// The reading side of one connection.
 struct Client {
     id: ClientId,
     from: SocketAddr,
-    place: Arc<Place>,
+    line: Arc<Line>,
+    opened: Time,
+    /// Visits that are open, and answers to them that are not written yet.
+    busy: Gauge,
+    asked: bool,
+    buffer: BytesMut,
+    /// The number of the last message.
+    last: u32,
+    visits: u64,
 }
 
 impl Client {
-    fn ended(&self, code: Code, visits: u64) {
-        let line = &self.place.line;
-        line.end(code);
-        let (client, code) = (self.id.0, line.code().word());
+    fn new(id: ClientId, stream: TcpStream, from: SocketAddr) -> Client {
+        Client {
+            id,
+            from,
+            line: Arc::new(Line::new(stream)),
+            opened: clock::now(),
+            busy: Gauge::default(),
+            asked: false,
+            buffer: BytesMut::new(),
+            last: 0,
+            visits: 0,
+        }
+    }
+
+    fn unused_for(&self, now: Time) -> Option<Span> {
+        (self.busy.amount() == 0).then(|| now - self.line.heard())
+    }
+
+    /// Why it is to end. Guards against connections that stay mute, break off in a message or are not used.
+    fn fault(&self, now: Time) -> Option<Code> {
+        let mute = (!self.asked).then(|| now - self.opened);
+        let half = self.line.half_for(now);
+        let unused = self.unused_for(now).filter(|_| half.is_none());
+        let at_most = |span: Option<Span>, most: Span, code| span.filter(|span| *span > most).map(|_| code);
+        at_most(half, HALF, Code::HalfMessage).or(at_most(mute, MUTE, Code::Mute)).or(at_most(
+            unused,
+            IDLE,
+            Code::Idle,
+        ))
+    }
+
+    fn ended(&self, code: Code) {
+        self.line.end(code);
+        let (client, code, visits) = (self.id.0, self.line.code().word(), self.visits);
         tracing::info!(
             client,
             code,
@@ -273,75 +328,45 @@
         );
     }
 
-    fn run(&self, patience: Span, router: &Sender<Input>) -> u64 {
-        let tell = |what| router.send(Input::Client(self.id, what)).map_err(|_| Code::Stopped);
-        let line = &self.place.line;
-        let mut visits = 0;
-        let mut buffer = BytesMut::new();
-        let set_up = line.set_up(Some(clock::duration(patience))).map_err(|_| Code::Reset);
-        let end = set_up.and_then(|()| self.next(&mut buffer)).and_then(|messages| {
-            self.place.asked.store(true, Relaxed);
-            tell(FromClient::Opened { line: line.clone() })?;
-            self.take_all(buffer, messages, &mut visits, &tell)
-        });
-        line.end(end.err().unwrap_or(Code::ClosedByPeer));
-        if self.place.asked.load(Relaxed) {
-            let _ = tell(FromClient::Closed);
-        }
-        visits
-    }
-
-    /// Reads until there is a whole message, and returns all whole ones.
-    fn next(&self, buffer: &mut BytesMut) -> Result<Vec<Message>, Code> {
+    /// Reads one piece of what has come and tells of all whole messages, so that who sends much waits its turn.
+    fn turn(&mut self, router: &Sender<Input>) -> Result<(), Code> {
+        let Some(at) = self.line.read_now(&mut self.buffer, PIECE)? else { return Ok(()) };
         let mut messages = Vec::new();
-        while messages.is_empty() {
-            self.place.line.read(buffer, PIECE)?;
-            while let Some(message) = msgpack::next(buffer)? {
-                messages.push(message);
-            }
-            self.place.line.left_over(buffer, !messages.is_empty());
-            if buffer.is_empty() {
-                // Guards against large messages whose room stays with connections that stand.
-                *buffer = BytesMut::new();
-            }
+        while let Some(message) = msgpack::next(&mut self.buffer)? {
+            messages.push(message);
         }
-        Ok(messages)
-    }
-
-    fn take_all(
-        &self,
-        mut buffer: BytesMut,
-        mut messages: Vec<Message>,
-        visits: &mut u64,
-        tell: &impl Fn(FromClient) -> Result<(), Code>,
-    ) -> Result<(), Code> {
-        let mut last = 0;
-        loop {
-            // Guards against an answer that could be taken for another message's. What came together with such
-            // a message is not taken either.
-            for message in &messages {
-                if let Message::Visit(id, _) | Message::Bad(id, _) | Message::Status(id) = message {
-                    if *id <= last {
-                        return Err(Code::IdNotUp);
-                    }
-                    last = *id;
+        self.line.left_over(&self.buffer, !messages.is_empty());
+        if self.buffer.is_empty() {
+            // Guards against large messages whose room stays with connections that stand.
+            self.buffer = BytesMut::new();
+        }
+        let tell = |what| router.send(Input::Client(self.id, what)).map_err(|_| Code::Stopped);
+        if !messages.is_empty() && !std::mem::replace(&mut self.asked, true) {
+            tell(FromClient::Opened { line: self.line.clone() })?;
+        }
+        // Guards against an answer that could be taken for another message's. What came together with such a
+        // message is not taken either.
+        for message in &messages {
+            if let Message::Visit(id, _) | Message::Bad(id, _) | Message::Status(id) = message {
+                if *id <= self.last {
+                    return Err(Code::IdNotUp);
                 }
+                self.last = *id;
             }
-            let at = self.place.line.heard();
-            for message in messages {
-                match message {
-                    Message::Visit(id, asked) => {
-                        *visits += 1;
-                        tell(FromClient::Visit { id, asked, at, busy: self.place.busy.hold(1) })?;
-                    }
-                    Message::Bad(id, field) => tell(FromClient::Bad { id, field })?,
-                    Message::Status(id) => tell(FromClient::Status { id })?,
-                    Message::Withdraw(ids) => tell(FromClient::Withdrawn { ids })?,
-                    Message::Unknown => {}
+        }
+        for message in messages {
+            match message {
+                Message::Visit(id, asked) => {
+                    self.visits += 1;
+                    tell(FromClient::Visit { id, asked, at, busy: self.busy.hold(1) })?;
                 }
+                Message::Bad(id, field) => tell(FromClient::Bad { id, field })?,
+                Message::Status(id) => tell(FromClient::Status { id })?,
+                Message::Withdraw(ids) => tell(FromClient::Withdrawn { ids })?,
+                Message::Unknown => {}
             }
-            messages = self.next(&mut buffer)?;
         }
+        Ok(())
     }
 }
 
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -1,28 +1,27 @@
-//! Hosts (caches, parents, origin): each an actor that writes to a pool of connections, all of them on one thread,
-//! and for each connection a thread that opens and reads it.
+//! Hosts (caches, parents, origin): each an actor that writes to a pool of connections, all of them on one thread;
+//! another one (`lines`) reads them.
 use crate::bounds::{Held, Room};
 use crate::clock;
 use crate::config::Reach;
 use crate::ids::{HandOffId, HostNo, LineId, Txn};
 use crate::line::{spawn, Code, Line};
+use crate::lines::Lines;
 use crate::mailbox;
-use crate::resp::{self, Answer, Begun};
+use crate::resp::{self, Answer};
 use crate::router::Input;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cherrypass::calls::Outcome;
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
-const PIECE: usize = 16 * 1024;
 /// A connection with less than this part of its most out takes one more before another is opened.
 const LIGHT: usize = 8;
 /// Past a visit's time its id may not come again, but for the time on the way.
 const LATE: Span = Span::millis(100);
-const FULL: std::time::Duration = std::time::Duration::from_millis(1);
 
 /// How far a hand-off has got on its way out: when it was wholly written, before which it can't have run.
 #[derive(Clone, Debug, Default)]
@@ -127,15 +126,17 @@
     next: u64,
     reach: Reach,
     room: Room,
+    wires: Arc<Lines>,
     router: Sender<Input>,
 }
 
 impl Hosts {
     pub fn start(reach: Reach, room: Room, router: Sender<Input>) -> std::io::Result<Hosts> {
         let (letters, mailbox) = unbounded();
-        let tell = router.clone();
-        spawn("hosts", move || run(&mailbox, &tell))?;
-        Ok(Hosts { letters, next: 0, reach, room, router })
+        let wires = Lines::start(room.clone(), reach.connect_limit)?;
+        let (tell, own) = (router.clone(), wires.clone());
+        spawn("hosts", move || run(&mailbox, &tell, &own))?;
+        Ok(Hosts { letters, next: 0, reach, room, wires, router })
     }
 
     /// One more host, and its mailbox.
@@ -150,6 +151,7 @@
             reach,
             _joined: room.join(),
             room,
+            wires: self.wires.clone(),
             own: own.clone(),
             router: self.router.clone(),
             lines: BTreeMap::new(),
@@ -165,7 +167,7 @@
     }
 }
 
-fn run(mailbox: &Receiver<Letter>, router: &Sender<Input>) {
+fn run(mailbox: &Receiver<Letter>, router: &Sender<Input>, wires: &Lines) {
     let mut hosts: BTreeMap<HostNo, Box<Host>> = BTreeMap::new();
     while let Some(letter) = mailbox::next(mailbox) {
         match letter {
@@ -186,10 +188,13 @@
                 }
                 (None, _) => {}
             },
-            Letter::Sweep(now) => hosts.values_mut().for_each(|host| {
-                host.sweep(now);
-                host.end_unused();
-            }),
+            Letter::Sweep(now) => {
+                wires.end_silent(now);
+                hosts.values_mut().for_each(|host| {
+                    host.sweep(now);
+                    host.end_unused();
+                });
+            }
         }
     }
 }
@@ -267,6 +272,7 @@
     address: SocketAddr,
     reach: Reach,
     room: Room,
+    wires: Arc<Lines>,
     own: Mailbox,
     router: Sender<Input>,
     lines: BTreeMap<LineId, Pooled>,
@@ -281,6 +287,7 @@
             ToHost::HandOff(hand_off) => self.hand_off(hand_off),
             ToHost::NeverMind(id) => self.never_mind(id),
             ToHost::ConnectLimit(id) => {
+                self.wires.end_silent(clock::now());
                 let waits = |p: &Pooled| p.pending.iter().any(|hand_off| hand_off.id == id);
                 if let Some(pooled) = self.lines.values_mut().find(|p| waits(p)) {
                     pooled.pending.retain(|hand_off| hand_off.id != id);
@@ -416,18 +423,7 @@
         }
         let line = LineId(self.next);
         self.next += 1;
-        let reader = Reader {
-            line,
-            address: self.address,
-            limit: self.reach.connect_limit,
-            host: self.own.clone(),
-            room: self.room.clone(),
-        };
-        if spawn("line", move || reader.run()).is_err() {
-            let (name, line, code) = (&self.name[..], line.0, Code::NoThread.word());
-            tracing::warn!(host = name, line, code, "host {name} line {line} closed: {code}");
-            return None;
-        }
+        self.wires.open(self.address, &self.own, line);
         let pooled = Pooled {
             line: None,
             slow: None,
@@ -504,31 +500,6 @@
     }
 }
 
-/// The reading side of one connection, which also opens it and sees it to its end.
-struct Reader {
-    line: LineId,
-    address: SocketAddr,
-    limit: Span,
-    host: Mailbox,
-    room: Room,
-}
-
-impl Reader {
-    fn run(self) {
-        let code = match TcpStream::connect_timeout(&self.address, clock::duration(self.limit)) {
-            Ok(stream) => {
-                let line = Arc::new(Line::new(stream));
-                let _ = line.set_up(None);
-                let _ = self.host.send(ToHost::Up(self.line, line.clone()));
-                line.end(read(self.line, &line, &self.host, &self.room));
-                line.code()
-            }
-            Err(error) => Code::of_connect(&error),
-        };
-        let _ = self.host.send(ToHost::Closed(self.line, code, clock::now()));
-    }
-}
-
 /// Writes the rest of a message and all that come after it, as fast as the host takes them.
 fn write_slowly(id: LineId, line: &Line, host: &Mailbox, messages: Receiver<Late>) {
     while let Some((message, begun)) = mailbox::next(&messages) {
@@ -547,41 +518,3 @@
         }
     }
 }
-
-fn read(id: LineId, line: &Line, host: &Mailbox, room: &Room) -> Code {
-    let mut buffer = BytesMut::new();
-    let mut wanted = PIECE;
-    loop {
-        // Guards against answers that come faster than they can be passed on.
-        while room.is_full() {
-            std::thread::sleep(FULL);
-            line.left_over(&[], false);
-        }
-        let at = match line.read(&mut buffer, wanted) {
-            Ok(at) => at,
-            Err(code) => return code,
-        };
-        let mut any = false;
-        wanted = loop {
-            let told = match resp::next(&mut buffer) {
-                Ok(Begun::Answer(answer)) => {
-                    let held = room.hold(answer.body.len().max(PIECE));
-                    ToHost::Answered(id, answer, held, at)
-                }
-                Ok(Begun::Spoilt) => return Code::Spoilt,
-                Ok(Begun::Short(more)) => {
-                    line.left_over(&buffer, any);
-                    if buffer.is_empty() {
-                        buffer = BytesMut::new();
-                    }
-                    break more.clamp(PIECE, 4 * PIECE);
-                }
-                Err(code) => return code,
-            };
-            any = true;
-            if !host.send(told) {
-                return Code::Stopped;
-            }
-        };
-    }
-}
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod keeping;
 pub mod line;
+pub mod lines;
 pub mod logger;
 pub mod mailbox;
 pub mod msgpack;
--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -2,8 +2,11 @@
 use crate::clock;
 use crate::config::HOST_MESSAGE;
 use cherrypass::time::{Span, Time};
-use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use nix::errno::Errno;
+use nix::sys::socket::{recv, MsgFlags};
+use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::OnceLock;
 use std::thread::{Builder, JoinHandle};
@@ -88,6 +91,12 @@
     half: AtomicU64,
 }
 
+impl AsFd for Line {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 impl Line {
     pub fn new(stream: TcpStream) -> Line {
         let heard = AtomicU64::new(clock::now().0);
@@ -136,17 +145,12 @@
         }
     }
 
-    /// Reads what has come, at least one byte; an end of the stream or a failure ends the connection.
-    pub fn read(&self, into: &mut bytes::BytesMut, room: usize) -> Result<Time, Code> {
+    /// Reads what has come, none where that is nothing yet; an end of the stream or a failure ends the connection.
+    pub fn read_now(&self, into: &mut bytes::BytesMut, room: usize) -> Result<Option<Time>, Code> {
         let held = into.len();
         into.resize(held + room, 0);
-        let found = loop {
-            match (&self.stream).read(&mut into[held..]) {
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                other => break other,
-            }
-        };
-        into.truncate(held + found.as_ref().map_or(0, |n| *n));
+        let found = recv(self.stream.as_raw_fd(), &mut into[held..], MsgFlags::MSG_DONTWAIT);
+        into.truncate(held + found.unwrap_or(0));
         match found {
             Ok(0) if held > 0 => Err(Code::CutInMessage),
             Ok(0) => Err(Code::ClosedByPeer),
@@ -154,8 +158,9 @@
                 let now = clock::now();
                 self.heard.store(now.0, Relaxed);
                 let _ = self.half.compare_exchange(0, now.0, Relaxed, Relaxed);
-                Ok(now)
+                Ok(Some(now))
             }
+            Err(Errno::EAGAIN | Errno::EINTR) => Ok(None),
             Err(_) => Err(Code::Reset),
         }
     }
