A client's copy is current only where the answer names that very copy

An answer's tag is kept (none without its birth, as before) and compared with the client's; another one is treated like a spoilt answer: the connection ends, the visit goes on elsewhere. The scenario `copies` fails without it.

--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -64,8 +64,8 @@
     pub txn: Bytes,
     pub fields: String,
     pub body: Bytes,
-    /// The client told of a copy that it holds.
-    pub seen: bool,
+    /// The tag of the copy that the client holds.
+    pub seen: Option<Bytes>,
     /// What answers it is a copy.
     pub copy: bool,
     /// Until when an answer may come.
@@ -228,7 +228,7 @@
     id: HandOffId,
     /// As what it stands on the wire.
     wire: Bytes,
-    seen: bool,
+    seen: Option<Bytes>,
     copy: bool,
     until: Time,
     way: Way,
@@ -365,8 +365,8 @@
             self.ended(hand_off.id, Outcome::ConnectFailed, None, clock::now());
             return;
         };
-        let HandOff { id, seen, copy, until, .. } = hand_off;
-        let (wire, way) = (hand_off.txn.clone(), hand_off.way.clone());
+        let HandOff { id, copy, until, .. } = hand_off;
+        let (wire, seen, way) = (hand_off.txn.clone(), hand_off.seen.clone(), hand_off.way.clone());
         pooled.out.insert(txn, Out { id, wire, seen, copy, until, way });
         match line.filter(|_| pooled.line.is_some()) {
             Some(line) => self.say(line, ToLine::HandOff(hand_off)),
@@ -473,10 +473,12 @@
             pooled.given_up.remove(&txn);
             return;
         };
-        // A copy that the client holds can only be the one where the client told of it. Guards also against bytes
-        // of which it is not told what they are: neither reaches a client, nor does what comes behind them.
+        // A copy that the client holds can only be the one where the answer names the one that the client told of.
+        // Guards also against bytes of which it is not told what they are: neither reaches a client, nor does what
+        // comes behind them.
         let settled = answer.outcome == Outcome::Settled;
-        if answer.keep && !out.seen || settled && out.copy && !answer.told {
+        let other = answer.keep && (out.seen.is_none() || out.seen != answer.tag);
+        if other || settled && out.copy && answer.tag.is_none() {
             pooled.end(Code::Spoilt);
             self.ended(out.id, Outcome::Error, None, at);
         } else {
--- a/crates/dispatcher/src/resp.rs
+++ b/crates/dispatcher/src/resp.rs
@@ -19,8 +19,8 @@
     pub keep: bool,
     pub note: Note,
     pub link_full: Option<f64>,
-    /// It says of which copy it is, and how old that is.
-    pub told: bool,
+    /// The tag of the copy that it is of, where it says that and how old the copy is.
+    pub tag: Option<Bytes>,
     pub body: Bytes,
 }
 
@@ -77,7 +77,7 @@
     Ok(Some(value))
 }
 
-fn read(id: &Bytes, word: &[u8], fields: &[u8], body: Bytes) -> Option<Answer> {
+fn read(id: &Bytes, word: &[u8], fields: &Bytes, body: Bytes) -> Option<Answer> {
     let keep = word == b"KEEP";
     let outcome = match word {
         b"DONE" | b"KEEP" => Outcome::Settled,
@@ -91,13 +91,13 @@
         return None;
     }
     let mut answer =
-        Answer { id: id.clone(), outcome, keep, note: Note::Untold, link_full: None, told: false, body };
-    let fields = std::str::from_utf8(fields).ok()?;
-    let (mut tagged, mut born) = (false, false);
-    for field in fields.split(',').filter(|_| fields != "-") {
+        Answer { id: id.clone(), outcome, keep, note: Note::Untold, link_full: None, tag: None, body };
+    let text = std::str::from_utf8(fields).ok()?;
+    let (mut tag, mut born) = (None, false);
+    for field in text.split(',').filter(|_| text != "-") {
         let (name, value) = field.split_once('=')?;
         match name {
-            "ver" => tagged = !value.is_empty(),
+            "ver" => tag = Some(fields.slice_ref(value.as_bytes())).filter(|tag| !tag.is_empty()),
             "born" => born = value.parse::<u64>().is_ok(),
             "note" => answer.note = note(value)?,
             "load" => {
@@ -108,7 +108,7 @@
             _ => {}
         }
     }
-    answer.told = tagged && born;
+    answer.tag = tag.filter(|_| born);
     Some(answer)
 }
 
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -461,7 +461,7 @@
             txn: asked.txn.clone(),
             fields: fields(asked, until - now, fill, source.map(|known| &known.name[..])),
             body: asked.body.clone(),
-            seen: asked.cached.is_some(),
+            seen: asked.cached.clone(),
             copy: fill.is_some(),
             until,
             way: Way::default(),
