A host that is back after its connections broke counts as just started

Ruled out: budgets of cold hosts that the list names (none fell later than its start was told plus the grace).

At fault: judge() in src/brain.rs, which brings a host back as if it were the same process. Where a connection to it broke or was refused at once and only trials were answered since, it counts as started when it is back, until the list says when. Silence alone (a cut path, connections that stay) is no such sign.

The scenario `came_back` fails without it (35 visits in 2 s, 20 borne).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -527,7 +527,10 @@
             // One connection's end speaks once, whatever was out on it.
             again = end.outcome == Reset && std::mem::replace(&mut host.reset, now) == now;
             again |= is_hasty(end) && host.shut.is_none();
-            if matches!(end.outcome, Settled | Error | Full | Miss) {
+            let refused = end.outcome == ConnectFailed && end.took <= AT_ONCE;
+            let answered = matches!(end.outcome, Settled | Error | Full | Miss);
+            host.broke = end.outcome == Reset || refused || host.broke && (host.shut.is_some() || !answered);
+            if answered {
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
             }
@@ -639,7 +642,12 @@
         shut.next_trial = if failed { now + shut.rest } else { now };
         if shut.passed >= TRIALS_TO_OPEN {
             (host.shut, host.bad) = (None, Mean::default());
-            self.log(format!("host {:x} back after {TRIALS_TO_OPEN} good trials", id.0));
+            // Guards against a process that is new, and cold, before the list tells so: its connections broke or were
+            // refused. Harms a host that only lost its connections: it has a cold one's part until it would be warm.
+            let anew = std::mem::take(&mut host.broke);
+            host.entry.since = Some(now).filter(|_| anew).or(host.entry.since);
+            let how = if anew { "anew " } else { "" };
+            self.log(format!("host {:x} back {how}after {TRIALS_TO_OPEN} good trials", id.0));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,8 @@
     pub heard: Time,
     /// When a connection to it last broke.
     pub reset: Time,
+    /// A connection to it broke or was refused, and nothing was answered since, or only trials were.
+    pub broke: bool,
     pub waiting_since: Time,
     pub gap: Mean,
     pub bad: Mean,
@@ -49,6 +51,7 @@
             in_flight: 0,
             heard: now,
             reset: Time::default(),
+            broke: false,
             waiting_since: now,
             gap: Mean::default(),
             bad: Mean::default(),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -376,6 +376,7 @@
 #[test_case(include_str!("scenarios/parts_apart.txt"); "parts_apart")]
 #[test_case(include_str!("scenarios/cold_untold.txt"); "cold_untold")]
 #[test_case(include_str!("scenarios/cold_share.txt"); "cold_share")]
+#[test_case(include_str!("scenarios/came_back.txt"); "came_back")]
 #[test_case(include_str!("scenarios/cache_share.txt"); "cache_share")]
 #[test_case(include_str!("scenarios/own_pause.txt"); "own_pause")]
 #[test_case(include_str!("scenarios/bad_visits.txt"); "bad_visits")]
