Connections to hosts are bounded in total; the longest idle one makes room for a new host

By a test, for the point of the issue on long lists: at 32 MB and 256 descriptors 32 connections to hosts are allowed, but with 201 hosts listed, visits to 90 objects left 84 open files, growing with each host met: past 170 or so the descriptors run out, where a limit is broken and clients can't be taken in.

At fault: Room::share() in bounds.rs gives each listed host one connection at the least, and nothing bounds the sum. A connection now takes a place while it stands; with none left the host that is asked takes the place of the connection idle longest (room-needed). Worn connections no longer keep a host from opening another. With all places in use a hand-off ends as never run and nobody's fault.

--- a/crates/dispatcher/src/bounds.rs
+++ b/crates/dispatcher/src/bounds.rs
@@ -33,12 +33,19 @@
     connections: usize,
     most: usize,
     hosts: Gauge,
+    taken: Gauge,
     answers: Gauge,
 }
 
 impl Room {
     pub fn new(connections: usize, most: usize) -> Room {
-        Room { connections, most, hosts: Gauge::default(), answers: Gauge::default() }
+        Room {
+            connections,
+            most,
+            hosts: Gauge::default(),
+            taken: Gauge::default(),
+            answers: Gauge::default(),
+        }
     }
 
     /// One more host, for as long as what is returned is kept.
@@ -46,6 +53,11 @@
         self.hosts.hold(1)
     }
 
+    /// A place for one more connection, held as long as what is returned is kept.
+    pub fn place(&self) -> Option<Held> {
+        (self.taken.amount() < self.connections).then(|| self.taken.hold(1))
+    }
+
     /// How many connections each host may have, so that none takes the last from another.
     pub fn share(&self) -> usize {
         (self.connections / self.hosts.amount().max(1)).max(1)
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -174,20 +174,26 @@
             Letter::Join(number, host) => {
                 hosts.insert(number, host);
             }
-            Letter::For(number, message) => match (hosts.get_mut(&number), message) {
-                (Some(host), message) => {
-                    host.take(message);
-                    host.end_unused();
-                    if host.retired && host.lines.is_empty() {
-                        hosts.remove(&number);
-                    }
+            Letter::For(number, message) => {
+                if matches!(message, ToHost::HandOff(_)) {
+                    make_room(&mut hosts, number);
                 }
-                (None, ToHost::HandOff(HandOff { id, .. })) => {
-                    let (outcome, at) = (Outcome::ConnectFailed, clock::now());
-                    let _ = router.send(Input::HandOff(id, FromHost::Ended { outcome, answer: None, at }));
+                match (hosts.get_mut(&number), message) {
+                    (Some(host), message) => {
+                        host.take(message);
+                        host.end_unused();
+                        if host.retired && host.lines.is_empty() {
+                            hosts.remove(&number);
+                        }
+                    }
+                    (None, ToHost::HandOff(HandOff { id, .. })) => {
+                        let (outcome, at) = (Outcome::ConnectFailed, clock::now());
+                        let _ =
+                            router.send(Input::HandOff(id, FromHost::Ended { outcome, answer: None, at }));
+                    }
+                    (None, _) => {}
                 }
-                (None, _) => {}
-            },
+            }
             Letter::Sweep(now) => {
                 wires.end_silent(now);
                 hosts.values_mut().for_each(|host| {
@@ -199,6 +205,20 @@
     }
 }
 
+/// Guards against a list longer than the connections allowed: a host that has none takes the place of the one that
+/// has been idle longest, so that they go where the visits go. Harms where visits go round more hosts than that: each then opens one.
+fn make_room(hosts: &mut BTreeMap<HostNo, Box<Host>>, number: HostNo) {
+    let Some(host) = hosts.get(&number) else { return };
+    let has_one = host.lines.values().any(|pooled| !pooled.ending && pooled.worn.is_none());
+    if has_one || host.retired || host.room.place().is_some() {
+        return;
+    }
+    let idle = hosts.values_mut().flat_map(|host| host.lines.values_mut()).filter(|pooled| pooled.is_idle());
+    if let Some(longest) = idle.min_by_key(|pooled| pooled.used) {
+        longest.end(Code::RoomNeeded);
+    }
+}
+
 enum ToLine {
     HandOff(HandOff),
     NeverMind(HandOffId, Bytes),
@@ -250,6 +270,7 @@
     /// Takes nothing more, and ends so once nothing is out on it.
     worn: Option<Code>,
     ending: bool,
+    _place: Option<Held>,
 }
 
 impl Pooled {
@@ -259,8 +280,13 @@
         !self.ending && self.worn.is_none() && !taken && self.out.len() < streams
     }
 
+    fn is_idle(&self) -> bool {
+        !self.ending && self.line.is_some() && self.out.is_empty()
+    }
+
     fn end(&mut self, code: Code) {
         self.ending = true;
+        self._place = None;
         if let Some(line) = &self.line {
             line.end(code);
         }
@@ -362,7 +388,9 @@
             other => self.open().or(other.map(|(line, _)| line)),
         };
         let Some(pooled) = line.and_then(|line| self.lines.get_mut(&line)) else {
-            self.ended(hand_off.id, Outcome::ConnectFailed, None, clock::now());
+            // That all places are in use is no fault of this host.
+            let outcome = if self.retired { Outcome::ConnectFailed } else { Outcome::Moot };
+            self.ended(hand_off.id, outcome, None, clock::now());
             return;
         };
         let HandOff { id, copy, until, .. } = hand_off;
@@ -418,9 +446,11 @@
     }
 
     fn open(&mut self) -> Option<LineId> {
-        if self.retired || self.lines.len() >= self.room.share() {
+        let standing = self.lines.values().filter(|pooled| !pooled.ending && pooled.worn.is_none()).count();
+        if self.retired || standing >= self.room.share() {
             return None;
         }
+        let place = self.room.place()?;
         let line = LineId(self.next);
         self.next += 1;
         self.wires.open(self.address, &self.own, line);
@@ -435,6 +465,7 @@
             used: clock::now(),
             worn: None,
             ending: false,
+            _place: Some(place),
         };
         self.lines.insert(line, pooled);
         Some(line)
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -3,6 +3,7 @@
 //! `host NAME SORT [at OTHER]` (cache, parent, origin; or a new one at another's address), `memory MB`, `descriptors N`, `crowd N` (connections that only stand), `unknown` (an empty
 //! list at the start, and a change log that is mute), `start [N]`, `restart` (killed, and started anew),
 //! `many N NAME` (as many more hosts are listed at that one's address),
+//! `each CLIENT FROM TO` (visits of as many objects one after another, each settled),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
 //! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
@@ -587,6 +588,14 @@
             ["many", count, name] => self.many.push((count.parse().unwrap(), (*name).into())),
             ["unknown"] => self.unknown = true,
             ["descriptors", count] => self.descriptors = count.parse().unwrap(),
+            ["each", client, from, to] => {
+                for id in from.parse::<u32>().unwrap()..=to.parse().unwrap() {
+                    self.clients.get_mut(*client).unwrap().ask(id, "video", &id.to_string(), &[]);
+                    self.take("any", &[]);
+                    self.answer("it", "DONE", &[]);
+                    self.expect(client, id, "settled", &[]);
+                }
+            }
             ["crowd", count] => {
                 let listen = &self.dispatchers[0].listen;
                 let count: usize = count.parse().unwrap();
