Clean-up after a second reading: one place that says whether a connection takes something still

Behaviour as before. Three places in hosts.rs asked the same of a pooled connection (not ending, not worn): Pooled::stands() serves them. Tests untouched and green.

--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -209,7 +209,7 @@
 /// has been idle longest, so that they go where the visits go. Harms where visits go round more hosts than that: each then opens one.
 fn make_room(hosts: &mut BTreeMap<HostNo, Box<Host>>, number: HostNo) {
     let Some(host) = hosts.get(&number) else { return };
-    let has_one = host.lines.values().any(|pooled| !pooled.ending && pooled.worn.is_none());
+    let has_one = host.lines.values().any(|pooled| pooled.stands());
     if has_one || host.retired || host.room.place().is_some() {
         return;
     }
@@ -277,7 +277,12 @@
     fn may_take(&self, txn: Txn, streams: usize) -> bool {
         // Guards against an answer to a hand-off given up that is taken for one of the same visit's next.
         let taken = self.out.contains_key(&txn) || self.given_up.contains_key(&txn);
-        !self.ending && self.worn.is_none() && !taken && self.out.len() < streams
+        self.stands() && !taken && self.out.len() < streams
+    }
+
+    /// Whether it may take something still.
+    fn stands(&self) -> bool {
+        !self.ending && self.worn.is_none()
     }
 
     fn is_idle(&self) -> bool {
@@ -446,7 +451,7 @@
     }
 
     fn open(&mut self) -> Option<LineId> {
-        let standing = self.lines.values().filter(|pooled| !pooled.ending && pooled.worn.is_none()).count();
+        let standing = self.lines.values().filter(|pooled| pooled.stands()).count();
         if self.retired || standing >= self.room.share() {
             return None;
         }
