Limits on fills that have learned nothing count as in time

Cause: a Gate's mean of logarithms starts at 0, which reads as the whole quoted time: late, past both bounds. Ruled out: the link (reported 0 to 0.8 full).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -78,6 +78,7 @@
         brain.gate.most = link.map_or(f64::INFINITY, |_| brain.gate.limit);
         (brain.origin.limit, brain.origin.most) = (brain.gate.limit, f64::INFINITY);
         (brain.gate.borne, brain.origin.borne) = (FILLS_LATE, ORIGIN_LATE);
+        (brain.gate.late.value, brain.origin.late.value) = (FILLS_LATE.ln(), ORIGIN_LATE.ln());
         brain.due.put(now + HALVING, Due::Halve);
         brain.due.put(now + SECOND, Due::Second);
         brain.ready.push_back(Decision::Wake { after: ROUND });
