Notes that don't tell a fill by way of the origin apart speak for both limits on fills

Now the setting is read; such a fill speaks for both, and looks at parents for what they hold tell the share, as where nothing is told.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -86,6 +86,7 @@
         links,
         direct: flag(all, "/domain/may_pass_by"),
         joins: flag(all, "/domain/joins"),
+        ways_told: text(all, "/domain/detail") != "hit",
         cancel: flag(all, "/bounds/cancel"),
         max_hand_offs: number(all, "/bounds/max_attempts").unwrap_or(1.0).clamp(1.0, 255.0) as u8,
         come_back_most: if flag(all, "/bounds/retry_after") {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -570,14 +570,15 @@
             || lost
             || sent.fill_share == 1.0 && end.outcome != Cancelled && !is_hasty(end);
         let part = if sure { 1.0 } else { MAYBE_HIT };
+        let way_told = self.set.ways_told || sent.held;
         let onward = match end.note {
             FilledByOrigin | OriginFailed => 1.0,
-            Filled | Joined => 0.0,
+            Filled | Joined if way_told => 0.0,
             _ if sent.held => f64::from(lacks),
             _ if end.outcome == TimedOut => blame,
             _ => sent.origin_share,
         };
-        if filled || end.note == OriginFailed || lacks || sent.held && settled && untold {
+        if filled && way_told || end.note == OriginFailed || lacks || sent.held && settled && untold {
             self.origin.onward.push(onward, 0.05);
         }
         let jammed = matches!(end.note, NoPlace | OriginFailed);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -49,6 +49,8 @@
     pub links: Vec<f64>,
     pub direct: bool,
     pub joins: bool,
+    /// Whether notes tell a fill by way of the origin apart.
+    pub ways_told: bool,
     pub cancel: bool,
     pub max_hand_offs: u8,
     pub come_back_most: Span,
