A cache that reports room takes a visit; a parent's size untold is what its peers carry in fills

Cause: limits are shared among a location's 14 to 16 dispatchers, 12/16 of a visit each where no size is told, and a share is kept as a chance; the module takes for granted that a share is a visit or more. Ruled out: cold or shut caches (probe of the reasons). Both new deployments report how busy a cache is, over all that ask it; the adapter didn't pass it on. A report under 0.9, not older than 1.5 s, now counts before the share. Also capacity() of a parent where neither sizes nor links are told was 1 transfer, since carried counts hand-offs and parents get none: its fills are counted, for all dispatchers.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -9,6 +9,9 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 
+/// The value of a load report that tells how much of what a host can do is in use.
+const BUSY: &str = "load_share";
+
 /// Answers batches until the input ends.
 pub fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), Error> {
     let mut link = Link::default();
@@ -22,8 +25,8 @@
 
 #[derive(Default)]
 struct Link {
-    /// Each instance with the place of its link's report among the columns.
-    instances: BTreeMap<u16, (Brain, Option<usize>)>,
+    /// Each instance with the places of what it takes from a load report: its link, how busy it is.
+    instances: BTreeMap<u16, (Brain, [Option<usize>; 2])>,
     sheets: BTreeMap<u16, Vec<Listing>>,
 }
 
@@ -63,8 +66,9 @@
             let all: Value = serde_json::from_slice(env)
                 .map_err(|error| frame.fault(format!("the settings aren't JSON: {error}")))?;
             let set = settings::read(&all).map_err(|what| frame.fault(what))?;
-            let column = settings::columns(&all).iter().position(|name| *name == settings::LINK_FULL);
-            self.instances.insert(who, (Brain::start(set, record.u64(4), now), column));
+            let columns = settings::columns(&all);
+            let places = [settings::LINK_FULL, BUSY].map(|name| columns.iter().position(|known| *known == name));
+            self.instances.insert(who, (Brain::start(set, record.u64(4), now), places));
             return Ok(());
         }
         if !(257..=266).contains(&code) {
@@ -74,7 +78,7 @@
         if code == 265 {
             return self.instances.remove(&who).map(drop).ok_or_else(unknown);
         }
-        let (brain, link_column) = self.instances.get_mut(&who).ok_or_else(unknown)?;
+        let (brain, places) = self.instances.get_mut(&who).ok_or_else(unknown)?;
         match code {
             257 => {
                 let whole = match record.u8(4) {
@@ -89,7 +93,7 @@
                 brain.listed(now, sheet, whole);
             }
             258 => brain.arrived(now, visit(record)),
-            260 => brain.ended(now, ended(frame, record, *link_column)?),
+            260 => brain.ended(now, ended(frame, record, *places)?),
             261 => brain.left(VisitId(record.u32(4))),
             262 => brain.woken(now),
             266 => {
@@ -143,16 +147,16 @@
     }
 }
 
-fn ended(frame: &Frame, record: Fields, column: Option<usize>) -> Result<Ended, Error> {
+fn ended(frame: &Frame, record: Fields, places: [Option<usize>; 2]) -> Result<Ended, Error> {
     use Note::*;
     use Outcome::*;
+    let told = |place: &usize| *place < usize::from(record.u8(30));
+    let value = |place: Option<usize>| place.filter(told).map(|place| f64::from(record.f32(31 + 4 * place)));
     Ok(Ended {
         visit: VisitId(record.u32(4)),
         number: HandOffNo(record.u8(20)),
         took: Span(u64::from(record.u32(16))),
-        link_full: column
-            .filter(|place| *place < usize::from(record.u8(30)))
-            .map(|place| f64::from(record.f32(31 + 4 * place))),
+        report: Report { link_full: value(places[0]), busy: value(places[1]) },
         last: record.u8(29) != 0,
         outcome: match record.u16(27) {
             1 => Settled,
--- a/crates/dispatcher/src/resp.rs
+++ b/crates/dispatcher/src/resp.rs
@@ -2,9 +2,12 @@
 use crate::config::HOST_MESSAGE;
 use crate::line::Code;
 use bytes::{Bytes, BytesMut};
-use cherrypass::calls::{Note, Outcome};
+use cherrypass::calls::{Note, Outcome, Report};
 use std::fmt::Write;
 
+/// The value of a load report that tells how much of what a host can do is in use.
+const BUSY: &str = "util";
+
 /// Fields of an answer hold no more than this.
 const FIELDS_MOST: usize = 4096;
 const ID_MOST: usize = 64;
@@ -18,7 +21,7 @@
     /// The copy that the client holds is the one.
     pub keep: bool,
     pub note: Note,
-    pub link_full: Option<f64>,
+    pub report: Report,
     /// The tag of the copy that it is of, where it says that and how old the copy is.
     pub tag: Option<Bytes>,
     pub body: Bytes,
@@ -91,7 +94,7 @@
         return None;
     }
     let mut answer =
-        Answer { id: id.clone(), outcome, keep, note: Note::Untold, link_full: None, tag: None, body };
+        Answer { id: id.clone(), outcome, keep, note: Note::Untold, report: Report::default(), tag: None, body };
     let text = std::str::from_utf8(fields).ok()?;
     let (mut tag, mut born) = (None, false);
     for field in text.split(',').filter(|_| text != "-") {
@@ -101,9 +104,13 @@
             "born" => born = value.parse::<u64>().is_ok(),
             "note" => answer.note = note(value)?,
             "load" => {
-                let values = value.split(';').filter_map(|value| value.split_once(':'));
-                let full = values.filter(|(name, _)| *name == cherrypass_settings::LINK_FULL);
-                answer.link_full = full.filter_map(|(_, value)| value.parse().ok()).next();
+                for (name, value) in value.split(';').filter_map(|value| value.split_once(':')) {
+                    match name {
+                        cherrypass_settings::LINK_FULL => answer.report.link_full = value.parse().ok(),
+                        BUSY => answer.report.busy = value.parse().ok(),
+                        _ => {}
+                    }
+                }
             }
             _ => {}
         }
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -408,7 +408,7 @@
             outcome,
             note: answer.as_ref().map_or(Note::Untold, |(answer, _)| answer.note),
             took: at - out.sent,
-            link_full: answer.as_ref().and_then(|(answer, _)| answer.link_full),
+            report: answer.as_ref().map(|(answer, _)| answer.report).unwrap_or_default(),
             last: settled || !self.visits.contains_key(&visit),
         };
         if let Some((answer, held)) = answer.filter(|_| settled) {
@@ -613,7 +613,7 @@
 
 fn never_sent(HandOffId(visit, number): HandOffId, outcome: Outcome) -> Ended {
     let (note, took) = (Note::Untold, Span::ZERO);
-    Ended { visit, number, outcome, note, took, link_full: None, last: false }
+    Ended { visit, number, outcome, note, took, report: Report::default(), last: false }
 }
 
 /// The fields of a hand-off; the module's times become milliseconds, rounded so that no older copy will do.
--- a/crates/dispatcher/tests/codecs.rs
+++ b/crates/dispatcher/tests/codecs.rs
@@ -36,7 +36,7 @@
     }
     let Ok(Begun::Answer(answer)) = resp::next(&mut buffer) else { panic!("no answer") };
     assert_eq!((answer.outcome, answer.note), (Outcome::Settled, Note::FilledByOrigin));
-    assert_eq!((answer.link_full, &answer.body[..]), (Some(2.5), &b"a\r\n"[..]));
+    assert_eq!((answer.report.link_full, &answer.body[..]), (Some(2.5), &b"a\r\n"[..]));
     assert!(buffer.is_empty());
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,6 +60,7 @@
 const LEARNED_IN: f64 = 4.0;
 const ORIGIN_LATE: f64 = 0.8;
 const LINK_FULL: f64 = 3.0;
+const BUSY_FULL: f64 = 0.9;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
 const PATIENCE: f64 = 0.5;
@@ -122,7 +123,7 @@
     pub fn ended(&mut self, now: Time, end: Ended) {
         let Some(sent) = self.sent.remove(&(end.visit, end.number)) else { return };
         let by_cache = self.hosts.get(&sent.host).is_some_and(|h| self.is_cache(h));
-        self.gate.link = end.link_full.filter(|_| by_cache).map(|full| (now, full)).or(self.gate.link);
+        self.gate.link = end.report.link_full.filter(|_| by_cache).map(|full| (now, full)).or(self.gate.link);
         self.learn(now, &sent, &end);
         self.weigh_errors(now, &sent, &end);
         if end.outcome == Outcome::Settled && sent.host == sent.copy.2 {
@@ -319,11 +320,11 @@
         let (rank, join) = (RANKS[usize::from(popular)], self.set.joins);
         let renew = self.band(visit.band).is_some_and(|band| band.fresh > Span::ZERO);
         let no_caches = caches.is_empty();
-        let mut cache = caches.iter().copied().find(|c| self.has_room(*c) && self.able(now, *c, work));
+        let mut cache = caches.iter().copied().find(|c| self.has_room(now, *c) && self.able(now, *c, work));
         // A cache that fails now and then is better than none: it goes on where no other takes the visit.
         if cache.is_none() {
             let fails = |b: &Brain, c| b.hosts[&c].bad.value > BAD_LEAST && b.cold_budget(now, c).is_none();
-            cache = caches.into_iter().find(|c| fails(self, *c) && self.has_room(*c));
+            cache = caches.into_iter().find(|c| fails(self, *c) && self.has_room(now, *c));
         }
         if !no_caches && cache.is_none() {
             return Choice::GiveUp;
@@ -484,6 +485,14 @@
         !crowded && self.has_part(1.0 / slower)
     }
 
+    /// Whether a cache takes one more: it tells that it has room, for all that ask it, or the limit leaves some.
+    fn has_room(&mut self, now: Time, id: HostId) -> bool {
+        let Some(host) = self.hosts.get(&id) else { return false };
+        let free = host.busy.is_some_and(|(at, busy)| now < at + REPORT_HOLDS && busy < BUSY_FULL);
+        let room = self.limit(host) - f64::from(host.in_flight);
+        free || self.has_part(room)
+    }
+
     /// The limit on what is in flight at a host, held to what its listed size can serve in time: the gradient
     /// alone can't tell where all it ever saw was overload.
     pub(crate) fn limit(&self, host: &Host) -> f64 {
@@ -504,8 +513,9 @@
         if let (true, Some(transfers)) = (self.is_parent(host), self.set.all_links_transfers()) {
             return transfers / (peers().count() + 1) as f64;
         }
+        let senders = if self.is_parent(host) { f64::from(self.set.dispatchers) } else { self.set.sharers() };
         let carried = peers().map(|h| h.carried.value).sum::<f64>() / peers().count().max(1) as f64;
-        (SMALLER * carried * self.set.sharers()).max(1.0)
+        (SMALLER * carried * senders).max(1.0)
     }
 
     fn learn(&mut self, now: Time, sent: &Sent, end: &Ended) {
@@ -535,6 +545,7 @@
                 host.gap.push(host.silence(now).as_seconds(), 0.05);
                 host.heard = now;
             }
+            host.busy = end.report.busy.map(|busy| (now, busy)).or(host.busy);
             host.settled_work += if settled { work } else { 0.0 };
             // Untold, only a look tells: settled it was a hit. Its misses alone would make all seem fills.
             if settled && (!untold || sent.source.is_none()) || end.outcome == Miss {
@@ -565,6 +576,8 @@
         if !untold {
             source.cold.level += f64::from(!filled && !by_source && !lacks) * work;
         }
+        let by_it = if filled { 1.0 } else { sent.fill_share * f64::from(untold) };
+        source.settled_work += if settled { by_it * work } else { 0.0 };
         let sure = filled
             || by_source
             || lost
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -67,6 +67,15 @@
     OriginFailed,
 }
 
+/// What the asked host tells of itself, where it does.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// How full its link for fills is: transfers over those that fit.
+    pub link_full: Option<f64>,
+    /// How much of what it can do is in use, by all that ask it.
+    pub busy: Option<f64>,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     pub visit: VisitId,
@@ -74,8 +83,7 @@
     pub outcome: Outcome,
     pub note: Note,
     pub took: Span,
-    /// How full the asked host's link for fills is, where its report tells: transfers over those that fit.
-    pub link_full: Option<f64>,
+    pub report: Report,
     pub last: bool,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,8 @@
 pub struct Host {
     pub entry: Listing,
     pub in_flight: u32,
+    /// How busy it last told that it is.
+    pub busy: Option<(Time, f64)>,
     pub heard: Time,
     /// When a connection to it last broke.
     pub reset: Time,
@@ -49,6 +51,7 @@
         Host {
             entry,
             in_flight: 0,
+            busy: None,
             heard: now,
             reset: Time::default(),
             broke: false,
@@ -366,11 +369,6 @@
         copy.and_then(|c| c.settled).is_some_and(|at| now < at + FORGET && Some(at) > void)
     }
 
-    pub(crate) fn has_room(&mut self, id: HostId) -> bool {
-        let room = self.hosts.get(&id).map_or(0.0, |h| self.limit(h) - f64::from(h.in_flight));
-        self.has_part(room)
-    }
-
     pub(crate) fn log(&mut self, line: String) {
         self.ready.push_back(Decision::Log(line));
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -162,7 +162,7 @@
         let (took, last) = (Span(self.now - seen.at), !seen.finals.is_empty());
         let (visit, number) = (VisitId(id), HandOffNo(number));
         self.call(|brain, now| {
-            brain.ended(now, Ended { visit, number, outcome, note, took, link_full: None, last })
+            brain.ended(now, Ended { visit, number, outcome, note, took, report: Report::default(), last })
         });
     }
 
