--- a/src/brain.rs
+++ b/src/brain.rs
@@ -305,8 +305,9 @@
         let home = self.by_hash(visit.object.0, |h| self.is_cache(h)).first().copied();
         let mut caches =
             self.by_hash(visit.object.0 ^ (u64::from(visit.part) + 1) << 52, |h| self.is_cache(h));
+        let second = caches.iter().copied().find(|c| Some(*c) != home);
         let second =
-            self.own_cache().filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
+            second.filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
         caches.sort_by_key(|cache| (Some(*cache) != second, Some(*cache) != home));
         caches.retain(fits);
         let mut sources = self.by_hash(self.parent_key(&visit), |h| self.is_parent(h));
