Parents are asked each second how busy they are, and are given a part of their fills by it

The wire lets a dispatcher ask a host for its load; the adapter passed neither the question nor the answer on. Off where no such value is reported: bakul.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -9,9 +9,6 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 
-/// The value of a load report that tells how much of what a host can do is in use.
-const BUSY: &str = "load_share";
-
 /// Answers batches until the input ends.
 pub fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), Error> {
     let mut link = Link::default();
@@ -67,7 +64,7 @@
                 .map_err(|error| frame.fault(format!("the settings aren't JSON: {error}")))?;
             let set = settings::read(&all).map_err(|what| frame.fault(what))?;
             let columns = settings::columns(&all);
-            let places = [settings::LINK_FULL, BUSY].map(|name| columns.iter().position(|known| *known == name));
+            let places = [settings::LINK_FULL, settings::BUSY].map(|name| columns.iter().position(|known| *known == name));
             self.instances.insert(who, (Brain::start(set, record.u64(4), now), places));
             return Ok(());
         }
@@ -96,6 +93,7 @@
             260 => brain.ended(now, ended(frame, record, *places)?),
             261 => brain.left(VisitId(record.u32(4))),
             262 => brain.woken(now),
+            263 => brain.probed(now, host(record, 6), report(record, 16, *places)),
             266 => {
                 let object = Some(record.u64(10)).filter(|key| *key != 0).map(ObjectId);
                 let ago = Span(u64::from(record.u32(4)));
@@ -147,16 +145,20 @@
     }
 }
 
+fn report(record: Fields, at: usize, places: [Option<usize>; 2]) -> Report {
+    let told = |place: &usize| *place < usize::from(record.u8(at));
+    let value = |place: Option<usize>| place.filter(told).map(|place| record.f32(at + 1 + 4 * place).into());
+    Report { link_full: value(places[0]), busy: value(places[1]) }
+}
+
 fn ended(frame: &Frame, record: Fields, places: [Option<usize>; 2]) -> Result<Ended, Error> {
     use Note::*;
     use Outcome::*;
-    let told = |place: &usize| *place < usize::from(record.u8(30));
-    let value = |place: Option<usize>| place.filter(told).map(|place| f64::from(record.f32(31 + 4 * place)));
     Ok(Ended {
         visit: VisitId(record.u32(4)),
         number: HandOffNo(record.u8(20)),
         took: Span(u64::from(record.u32(16))),
-        report: Report { link_full: value(places[0]), busy: value(places[1]) },
+        report: report(record, 30, places),
         last: record.u8(29) != 0,
         outcome: match record.u16(27) {
             1 => Settled,
@@ -202,6 +204,9 @@
         Decision::Cancel { visit, number } => {
             reply.record(263, who).put(4, &visit.0.to_le_bytes()).put(8, &[number.0]);
         }
+        Decision::Probe { host } => {
+            reply.record(259, who).put(4, &host_bytes(host));
+        }
         Decision::TurnBack { visit, come_back } => {
             let wait = come_back.0.min(u64::from(u32::MAX)) as u32;
             reply.record(260, who).put(4, &visit.0.to_le_bytes()).put(8, &wait.to_le_bytes());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -61,6 +61,9 @@
 /// The value of a load report that tells how full the link for fills is.
 pub const LINK_FULL: &str = "x1";
 
+/// The value that tells how much of what a host can do is in use.
+pub const BUSY: &str = "load_share";
+
 pub fn read(all: &Value) -> Result<Settings, String> {
     let services = all.pointer("/services").and_then(Value::as_array);
     let services = services.ok_or("the settings lack the list /services")?;
@@ -88,6 +91,7 @@
         joins: flag(all, "/domain/joins"),
         ways_told: text(all, "/domain/detail") != "hit",
         cancel: flag(all, "/bounds/cancel"),
+        probes: flag(all, "/bounds/probing") && columns(all).contains(&BUSY),
         max_hand_offs: number(all, "/bounds/max_attempts").unwrap_or(1.0).clamp(1.0, 255.0) as u8,
         come_back_most: if flag(all, "/bounds/retry_after") {
             span(all, "/bounds/max_retry_after")
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,6 +61,9 @@
 const ORIGIN_LATE: f64 = 0.8;
 const LINK_FULL: f64 = 3.0;
 const BUSY_FULL: f64 = 0.9;
+const BUSY_SILENT: f64 = 4.0;
+const PART_GROWS: f64 = 1.25;
+const PART_LEAST: f64 = 0.02;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
 const PATIENCE: f64 = 0.5;
@@ -295,6 +298,14 @@
         self.ready.extend(out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }));
     }
 
+    /// A host that was asked tells how busy it is, or nothing within the time for that.
+    pub fn probed(&mut self, now: Time, id: HostId, report: Report) {
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        let busy = report.busy.unwrap_or(BUSY_SILENT);
+        host.busy = Some((now, busy));
+        host.part = (host.part * (BUSY_FULL / busy.max(0.1)).min(PART_GROWS)).clamp(PART_LEAST, 1.0);
+    }
+
     /// The ordinary path: the designated cache, or for a popular object the less busy of that and the
     /// dispatcher's own second one; filled from the parent hashed over all listed ones.
     fn choose(&mut self, now: Time, visit: Visit) -> Choice {
@@ -480,10 +491,11 @@
     /// source for the rest. Harms where the next one is no better: it starts empty for the object.
     fn takes_part(&mut self, id: HostId) -> bool {
         let known = self.hosts.get(&id).filter(|h| self.is_parent(h));
+        let part = known.map_or(1.0, |h| h.part);
         let slower =
             known.map_or(0.0, |h| h.late.value.exp() / PARENT_LATE.max(SLOWER_ALONE * h.load.best()));
         let crowded = known.is_some_and(|h| h.fills >= 1.0 && h.fills > FILLS_AT_ONE * self.gate.limit);
-        !crowded && self.has_part(1.0 / slower)
+        !crowded && self.has_part(part / slower.max(1.0))
     }
 
     /// Whether a cache takes one more: it tells that it has room, for all that ask it, or the limit leaves some.
@@ -712,6 +724,10 @@
         for (late, part, onward) in overdue {
             self.learn_of_fill(now, late, part, (1.0 - onward, onward));
         }
+        if self.set.probes {
+            let asked = self.hosts.values().filter(|h| h.is_ready() && self.is_parent(h));
+            self.ready.extend(asked.map(|h| Decision::Probe { host: h.entry.host }).collect::<Vec<_>>());
+        }
         let sharers = self.set.sharers();
         // What is usually out at the origin is the measure of what may be: a slow one is spared at once.
         let origin = &mut self.origin;
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -111,6 +111,10 @@
         visit: VisitId,
         number: HandOffNo,
     },
+    /// Ask a host how busy it is.
+    Probe {
+        host: HostId,
+    },
     TurnBack {
         visit: VisitId,
         come_back: Span,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -52,6 +52,8 @@
     /// Whether notes tell a fill by way of the origin apart.
     pub ways_told: bool,
     pub cancel: bool,
+    /// Whether hosts may be asked how busy they are, and tell it.
+    pub probes: bool,
     pub max_hand_offs: u8,
     pub come_back_most: Span,
     pub cold_cache: ColdStart,
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub in_flight: u32,
     /// How busy it last told that it is.
     pub busy: Option<(Time, f64)>,
+    /// What part of its fills a source is given, by what it tells.
+    pub part: f64,
     pub heard: Time,
     /// When a connection to it last broke.
     pub reset: Time,
@@ -52,6 +54,7 @@
             entry,
             in_flight: 0,
             busy: None,
+            part: 1.0,
             heard: now,
             reset: Time::default(),
             broke: false,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -139,7 +139,7 @@
             Decision::TurnBack { visit, .. } => self.final_answer(visit.0, "turned-back"),
             Decision::WriteOff { visit } => self.final_answer(visit.0, "written-off"),
             Decision::Wake { after } => self.wake = self.now + after.0,
-            Decision::Log(_) => {}
+            Decision::Log(_) | Decision::Probe { .. } => {}
         }
     }
 
