What a host of untold size can do is what its peers carry over how busy they say they are

Their cold budget came from peers' fills times 0.6, at parents that are half busy. Where they tell it, the part in use is divided by.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,6 +61,7 @@
 const ORIGIN_LATE: f64 = 0.8;
 const LINK_FULL: f64 = 3.0;
 const BUSY_FULL: f64 = 0.9;
+const BUSY_LEAST: f64 = 0.2;
 const BUSY_SILENT: f64 = 4.0;
 const PART_GROWS: f64 = 1.25;
 const PART_LEAST: f64 = 0.02;
@@ -527,8 +528,11 @@
             return transfers / (peers().count() + 1) as f64;
         }
         let senders = if self.is_parent(host) { f64::from(self.set.dispatchers) } else { self.set.sharers() };
-        let carried = peers().map(|h| h.carried.value).sum::<f64>() / peers().count().max(1) as f64;
-        (SMALLER * carried * senders).max(1.0)
+        let carried = peers().map(|h| h.carried.value).sum::<f64>();
+        // What a part of which is in use is told; else what is carried is less than all, and by how much is not known.
+        let busy = |h: &Host| h.busy.map_or(1.0 / SMALLER, |(_, busy)| busy.clamp(BUSY_LEAST, 1.0));
+        let busy = peers().map(busy).sum::<f64>();
+        (carried * senders / busy.max(BUSY_LEAST)).max(1.0)
     }
 
     fn learn(&mut self, now: Time, sent: &Sent, end: &Ended) {
