--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,6 +61,7 @@
 const ORIGIN_LATE: f64 = 0.8;
 const LINK_FULL: f64 = 3.0;
 const BUSY_FULL: f64 = 0.9;
+const BUSY_HOLDS: Span = Span::millis(4_000);
 const BUSY_LEAST: f64 = 0.2;
 const BUSY_SILENT: f64 = 4.0;
 const PART_GROWS: f64 = 1.25;
@@ -502,8 +503,8 @@
     /// Whether a cache takes one more: it tells that it has room, for all that ask it, or the limit leaves some.
     fn has_room(&mut self, now: Time, id: HostId) -> bool {
         let Some(host) = self.hosts.get(&id) else { return false };
-        let free = host.busy.is_some_and(|(at, busy)| now < at + REPORT_HOLDS && busy < BUSY_FULL);
-        let room = self.limit(host) - f64::from(host.in_flight);
+        let free = host.busy.is_some_and(|(at, busy)| now < at + BUSY_HOLDS && busy < BUSY_FULL);
+        let room = self.limit(host).max(1.0) - f64::from(host.in_flight);
         free || self.has_part(room)
     }
 
