--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -64,7 +64,8 @@
                 .map_err(|error| frame.fault(format!("the settings aren't JSON: {error}")))?;
             let set = settings::read(&all).map_err(|what| frame.fault(what))?;
             let columns = settings::columns(&all);
-            let places = [settings::LINK_FULL, settings::BUSY].map(|name| columns.iter().position(|known| *known == name));
+            let places = [settings::LINK_FULL, settings::BUSY]
+                .map(|name| columns.iter().position(|known| *known == name));
             self.instances.insert(who, (Brain::start(set, record.u64(4), now), places));
             return Ok(());
         }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -3,7 +3,7 @@
 use crate::bounds::{Held, Room};
 use crate::clock;
 use crate::config::Reach;
-use crate::ids::{HandOffId, HostNo, LineId, Txn};
+use crate::ids::{HandOffId, HostNo, LineId, ProbeNo, Txn};
 use crate::line::{spawn, Code, Line};
 use crate::lines::Lines;
 use crate::mailbox;
@@ -89,6 +89,8 @@
 pub enum ToHost {
     HandOff(HandOff),
     NeverMind(HandOffId),
+    /// How busy is it?
+    Probe(ProbeNo),
     /// The hand-off's connection had to be up by now.
     ConnectLimit(HandOffId),
     Retire,
@@ -156,6 +158,7 @@
             router: self.router.clone(),
             lines: BTreeMap::new(),
             next: 0,
+            probe: None,
             retired: false,
         });
         let _ = self.letters.send(Letter::Join(number, host));
@@ -222,6 +225,7 @@
 enum ToLine {
     HandOff(HandOff),
     NeverMind(HandOffId, Bytes),
+    Probe(ProbeNo),
 }
 
 impl ToLine {
@@ -237,6 +241,7 @@
                 write(&[&head, &hand_off.body, resp::END])
             }
             ToLine::NeverMind(_, message) => write(&[message]),
+            ToLine::Probe(number) => write(&[resp::busy(*number).as_bytes()]),
         }
     }
 }
@@ -308,6 +313,8 @@
     router: Sender<Input>,
     lines: BTreeMap<LineId, Pooled>,
     next: u64,
+    /// The last probe, until it is answered.
+    probe: Option<ProbeNo>,
     retired: bool,
     _joined: Held,
 }
@@ -317,6 +324,15 @@
         match message {
             ToHost::HandOff(hand_off) => self.hand_off(hand_off),
             ToHost::NeverMind(id) => self.never_mind(id),
+            ToHost::Probe(number) => {
+                self.probe = Some(number);
+                let up = |p: &Pooled| p.stands() && p.line.is_some();
+                match self.lines.iter().find(|(_, pooled)| up(pooled)).map(|(line, _)| *line) {
+                    Some(line) => self.say(line, ToLine::Probe(number)),
+                    None if self.lines.values().any(Pooled::stands) => {}
+                    None => drop(self.open()),
+                }
+            }
             ToHost::ConnectLimit(id) => {
                 self.wires.end_silent(clock::now());
                 let waits = |p: &Pooled| p.pending.iter().any(|hand_off| hand_off.id == id);
@@ -336,6 +352,9 @@
                 for hand_off in std::mem::take(&mut pooled.pending) {
                     self.say(line, ToLine::HandOff(hand_off));
                 }
+                if let Some(number) = self.probe {
+                    self.say(line, ToLine::Probe(number));
+                }
             }
             ToHost::GivenUp(line, id, at) => self.given_up(line, id, at),
             ToHost::Answered(line, answer, held, at) => self.answered(line, answer, held, at),
@@ -429,6 +448,7 @@
             (Ok(written), ToLine::NeverMind(hand_off, _)) if written == all => {
                 self.given_up(id, *hand_off, clock::now());
             }
+            (Ok(written), ToLine::Probe(_)) if written == all => {}
             (Ok(written), _) => {
                 let (mailbox, messages) = unbounded();
                 let _ = mailbox.send((message, Some(written)));
@@ -502,6 +522,10 @@
     fn answered(&mut self, line: LineId, answer: Answer, held: Held, at: Time) {
         let Some(pooled) = self.lines.get_mut(&line) else { return };
         pooled.used = at;
+        if let Some(number) = self.probe.take_if(|number| resp::tag(*number).as_bytes() == &answer.id[..]) {
+            let _ = self.router.send(Input::Probed(number, answer.report));
+            return;
+        }
         let txn = Txn::of(&answer.id);
         let named = pooled.out.get(&txn).is_some_and(|out| out.wire == answer.id);
         let Some(out) = named.then(|| pooled.out.remove(&txn)).flatten() else {
@@ -550,6 +574,7 @@
         }
         match message {
             ToLine::HandOff(hand_off) => hand_off.way.written(),
+            ToLine::Probe(_) => {}
             ToLine::NeverMind(hand_off, _) => {
                 let _ = host.send(ToHost::GivenUp(id, hand_off, clock::now()));
             }
--- a/crates/dispatcher/src/ids.rs
+++ b/crates/dispatcher/src/ids.rs
@@ -13,6 +13,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LineId(pub u64);
 
+/// A question of how busy a host is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProbeNo(pub u64);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HandOffId(pub VisitId, pub HandOffNo);
 
--- a/crates/dispatcher/src/resp.rs
+++ b/crates/dispatcher/src/resp.rs
@@ -1,5 +1,6 @@
 //! RESP framing of what passes between a dispatcher and hosts: arrays of bulk strings.
 use crate::config::HOST_MESSAGE;
+use crate::ids::ProbeNo;
 use crate::line::Code;
 use bytes::{Bytes, BytesMut};
 use cherrypass::calls::{Note, Outcome, Report};
@@ -86,15 +87,23 @@
         b"DONE" | b"KEEP" => Outcome::Settled,
         b"LACK" => Outcome::Miss,
         b"WAIT" => Outcome::Full,
-        b"BROKE" => Outcome::Error,
+        // What answers a probe would, under a visit's id, prove nothing of it.
+        b"BROKE" | b"FIT" | b"UNFIT" => Outcome::Error,
         b"PAST" => Outcome::Moot,
         _ => return None,
     };
     if keep && !body.is_empty() {
         return None;
     }
-    let mut answer =
-        Answer { id: id.clone(), outcome, keep, note: Note::Untold, report: Report::default(), tag: None, body };
+    let mut answer = Answer {
+        id: id.clone(),
+        outcome,
+        keep,
+        note: Note::Untold,
+        report: Report::default(),
+        tag: None,
+        body,
+    };
     let text = std::str::from_utf8(fields).ok()?;
     let (mut tag, mut born) = (None, false);
     for field in text.split(',').filter(|_| text != "-") {
@@ -136,6 +145,17 @@
     })
 }
 
+/// Under what a probe is asked and answered; visits go by 16 hexadecimal digits.
+pub fn tag(number: ProbeNo) -> String {
+    format!("probe-{}", number.0)
+}
+
+/// Asks how busy a host is.
+pub fn busy(number: ProbeNo) -> String {
+    let tag = tag(number);
+    format!("*2\r\n$4\r\nbusy\r\n${}\r\n{tag}\r\n", tag.len())
+}
+
 /// All of a request but its body and the two bytes after that.
 pub fn want(id: &[u8], fields: &str, body: usize) -> Bytes {
     let mut head = String::with_capacity(96 + fields.len());
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::config::Config;
 use crate::hosts::{FromHost, HandOff, Hosts, Mailbox, ToHost, Way};
-use crate::ids::{ClientId, HandOffId, Txn};
+use crate::ids::{ClientId, HandOffId, ProbeNo, Txn};
 use crate::keeping::Keeper;
 use crate::line::Code;
 use crate::mailbox;
@@ -50,6 +50,7 @@
 pub enum Input {
     Client(ClientId, FromClient),
     HandOff(HandOffId, FromHost),
+    Probed(ProbeNo, Report),
     Changed(Change),
     /// What the store made of a hand-off's record.
     Recorded(HandOffId, Taken),
@@ -60,6 +61,7 @@
     Wake,
     Until(HandOffId),
     Connect(HandOffId),
+    Probe(ProbeNo),
     Sweep,
     Leave,
 }
@@ -122,6 +124,8 @@
     txns: BTreeMap<Txn, ClientId>,
     hand_offs: BTreeMap<HandOffId, Out>,
     hosts: BTreeMap<HostId, Known>,
+    /// Hosts that were asked how busy they are, and the number of the last probe.
+    probes: (BTreeMap<ProbeNo, HostId>, u64),
     next: u32,
     /// When SIGTERM came.
     stopping: Option<Time>,
@@ -163,6 +167,7 @@
             txns: BTreeMap::new(),
             hand_offs: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            probes: Default::default(),
             next: 0,
             stopping: None,
             spent: Arc::default(),
@@ -230,6 +235,7 @@
                         let _ = out.mailbox.send(ToHost::ConnectLimit(id));
                     }
                 }
+                Due::Probe(number) => self.probed(number, Report::default()),
                 Due::Sweep => self.sweep(now),
                 Due::Leave => self.leave(now),
             }
@@ -247,6 +253,7 @@
             Input::HandOff(id, FromHost::Ended { outcome, answer, at }) => {
                 self.ended(id, outcome, answer, at)
             }
+            Input::Probed(number, report) => self.probed(number, report),
             Input::Changed(change) => self.changed(change),
             Input::Recorded(id, taken) => self.recorded(id, taken),
             Input::Stop => {
@@ -444,11 +451,28 @@
                 }
                 Decision::WriteOff { visit } => self.finish(visit, msgpack::written_off, None),
                 Decision::Wake { after } => self.due.put(now + after, Due::Wake),
+                Decision::Probe { host } => self.probe(now, host),
                 Decision::Log(line) => tracing::info!("module: {line}"),
             }
         }
     }
 
+    fn probe(&mut self, now: Time, host: HostId) {
+        let Some(known) = self.hosts.get(&host) else { return };
+        self.probes.1 += 1;
+        let number = ProbeNo(self.probes.1);
+        let _ = known.mailbox.send(ToHost::Probe(number));
+        self.probes.0.insert(number, host);
+        self.due.put(now + self.config.reach.connect_limit, Due::Probe(number));
+    }
+
+    /// What a host told, or nothing within the time for a connection to come up.
+    fn probed(&mut self, number: ProbeNo, report: Report) {
+        if let Some(host) = self.probes.0.remove(&number) {
+            self.brain.probed(clock::now(), host, report);
+        }
+    }
+
     fn hand_off(&mut self, now: Time, visit: VisitId, host: HostId, until: Time, fill: Option<Fill>) {
         let Some(open) = self.visits.get_mut(&visit) else { return };
         let id = HandOffId(visit, HandOffNo(open.hand_offs));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -76,7 +76,6 @@
     let links = links.map(|list| list.iter().filter_map(Value::as_f64).collect()).unwrap_or_default();
     let window = span(all, "/rules/overload_for");
     Ok(Settings {
-        me: need(all, "/me")? as u32,
         dispatchers,
         location: LocationId(location),
         location_dispatchers: by_location.map_or(dispatchers, |n| n as u32).max(1),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -319,8 +319,7 @@
         let mut caches =
             self.by_hash(visit.object.0 ^ (u64::from(visit.part) + 1) << 52, |h| self.is_cache(h));
         let second = caches.iter().copied().find(|c| Some(*c) != home);
-        let second =
-            second.filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
+        let second = second.filter(|own| popular && home.is_some_and(|h| self.busy(*own) < self.busy(h)));
         caches.sort_by_key(|cache| (Some(*cache) != second, Some(*cache) != home));
         caches.retain(fits);
         let mut sources = self.by_hash(self.parent_key(&visit), |h| self.is_parent(h));
@@ -448,13 +447,6 @@
         since.into_iter().chain(most).min().unwrap_or(Span::ZERO)
     }
 
-    /// The second cache of popular objects, by the dispatcher's own number.
-    fn own_cache(&self) -> Option<HostId> {
-        let caches: Vec<&Host> = self.hosts.values().filter(|h| h.is_ready() && self.is_cache(h)).collect();
-        let place = (self.set.me as usize).checked_rem(caches.len())?;
-        caches.get(place).map(|h| h.entry.host)
-    }
-
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
     fn able(&mut self, now: Time, id: HostId, work: f64) -> bool {
         if let Some((rate, burst)) = self.cold_budget(now, id) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,7 +36,6 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
-    pub me: u32,
     pub dispatchers: u32,
     pub location: LocationId,
     pub location_dispatchers: u32,
