--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,8 +50,8 @@
 // Fills: how many likely ones may be out for each transfer of the location's link, and at one parent of them;
 // what part of the quoted time they may take, and how full a link may be reported.
 const FILLS_A_TRANSFER: f64 = 1.75;
-const FILLS_START: f64 = 24.0;
-const FILLS_LATE: f64 = 0.5;
+const FILLS_START: f64 = 12.0;
+const FILLS_LATE: f64 = 0.4;
 const FILLS_AT_ONE: f64 = 0.5;
 const PARENT_LATE: f64 = 0.3;
 const SLOWER_ALONE: f64 = 1.3;
@@ -484,7 +484,7 @@
     /// much of the quoted time, and more than at its best, is named for a part in proportion, and the next
     /// source for the rest. Harms where the next one is no better: it starts empty for the object.
     fn takes_part(&mut self, id: HostId) -> bool {
-        let known = self.hosts.get(&id).filter(|h| self.is_parent(h));
+        let known = self.hosts.get(&id);
         let part = known.map_or(1.0, |h| h.part);
         let slower =
             known.map_or(0.0, |h| h.late.value.exp() / PARENT_LATE.max(SLOWER_ALONE * h.load.best()));
@@ -722,7 +722,8 @@
             self.learn_of_fill(now, late, part, (1.0 - onward, onward));
         }
         if self.set.probes {
-            let asked = self.hosts.values().filter(|h| h.is_ready() && self.is_parent(h));
+            let asked =
+                self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
             self.ready.extend(asked.map(|h| Decision::Probe { host: h.entry.host }).collect::<Vec<_>>());
         }
         let sharers = self.set.sharers();
