A byte share of a twentieth for popular objects

Each of a location's dispatchers fills its own share, so several make the top rank a large part of a cache.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 const HALVING: Span = Span::millis(10_000);
 pub(crate) const FORGET: Span = Span::millis(30_000);
 const RANKS: [u8; 2] = [1, 3];
-const TOP_SHARE: f64 = 0.2;
+const TOP_SHARE: f64 = 0.05;
 // Timer, final answers and further hand-offs.
 const ROUND: Span = Span::millis(10);
 const SECOND: Span = Span::millis(1_000);
