Visits pay for probes; a mix of shapes is refused at start; a drain takes back what waits to go out

Settings: crates/settings checks types, ranges, words, list lengths and keys that can't be of one deployment, and names the key; the program refuses it with code 2, on SIGHUP the old configuration stays. A hand-off that waited for its connection when its host's drain was told went out up to the connect limit (400 ms) later, past a grace of 250 ms: hosts.rs takes back what has not begun (drained_late).

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -64,8 +64,8 @@
                 .map_err(|error| frame.fault(format!("the settings aren't JSON: {error}")))?;
             let set = settings::read(&all).map_err(|what| frame.fault(what))?;
             let columns = settings::columns(&all);
-            let places = [settings::LINK_FULL, settings::BUSY]
-                .map(|name| columns.iter().position(|known| *known == name));
+            let place = |names: &[&str]| columns.iter().position(|known| names.contains(known));
+            let places = [place(&[settings::LINK_FULL]), place(&settings::BUSY)];
             self.instances.insert(who, (Brain::start(set, record.u64(4), now), places));
             return Ok(());
         }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -20,6 +20,8 @@
     Unusable(&'static str, String),
     #[error("{0}")]
     Settings(String),
+    #[error("the configuration's {0}")]
+    Refused(#[from] settings::Fault),
 }
 
 /// The names that messages use, each at the place of its number.
@@ -81,6 +83,7 @@
     pub fn decode(text: &[u8]) -> Result<Config, Error> {
         let all: Value = serde_json::from_slice(text).map_err(Error::NotJson)?;
         let own = all.get("settings").ok_or(Error::Lacks("settings"))?;
+        settings::check(own)?;
         let memory = number(&all, "/limits/memory_mb")?;
         let sockets = number(&all, "/limits/sockets")? as usize;
         let sixteenth = (memory * 1024.0 * 1024.0 / 16.0) as usize;
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -93,6 +93,8 @@
     Probe(ProbeNo),
     /// The hand-off's connection had to be up by now.
     ConnectLimit(HandOffId),
+    /// Whether it drains, and so takes nothing new.
+    Drains(bool),
     Retire,
     Up(LineId, Arc<Line>),
     GivenUp(LineId, HandOffId, Time),
@@ -159,6 +161,7 @@
             lines: BTreeMap::new(),
             next: 0,
             probe: None,
+            drains: false,
             retired: false,
         });
         let _ = self.letters.send(Letter::Join(number, host));
@@ -315,6 +318,7 @@
     next: u64,
     /// The last probe, until it is answered.
     probe: Option<ProbeNo>,
+    drains: bool,
     retired: bool,
     _joined: Held,
 }
@@ -342,7 +346,14 @@
                     self.ended(id, Outcome::ConnectFailed, None, clock::now());
                 }
             }
-            ToHost::Retire => self.retired = true,
+            ToHost::Drains(drains) => {
+                self.drains = drains;
+                self.let_go();
+            }
+            ToHost::Retire => {
+                self.retired = true;
+                self.let_go();
+            }
             ToHost::Up(line, shared) => {
                 let Some(pooled) = self.lines.get_mut(&line) else { return };
                 if pooled.ending {
@@ -393,6 +404,24 @@
         }
     }
 
+    /// Guards against a hand-off that waits for its connection, or behind a slow one, past the grace after a drain was
+    /// told: what has not begun to go out never does, and is no fault of the host.
+    fn let_go(&mut self) {
+        if !self.drains && !self.retired {
+            return;
+        }
+        let mut off = Vec::new();
+        for pooled in self.lines.values_mut() {
+            pooled.pending.clear();
+            pooled.out.retain(|_, out| {
+                let goes = !out.way.call_off();
+                off.extend((!goes).then_some(out.id));
+                goes
+            });
+        }
+        off.into_iter().for_each(|id| self.ended(id, Outcome::Moot, None, clock::now()));
+    }
+
     fn ended(&self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
         let _ = self.router.send(Input::HandOff(id, FromHost::Ended { outcome, answer, at }));
     }
@@ -400,6 +429,10 @@
     /// The connection with the least out, or a new one where that has its part and this host's share permits.
     /// Answers on one connection don't hold each other up, and each connection costs a thread.
     fn hand_off(&mut self, hand_off: HandOff) {
+        if self.drains || self.retired {
+            self.ended(hand_off.id, Outcome::Moot, None, clock::now());
+            return;
+        }
         let streams = self.reach.streams;
         let txn = Txn::of(&hand_off.txn);
         let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(txn, streams));
@@ -413,8 +446,7 @@
         };
         let Some(pooled) = line.and_then(|line| self.lines.get_mut(&line)) else {
             // That all places are in use is no fault of this host.
-            let outcome = if self.retired { Outcome::ConnectFailed } else { Outcome::Moot };
-            self.ended(hand_off.id, outcome, None, clock::now());
+            self.ended(hand_off.id, Outcome::Moot, None, clock::now());
             return;
         };
         let HandOff { id, copy, until, .. } = hand_off;
--- a/crates/dispatcher/src/resp.rs
+++ b/crates/dispatcher/src/resp.rs
@@ -6,9 +6,6 @@
 use cherrypass::calls::{Note, Outcome, Report};
 use std::fmt::Write;
 
-/// The value of a load report that tells how much of what a host can do is in use.
-const BUSY: &str = "util";
-
 /// Fields of an answer hold no more than this.
 const FIELDS_MOST: usize = 4096;
 const ID_MOST: usize = 64;
@@ -116,7 +113,9 @@
                 for (name, value) in value.split(';').filter_map(|value| value.split_once(':')) {
                     match name {
                         cherrypass_settings::LINK_FULL => answer.report.link_full = value.parse().ok(),
-                        BUSY => answer.report.busy = value.parse().ok(),
+                        _ if cherrypass_settings::BUSY.contains(&name) => {
+                            answer.report.busy = value.parse().ok()
+                        }
                         _ => {}
                     }
                 }
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -581,7 +581,8 @@
             return;
         };
         // A process that started anew has new connections, wherever it listens.
-        if known.is_some_and(|known| known.address == address && known.since >= since) {
+        if let Some(known) = known.filter(|known| known.address == address && known.since >= since) {
+            let _ = known.mailbox.send(ToHost::Drains(listing.phase == Phase::Draining));
             return;
         }
         self.retire(id);
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -6,9 +6,10 @@
 //! `each CLIENT FROM TO` (visits of as many objects one after another, each settled),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
-//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
+//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind|busy]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
+//! `shape` (the settings of the other shape of deployment), `came HOST` (something did by now),
 //! `drain HOST` (what came is passed over), `cut HOST` (ends its connections), `down HOST`, `deaf HOST` (new connections never come up), `term`,
 //! `store [SETTING …]` (what must last is kept in a folder of the test's own), `forget` (the change log knows the list alone),
 //! `spoil` (a byte of the store's first segment changes), `config TEXT` (so it reads at the next start),
@@ -39,6 +40,14 @@
  "domain": {"class_fresh": [0, 0, 0, 0], "goes_through": [false, true, true, false], "may_pass_by": true, "obey_after": 1000000,
   "pace_kb_per_s": 5000, "parent_kind": 1, "source_kind": 2, "purge_done": 6000000, "count_by_zone": [0, 2]}}"#;
 
+/// The other shape of a deployment, as changes of the settings above.
+const SHAPE: [(&str, &str); 4] = [
+    ("\"weight_source\": \"rough\"", "\"weight_source\": \"none\""),
+    ("\"cancel\": true", "\"cancel\": true, \"probing\": true"),
+    ("\"may_pass_by\": true", "\"may_pass_by\": false, \"peers_fill\": \"none\", \"detail\": \"hit\""),
+    ("\"rules\"", "\"stats\": {\"how\": \"answers\", \"columns\": [\"util\", \"x0\"]}, \"rules\""),
+];
+
 struct Seen {
     stream: TcpStream,
     words: Vec<String>,
@@ -441,6 +450,7 @@
     crowd: Vec<TcpStream>,
     store: Option<tempfile::TempDir>,
     config: Option<String>,
+    shape: bool,
 }
 
 impl Play {
@@ -454,7 +464,9 @@
         let more = self.store.as_ref().map(operator).unwrap_or_default();
         let text = |feed| {
             let usual = || config("127.0.0.1:0", feed, &known(feed), memory);
-            self.config.clone().unwrap_or_else(usual)
+            let text = self.config.clone().unwrap_or_else(usual);
+            let changes = SHAPE.iter().filter(|_| self.shape);
+            changes.fold(text, |text, (from, to)| text.replacen(from, to, 1))
         };
         let start = |feed| Dispatcher::start(&text(feed), descriptors, &more);
         self.dispatchers = self.feeds.iter().map(start).collect();
@@ -509,6 +521,11 @@
             assert_eq!(seen.words[1], host.last.as_ref().unwrap().words[1]);
             return;
         }
+        if wanted == ["busy"] {
+            assert_eq!(seen.words[0], "busy");
+            host.last = Some(seen);
+            return;
+        }
         assert_eq!(seen.words[0], "want", "{:?}", seen.words);
         let fields: BTreeMap<&str, &str> =
             seen.words[2].split(',').filter_map(|f| f.split_once('=')).collect();
@@ -692,6 +709,8 @@
                     None => assert!(host(name).seen.try_recv().is_err()),
                 }
             }
+            ["shape"] => self.shape = true,
+            ["came", name] => assert!(host(name).seen.try_recv().is_ok(), "nothing came to {name}"),
             ["drain", name] => while host(name).seen.try_recv().is_ok() {},
             ["cut", name] => host(name).cut(),
             ["down", name] => {
@@ -755,6 +774,8 @@
 #[test_case(include_str!("sockets/client_leaves.txt"); "client_leaves")]
 #[test_case(include_str!("sockets/copies.txt"); "copies")]
 #[test_case(include_str!("sockets/list.txt"); "list")]
+#[test_case(include_str!("sockets/drained_late.txt"); "drained_late")]
+#[test_case(include_str!("sockets/other_shape.txt"); "other_shape")]
 #[test_case(include_str!("sockets/two.txt"); "two")]
 #[test_case(include_str!("sockets/wide.txt"); "wide")]
 #[test_case(include_str!("sockets/stop.txt"); "stop")]
@@ -787,6 +808,14 @@
 #[test_case("\"settings\"", "\"set\"", 2, "lacks settings"; "the settings")]
 #[test_case("\"zone\":", "\"zon\":", 2, "lack the number /zone"; "a key of the settings")]
 #[test_case("\"cold_from\"", "\"cold\"", 2, "lack the number /rules/cold_from"; "a figure of the rules")]
+#[test_case("\"may_pass_by\": true", "\"may_pass_by\": 1", 2, "settings/domain/may_pass_by has to be true"; "a wrong type")]
+#[test_case("\"cold_from\": 0.2", "\"cold_from\": 2", 2, "settings/rules/cold_from is out of range"; "out of range")]
+#[test_case("\"domain\": {", "\"domain\": {\"detail\": \"some\",", 2, "settings/domain/detail has to be one of"; "an unknown word")]
+#[test_case("[0, 0, 0, 0]", "[0, 0]", 2, "settings/domain/class_fresh has 2 places, settings/services has 4"; "another's bands")]
+#[test_case("[0, 2]", "[0, 2, 1]", 2, "settings/domain/count_by_zone has 3 places"; "another's locations")]
+#[test_case("[0, 2]", "[0, 2], \"stale_for\": [0, 9, 0, 0]", 2, "settings/domain/stale_for/1 has no"; "a grace without a fresh time")]
+#[test_case("\"pace_kb_per_s\": 5000", "\"zone_link_kb_per_s\": [0, 9]", 2, "settings/domain/pace_kb_per_s is wanted"; "links without a pace")]
+#[test_case("\"parent_kind\": 1", "\"parent_kind\": 2", 2, "settings/domain/parent_kind is the same as"; "one kind for parents and origin")]
 #[test_case("00f1", "seed", 2, "seed can't be used"; "a seed that is none")]
 #[test_case("{\"name\"", "name", 2, "isn't JSON"; "not JSON")]
 #[test_case("127.0.0.1:0", "TAKEN", 1, "can't serve on"; "an address in use")]
@@ -794,6 +823,7 @@
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
     let by = by.replace("TAKEN", &taken.local_addr().unwrap().to_string());
     let text = config("127.0.0.1:0", &Feed::start(), "null", 192).replacen(part, &by, 1);
+    assert!(text.contains(&by), "nothing was replaced");
     let (child, _file) = run(&text, 256, "");
     let output = child.wait_with_output().unwrap();
     let said = String::from_utf8(output.stderr).unwrap();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,9 @@
 //! Reads an instance's settings by key, for the bench's adapter and the dispatcher alike; unknown keys are
 //! skipped.
 #![forbid(unsafe_code)]
+mod check;
+
+pub use check::{check, Fault};
 use cherrypass::ids::{KindId, LocationId};
 use cherrypass::settings::{Band, ColdStart, Effect, Group, Settings};
 use cherrypass::time::Span;
@@ -61,8 +64,8 @@
 /// The value of a load report that tells how full the link for fills is.
 pub const LINK_FULL: &str = "x1";
 
-/// The value that tells how much of what a host can do is in use.
-pub const BUSY: &str = "load_share";
+/// The value that tells how much of what a host can do is in use, as the bench names it and as hosts do.
+pub const BUSY: [&str; 2] = ["load_share", "util"];
 
 pub fn read(all: &Value) -> Result<Settings, String> {
     let services = all.pointer("/services").and_then(Value::as_array);
@@ -90,7 +93,7 @@
         joins: flag(all, "/domain/joins"),
         ways_told: text(all, "/domain/detail") != "hit",
         cancel: flag(all, "/bounds/cancel"),
-        probes: flag(all, "/bounds/probing") && columns(all).contains(&BUSY),
+        probes: flag(all, "/bounds/probing") && columns(all).iter().any(|name| BUSY.contains(name)),
         max_hand_offs: number(all, "/bounds/max_attempts").unwrap_or(1.0).clamp(1.0, 255.0) as u8,
         come_back_most: if flag(all, "/bounds/retry_after") {
             span(all, "/bounds/max_retry_after")
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,6 +66,8 @@
 const BUSY_SILENT: f64 = 4.0;
 const PART_GROWS: f64 = 1.25;
 const PART_LEAST: f64 = 0.02;
+const PROBE_SHARE: f64 = 0.75;
+const PROBE_BURST: f64 = 12.0;
 const REPORT_HOLDS: Span = Span::millis(1_500);
 const MISSES_START: [f64; 2] = [0.7, 0.1];
 const PATIENCE: f64 = 0.5;
@@ -110,6 +112,7 @@
     pub fn arrived(&mut self, now: Time, visit: Visit) {
         let popular = self.is_popular(now, &visit);
         self.further.level = (self.further.level + RETRY_SHARE).min(RETRY_BURST);
+        self.probes.level = (self.probes.level + PROBE_SHARE).min(PROBE_BURST);
         let told = self.bands.get_mut(usize::from(visit.band.0)).zip(visit.kilobytes);
         told.into_iter().for_each(|(seen, kb)| seen.kilobytes.push(kb, 0.01));
         self.visits.insert(visit.id, Open::new(visit, popular, now));
@@ -708,6 +711,20 @@
         }
     }
 
+    /// Asks sources how busy they are, those first that were not heard of for longest. Each visit pays for a part of a
+    /// probe: guards against fleets in which many dispatchers with few visits each ask more than they serve.
+    fn probe(&mut self) {
+        let asked = self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
+        let mut asked: Vec<_> = asked.map(|h| (h.busy.map(|(at, _)| at), h.entry.host)).collect();
+        asked.sort();
+        for (_, host) in asked {
+            if !self.set.probes || !self.probes.take(1.0) {
+                break;
+            }
+            self.ready.push_back(Decision::Probe { host });
+        }
+    }
+
     fn each_second(&mut self, now: Time) {
         self.purges.forget(now - self.set.purge_memory());
         self.hosts.retain(|_, host| !host.is_gone() || host.in_flight > 0);
@@ -721,11 +738,7 @@
         for (late, part, onward) in overdue {
             self.learn_of_fill(now, late, part, (1.0 - onward, onward));
         }
-        if self.set.probes {
-            let asked =
-                self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
-            self.ready.extend(asked.map(|h| Decision::Probe { host: h.entry.host }).collect::<Vec<_>>());
-        }
+        self.probe();
         let sharers = self.set.sharers();
         // What is usually out at the origin is the measure of what may be: a slow one is spared at once.
         let origin = &mut self.origin;
--- a/src/state.rs
+++ b/src/state.rs
@@ -251,6 +251,7 @@
     /// Visits that wait behind an own fill, until the next round.
     pub(crate) parked: Vec<VisitId>,
     pub(crate) further: Bucket,
+    pub(crate) probes: Bucket,
     pub(crate) last_woken: Time,
     pub(crate) gate: Gate,
     pub(crate) origin: Gate,
@@ -273,6 +274,7 @@
             ready: Default::default(),
             parked: Default::default(),
             further: Default::default(),
+            probes: Default::default(),
             last_woken: Default::default(),
             gate: Default::default(),
             origin: Default::default(),
