--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,15 +1,18 @@
 //! Plays the scenarios in `tests/scenarios/`: commands on lines or between `;`, `#` starts a comment.
 //! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT`, `fleet` (six hosts, band video), `untold` (sizes),
+//! `probes` (hosts may be asked how busy they are),
 //! `dispatchers N`, `sharers N` (at the location) and `elsewhere N` (caches of other locations) come first, then
 //! `part N` (of all visits from now on),
 //! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
 //! `ran HOST AGO ID BAND OBJECT` (a visit whose earlier try may have run there), `purge OBJECT|group AGO`, `leave ID`, `end ID OUTCOME [NOTE]` (of its newest hand-off),
+//! `busy NAME VALUE` (so it tells with answers and when it is asked; one without is silent then),
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
 //! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
 //! `expect ID to|from|rank|oldest|hand-offs|final WORD` and `expect sent|filled|held NAME OP NUMBER` (held: asked for
 //! what it holds alone).
 //!
-//! Always checked: one final answer a visit, nothing after it, and never two hand-offs out at once.
+//! Always checked: one final answer a visit, nothing after it, never two hand-offs out at once, and a time to come
+//! back with each turn-back.
 use cherrypass::brain::Brain;
 use cherrypass::calls::*;
 use cherrypass::ids::*;
@@ -46,6 +49,8 @@
     sent: BTreeMap<HostId, f64>,
     filled: BTreeMap<HostId, f64>,
     held: BTreeMap<HostId, f64>,
+    busy: BTreeMap<HostId, f64>,
+    probes: Vec<HostId>,
 }
 
 fn ms(word: &str) -> u64 {
@@ -82,6 +87,7 @@
             pace: 5000.0,
             links: vec![0.0, 0.0, 50_000.0],
             direct: true,
+            ways_told: true,
             cancel: true,
             max_hand_offs: 6,
             come_back_most: Span::millis(2000),
@@ -105,6 +111,14 @@
         while let Some(decision) = self.brain.as_mut().unwrap().next(now) {
             self.take(decision);
         }
+        for host in std::mem::take(&mut self.probes) {
+            let report = self.report(host);
+            self.brain.as_mut().unwrap().probed(now, host, report);
+        }
+    }
+
+    fn report(&self, host: HostId) -> Report {
+        Report { busy: self.busy.get(&host).copied(), ..Report::default() }
     }
 
     fn take(&mut self, decision: Decision) {
@@ -136,10 +150,14 @@
                 self.pending.retain(|(_, id, no), _| (*id, *no) != (visit.0, number.0));
                 self.pending.insert((self.now, visit.0, number.0), ("cancelled".into(), "untold".into()));
             }
-            Decision::TurnBack { visit, .. } => self.final_answer(visit.0, "turned-back"),
+            Decision::TurnBack { visit, come_back } => {
+                assert!(come_back > Span::ZERO, "visit {} is not told when to come back", visit.0);
+                self.final_answer(visit.0, "turned-back");
+            }
             Decision::WriteOff { visit } => self.final_answer(visit.0, "written-off"),
             Decision::Wake { after } => self.wake = self.now + after.0,
-            Decision::Log(_) | Decision::Probe { .. } => {}
+            Decision::Probe { host } => self.probes.push(host),
+            Decision::Log(_) => {}
         }
     }
 
@@ -161,9 +179,8 @@
         }
         let (took, last) = (Span(self.now - seen.at), !seen.finals.is_empty());
         let (visit, number) = (VisitId(id), HandOffNo(number));
-        self.call(|brain, now| {
-            brain.ended(now, Ended { visit, number, outcome, note, took, report: Report::default(), last })
-        });
+        let report = self.visits[&id].to.map(|host| self.report(host)).unwrap_or_default();
+        self.call(|brain, now| brain.ended(now, Ended { visit, number, outcome, note, took, report, last }));
     }
 
     fn until(&mut self, then: u64) {
@@ -281,6 +298,8 @@
                 }
             }
             ["part", part] => self.part = part.parse().unwrap(),
+            ["probes"] => self.set.probes = true,
+            ["busy", name, value] => drop(self.busy.insert(self.names[*name], value.parse().unwrap())),
             ["untold"] => (self.set.weights_told, self.set.weights_steady) = (false, false),
             ["fleet"] => {
                 for host in
@@ -353,6 +372,9 @@
 }
 
 #[test_case(include_str!("scenarios/all_look_bad.txt"); "all_look_bad")]
+#[test_case(include_str!("scenarios/busy_parent.txt"); "busy_parent")]
+#[test_case(include_str!("scenarios/given_up_at_once.txt"); "given_up_at_once")]
+#[test_case(include_str!("scenarios/told_room.txt"); "told_room")]
 #[test_case(include_str!("scenarios/cold_cache.txt"); "cold_cache")]
 #[test_case(include_str!("scenarios/cold_parent.txt"); "cold_parent")]
 #[test_case(include_str!("scenarios/drained.txt"); "drained")]
