--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Plays the scenarios in `tests/scenarios/`: commands on lines or between `;`, `#` starts a comment.
 //! `band NAME EFFECT KEY=VALUE..`, `host NAME SORT WEIGHT`, `fleet` (six hosts, band video), `untold` (sizes),
-//! `probes` (hosts may be asked how busy they are),
+//! `probes` (hosts may be asked how busy they are), `hits-only` (notes don't tell a fill's way),
 //! `dispatchers N`, `sharers N` (at the location) and `elsewhere N` (caches of other locations) come first, then
 //! `part N` (of all visits from now on),
 //! `at MS` (time passes, the timer fires), `pause MS` (it does not), `list NAME PHASE [SINCE]`, `visit ID BAND OBJECT [LIMIT]`,
@@ -299,6 +299,7 @@
             }
             ["part", part] => self.part = part.parse().unwrap(),
             ["probes"] => self.set.probes = true,
+            ["hits-only"] => self.set.ways_told = false,
             ["busy", name, value] => drop(self.busy.insert(self.names[*name], value.parse().unwrap())),
             ["untold"] => (self.set.weights_told, self.set.weights_steady) = (false, false),
             ["fleet"] => {
@@ -375,6 +376,9 @@
 #[test_case(include_str!("scenarios/busy_parent.txt"); "busy_parent")]
 #[test_case(include_str!("scenarios/given_up_at_once.txt"); "given_up_at_once")]
 #[test_case(include_str!("scenarios/told_room.txt"); "told_room")]
+#[test_case(include_str!("scenarios/fresh_limits.txt"); "fresh_limits")]
+#[test_case(include_str!("scenarios/cold_told_busy.txt"); "cold_told_busy")]
+#[test_case(include_str!("scenarios/hits_only.txt"); "hits_only")]
 #[test_case(include_str!("scenarios/cold_cache.txt"); "cold_cache")]
 #[test_case(include_str!("scenarios/cold_parent.txt"); "cold_parent")]
 #[test_case(include_str!("scenarios/drained.txt"); "drained")]
