--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,5 +1,5 @@
 //! All decisions of a dispatcher. The host calls `start` once, then `listed`, `arrived`, `ended`, `left`,
-//! `purged` and `woken` as things happen; these only update what is known. After each round it pulls
+//! `purged`, `probed` and `woken` as things happen; these only update what is known. After each round it pulls
 //! decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
@@ -120,8 +120,9 @@
         self.waiting.push_back(visit.id);
     }
 
-    /// An earlier try of a visit that has just arrived may have run, sent then and to that host. Guards against a
-    /// repeat past the group that drops it, after a dispatcher's end; harms only where that try never ran.
+    /// An earlier try of a visit that has just arrived may have run, sent then and to that host. Guards
+    /// against a repeat past the group that drops it, after a dispatcher's end; harms only where that try
+    /// never ran.
     pub fn ran_before(&mut self, id: VisitId, at: Time, host: HostId) {
         if let Some(open) = self.visits.get_mut(&id) {
             open.may_have_run = Some((at, host));
@@ -303,7 +304,9 @@
         self.ready.extend(out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }));
     }
 
-    /// A host that was asked tells how busy it is, or nothing within the time for that.
+    /// A host that was asked tells how busy it is, or nothing within the time for that. Guards against sources
+    /// that are full, slow or silent and show it in too few fills of this dispatcher's own; harms one whose
+    /// probes get lost on the way, which has a smaller part for some seconds.
     pub fn probed(&mut self, now: Time, id: HostId, report: Report) {
         let Some(host) = self.hosts.get_mut(&id) else { return };
         let busy = report.busy.unwrap_or(BUSY_SILENT);
@@ -311,8 +314,8 @@
         host.part = (host.part * (BUSY_FULL / busy.max(0.1)).min(PART_GROWS)).clamp(PART_LEAST, 1.0);
     }
 
-    /// The ordinary path: the designated cache, or for a popular object the less busy of that and the
-    /// dispatcher's own second one; filled from the parent hashed over all listed ones.
+    /// The ordinary path: the designated cache, or for a popular object the less busy of that and the next
+    /// one by object and part; filled from the parent hashed over all listed ones.
     fn choose(&mut self, now: Time, visit: Visit) -> Choice {
         let Some(open) = self.visits.get(&visit.id) else { return Choice::GiveUp };
         let (popular, looked, lacks, since) = (open.popular, open.looked, open.lacks, open.since);
@@ -375,9 +378,10 @@
         }
     }
 
-    /// What a fill's parent is hashed by: the object. Guards against an object that all caches want at once and no
-    /// parent can send to all: where they outnumber a parent's transfers each part has a parent of its own, the
-    /// same one for all. Harms a viewing when one parent is lost: a few parts of it are, instead of all or none.
+    /// What a fill's parent is hashed by: the object. Guards against an object that all caches want at once
+    /// and no parent can send to all: where they outnumber a parent's transfers each part has a parent of its
+    /// own, the same one for all. Harms a viewing when one parent is lost: a few parts of it are, instead of
+    /// all or none.
     fn parent_key(&self, visit: &Visit) -> u64 {
         let ready = || self.hosts.values().filter(|h| h.is_ready() && !self.is_origin(h));
         let parents = ready().filter(|h| self.is_parent(h));
@@ -495,7 +499,9 @@
         !crowded && self.has_part(part / slower.max(1.0))
     }
 
-    /// Whether a cache takes one more: it tells that it has room, for all that ask it, or the limit leaves some.
+    /// Whether a cache takes one more: it tells that it has room, for all that ask it, or the limit leaves
+    /// some. Guards against visits that leave their designated cache since this dispatcher's share of its limit
+    /// is below one; harms a cache that fills up within the seconds for which its word holds.
     fn has_room(&mut self, now: Time, id: HostId) -> bool {
         let Some(host) = self.hosts.get(&id) else { return false };
         let free = host.busy.is_some_and(|(at, busy)| now < at + BUSY_HOLDS && busy < BUSY_FULL);
@@ -525,7 +531,8 @@
         }
         let senders = if self.is_parent(host) { f64::from(self.set.dispatchers) } else { self.set.sharers() };
         let carried = peers().map(|h| h.carried.value).sum::<f64>();
-        // What a part of which is in use is told; else what is carried is less than all, and by how much is not known.
+        // What a part of which is in use is told; else what is carried is less than all, and by how much is
+        // not known.
         let busy = |h: &Host| h.busy.map_or(1.0 / SMALLER, |(_, busy)| busy.clamp(BUSY_LEAST, 1.0));
         let busy = peers().map(busy).sum::<f64>();
         (carried * senders / busy.max(BUSY_LEAST)).max(1.0)
@@ -670,8 +677,9 @@
         shut.next_trial = if failed { now + shut.rest } else { now };
         if shut.passed >= TRIALS_TO_OPEN {
             (host.shut, host.bad) = (None, Mean::default());
-            // Guards against a process that is new, and cold, before the list tells so: its connections broke or were
-            // refused. Harms a host that only lost its connections: it has a cold one's part until it would be warm.
+            // Guards against a process that is new, and cold, before the list tells so: its connections broke
+            // or were refused. Harms a host that only lost its connections: it has a cold one's part until it
+            // would be warm.
             let anew = std::mem::take(&mut host.broke);
             host.entry.since = Some(now).filter(|_| anew).or(host.entry.since);
             let how = if anew { "anew " } else { "" };
@@ -711,8 +719,9 @@
         }
     }
 
-    /// Asks sources how busy they are, those first that were not heard of for longest. Each visit pays for a part of a
-    /// probe: guards against fleets in which many dispatchers with few visits each ask more than they serve.
+    /// Asks sources how busy they are, those first that were not heard of for longest. Each visit pays for a
+    /// part of a probe: guards against fleets in which many dispatchers with few visits each ask more than
+    /// they serve.
     fn probe(&mut self) {
         let asked = self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
         let mut asked: Vec<_> = asked.map(|h| (h.busy.map(|(at, _)| at), h.entry.host)).collect();
