--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -8,8 +8,8 @@
 //! `busy NAME VALUE` (so it tells with answers and when it is asked; one without is silent then),
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
 //! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
-//! `expect ID to|from|rank|oldest|hand-offs|final WORD` and `expect sent|filled|held NAME OP NUMBER` (held: asked for
-//! what it holds alone).
+//! `expect ID to|from|rank|oldest|hand-offs|final WORD` and `expect sent|filled|held|asked NAME OP NUMBER` (held: asked for
+//! what it holds alone; asked: how busy it is).
 //!
 //! Always checked: one final answer a visit, nothing after it, never two hand-offs out at once, and a time to come
 //! back with each turn-back.
@@ -51,6 +51,7 @@
     held: BTreeMap<HostId, f64>,
     busy: BTreeMap<HostId, f64>,
     probes: Vec<HostId>,
+    asked: BTreeMap<HostId, f64>,
 }
 
 fn ms(word: &str) -> u64 {
@@ -156,7 +157,10 @@
             }
             Decision::WriteOff { visit } => self.final_answer(visit.0, "written-off"),
             Decision::Wake { after } => self.wake = self.now + after.0,
-            Decision::Probe { host } => self.probes.push(host),
+            Decision::Probe { host } => {
+                *self.asked.entry(host).or_default() += 1.0;
+                self.probes.push(host);
+            }
             Decision::Log(_) => {}
         }
     }
@@ -275,6 +279,7 @@
         let counts = match what {
             "sent" => &self.sent,
             "held" => &self.held,
+            "asked" => &self.asked,
             _ => &self.filled,
         };
         let count = counts.get(&self.names[key]).copied().unwrap_or(0.0);
@@ -379,6 +384,8 @@
 #[test_case(include_str!("scenarios/fresh_limits.txt"); "fresh_limits")]
 #[test_case(include_str!("scenarios/cold_told_busy.txt"); "cold_told_busy")]
 #[test_case(include_str!("scenarios/hits_only.txt"); "hits_only")]
+#[test_case(include_str!("scenarios/probes_paid.txt"); "probes_paid")]
+#[test_case(include_str!("scenarios/second_by_part.txt"); "second_by_part")]
 #[test_case(include_str!("scenarios/cold_cache.txt"); "cold_cache")]
 #[test_case(include_str!("scenarios/cold_parent.txt"); "cold_parent")]
 #[test_case(include_str!("scenarios/drained.txt"); "drained")]
