Clean-up after a second reading: one reader of lists, one match of a value's form

crates/settings and the program's configuration each had their own way to a list; check's two matches over a form are one; the last probe's number has a field instead of a place in a tuple; nothing is sorted where no host may be asked.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -90,7 +90,7 @@
         let clients = sockets / 3;
         let seed = string(&all, "seed")?;
         let need = |path: &str| settings::need(own, path).map_err(Error::Settings);
-        let services = list(own, "/services");
+        let services = settings::list(own, "/services");
         let limit = |band: &Value| {
             settings::number(band, "/deadline").ok_or(Error::Lacks("settings/services/deadline"))
         };
@@ -151,10 +151,6 @@
     text.parse().map_err(|_| Error::Unusable(key, text.to_owned()))
 }
 
-fn list<'a>(own: &'a Value, path: &str) -> &'a [Value] {
-    own.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
-}
-
 fn names(own: &Value, path: &str) -> Vec<String> {
-    list(own, path).iter().map(|name| name.as_str().unwrap_or("").to_owned()).collect()
+    settings::list(own, path).iter().map(|name| name.as_str().unwrap_or("").to_owned()).collect()
 }
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -124,8 +124,9 @@
     txns: BTreeMap<Txn, ClientId>,
     hand_offs: BTreeMap<HandOffId, Out>,
     hosts: BTreeMap<HostId, Known>,
-    /// Hosts that were asked how busy they are, and the number of the last probe.
-    probes: (BTreeMap<ProbeNo, HostId>, u64),
+    /// Hosts that were asked how busy they are.
+    probes: BTreeMap<ProbeNo, HostId>,
+    last_probe: u64,
     next: u32,
     /// When SIGTERM came.
     stopping: Option<Time>,
@@ -167,7 +168,8 @@
             txns: BTreeMap::new(),
             hand_offs: BTreeMap::new(),
             hosts: BTreeMap::new(),
-            probes: Default::default(),
+            probes: BTreeMap::new(),
+            last_probe: 0,
             next: 0,
             stopping: None,
             spent: Arc::default(),
@@ -459,16 +461,16 @@
 
     fn probe(&mut self, now: Time, host: HostId) {
         let Some(known) = self.hosts.get(&host) else { return };
-        self.probes.1 += 1;
-        let number = ProbeNo(self.probes.1);
+        self.last_probe += 1;
+        let number = ProbeNo(self.last_probe);
         let _ = known.mailbox.send(ToHost::Probe(number));
-        self.probes.0.insert(number, host);
+        self.probes.insert(number, host);
         self.due.put(now + self.config.reach.connect_limit, Due::Probe(number));
     }
 
     /// What a host told, or nothing within the time for a connection to come up.
     fn probed(&mut self, number: ProbeNo, report: Report) {
-        if let Some(host) = self.probes.0.remove(&number) {
+        if let Some(host) = self.probes.remove(&number) {
             self.brain.probed(clock::now(), host, report);
         }
     }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -24,7 +24,7 @@
 const SHARE: Form = Form::Number(0.0, 1.0);
 const KIND: Form = Form::Number(-1.0, 255.0);
 
-/// All keys that are read, beside those of bands.
+/// The keys that are read, and those that a configuration of another shape differs in; beside those of bands.
 const KEYS: [(&str, Form); 37] = [
     ("balancers", Form::Number(1.0, 65_535.0)),
     ("zone", Form::Number(0.0, 255.0)),
@@ -91,7 +91,7 @@
 }
 
 fn list<'a>(all: &'a Value, key: &str) -> &'a [Value] {
-    at(all, key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+    crate::list(all, &format!("/{key}"))
 }
 
 fn number(all: &Value, key: &str) -> Option<f64> {
@@ -100,33 +100,26 @@
 
 fn holds(key: &str, value: &Value, form: Form) -> Result<(), Fault> {
     let each = |fits: fn(&Value) -> bool| value.as_array().is_some_and(|all| all.iter().all(fits));
-    let right = match form {
-        Form::Flag => value.is_boolean(),
-        Form::Number(least, most) => {
-            let Some(number) = value.as_f64() else { return fault(key, "has to be a number") };
-            if !(least..=most).contains(&number) {
+    let (right, wanted) = match form {
+        Form::Flag => (value.is_boolean(), "true or false"),
+        Form::Number(least, most) => match value.as_f64() {
+            Some(number) if !(least..=most).contains(&number) => {
                 return fault(key, format!("is out of range: {number}"));
             }
-            true
-        }
-        Form::Word(words) => {
-            let word = value.as_str();
-            if word.is_some_and(|word| !words.contains(&word)) {
+            number => (number.is_some(), "a number"),
+        },
+        Form::Word(words) => match value.as_str() {
+            Some(word) if !words.contains(&word) => {
                 return fault(key, format!("has to be one of {}, not {value}", words.join(" ").trim()));
             }
-            word.is_some()
+            word => (word.is_some(), "a word"),
+        },
+        Form::Numbers => {
+            let right = each(|one| one.as_f64().is_some_and(|number| number >= 0.0));
+            (right, "a list of numbers, none below 0")
         }
-        Form::Numbers => each(|one| one.as_f64().is_some_and(|number| number >= 0.0)),
-        Form::Flags => each(Value::is_boolean),
-        Form::Words => each(Value::is_string),
-    };
-    let wanted = match form {
-        Form::Flag => "true or false",
-        Form::Number(..) => "a number",
-        Form::Word(_) => "a word",
-        Form::Numbers => "a list of numbers, none below 0",
-        Form::Flags => "a list of true and false",
-        Form::Words => "a list of words",
+        Form::Flags => (each(Value::is_boolean), "a list of true and false"),
+        Form::Words => (each(Value::is_string), "a list of words"),
     };
     if right {
         Ok(())
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,6 +25,11 @@
     value.pointer(path).and_then(Value::as_bool).unwrap_or(false)
 }
 
+/// The entries of a list, none where there is no such list.
+pub fn list<'a>(value: &'a Value, path: &str) -> &'a [Value] {
+    value.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
 pub fn text<'a>(value: &'a Value, path: &str) -> &'a str {
     value.pointer(path).and_then(Value::as_str).unwrap_or("")
 }
@@ -57,8 +62,7 @@
 
 /// The names of a load report's values, in order.
 pub fn columns(all: &Value) -> Vec<&str> {
-    let columns = all.pointer("/stats/columns").and_then(Value::as_array);
-    columns.map(|names| names.iter().filter_map(Value::as_str).collect()).unwrap_or_default()
+    list(all, "/stats/columns").iter().filter_map(Value::as_str).collect()
 }
 
 /// The value of a load report that tells how full the link for fills is.
@@ -75,8 +79,7 @@
     let dispatchers = need(all, "/balancers")? as u32;
     let location = need(all, "/zone")? as u8;
     let by_location = number(all, &format!("/domain/count_by_zone/{location}"));
-    let links = all.pointer("/domain/zone_link_kb_per_s").and_then(Value::as_array);
-    let links = links.map(|list| list.iter().filter_map(Value::as_f64).collect()).unwrap_or_default();
+    let links = list(all, "/domain/zone_link_kb_per_s").iter().filter_map(Value::as_f64).collect();
     let window = span(all, "/rules/overload_for");
     Ok(Settings {
         dispatchers,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -723,11 +723,14 @@
     /// part of a probe: guards against fleets in which many dispatchers with few visits each ask more than
     /// they serve.
     fn probe(&mut self) {
+        if !self.set.probes {
+            return;
+        }
         let asked = self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
         let mut asked: Vec<_> = asked.map(|h| (h.busy.map(|(at, _)| at), h.entry.host)).collect();
         asked.sort();
         for (_, host) in asked {
-            if !self.set.probes || !self.probes.take(1.0) {
+            if !self.probes.take(1.0) {
                 break;
             }
             self.ready.push_back(Decision::Probe { host });
