--- a/src/time.rs
+++ b/src/time.rs
@@ -5,6 +5,7 @@
 pub struct Time(pub u64);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Span(pub u64);
 
 impl Span {
