--- /dev/null
+++ b/crates/faultbed/src/main.rs
@@ -0,0 +1,112 @@
+#![forbid(unsafe_code)]
+use cherrypass_faultbed::notation::{self, Scenario};
+use cherrypass_faultbed::{judge, play};
+use clap::{Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Plays several processes of cherrypass with faults between them.
+#[derive(Parser)]
+#[command(name = "faultbed", version)]
+struct Cli {
+    /// The built program
+    #[arg(long, default_value = "target/release/cherrypass", global = true)]
+    program: PathBuf,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario once, and say what did not hold
+    Play {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where configurations, logs and event logs stay; else they go
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
+    /// Play many seeds; where one fails, drop faults one after another while it still does
+    Hunt {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        #[arg(long, default_value_t = 10)]
+        to: u64,
+    },
+}
+
+/// What did not hold, after the figures were printed where they are wanted.
+fn once(scenario: &Scenario, program: &Path, seed: u64, logs: Option<&Path>) -> Result<Vec<String>, String> {
+    let own = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let folder = logs.unwrap_or(own.path());
+    std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    let played =
+        play::play(scenario, play::Stage { program, folder, seed }).map_err(|error| error.to_string())?;
+    judge::figures(&played).iter().for_each(|line| println!("  {line}"));
+    Ok(judge::judge(scenario, &played))
+}
+
+fn told(broken: &[String]) {
+    broken.iter().take(20).for_each(|line| println!("BROKEN {line}"));
+    if broken.len() > 20 {
+        println!("BROKEN and {} more", broken.len() - 20);
+    }
+}
+
+fn run(cli: Cli) -> Result<bool, String> {
+    let read = |file: &Path| {
+        let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+        notation::read(&text).map_err(|error| format!("{}: {error}", file.display()))
+    };
+    match cli.command {
+        Command::Play { file, seed, logs } => {
+            let broken = once(&read(&file)?, &cli.program, seed, logs.as_deref())?;
+            told(&broken);
+            println!("{} seed {seed}: {}", file.display(), if broken.is_empty() { "held" } else { "BROKEN" });
+            Ok(broken.is_empty())
+        }
+        Command::Hunt { file, from, to } => {
+            let scenario = read(&file)?;
+            for seed in from..=to {
+                let broken = once(&scenario, &cli.program, seed, None)?;
+                println!("seed {seed}: {}", if broken.is_empty() { "held" } else { "BROKEN" });
+                if !broken.is_empty() {
+                    told(&broken);
+                    let least = shrink(scenario, &cli.program, seed)?;
+                    println!("seed {seed}, the fewest faults that still break it:");
+                    least.faults.iter().for_each(|planned| println!("  {planned:?}"));
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        }
+    }
+}
+
+/// Drops one fault after another as long as something is still broken.
+fn shrink(mut scenario: Scenario, program: &Path, seed: u64) -> Result<Scenario, String> {
+    let mut place = 0;
+    while place < scenario.faults.len() {
+        let mut fewer = scenario.clone();
+        fewer.faults.remove(place);
+        if once(&fewer, program, seed, None)?.is_empty() {
+            place += 1;
+        } else {
+            scenario = fewer;
+        }
+    }
+    Ok(scenario)
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(3),
+        Err(error) => {
+            eprintln!("faultbed: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/faultbed/src/play.rs
@@ -0,0 +1,467 @@
+//! Plays a scenario: stand-ins, links and processes are started, faults come at their times, and all that was noted is
+//! handed on.
+use crate::changelog::{ChangeLog, Entry};
+use crate::clients::{Load, Mix, Numbers, BANDS};
+use crate::hosts::{self, Host, Hosts, Mode};
+use crate::links::{Link, Way};
+use crate::notation::{Between, Fault, Planned, Scenario, Sort};
+use crate::notes::{events, now, Event, Note, Noted, Notes};
+use crate::processes::{Files, Process};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("{0}: {1}; look at the file or folder named")]
+    Io(String, io::Error),
+    #[error("{0} did not start: {1}; its log says why")]
+    NotStarted(String, String),
+}
+
+fn doing(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
+    let what = what.into();
+    move |error| Error::Io(what, error)
+}
+
+/// Where the processes keep what they need, and what is played.
+pub struct Stage<'a> {
+    pub program: &'a Path,
+    pub folder: &'a Path,
+    pub seed: u64,
+}
+
+/// What a play left behind.
+pub struct Played {
+    pub noted: Noted,
+    pub events: Vec<Event>,
+    /// The lines of each process's own log.
+    pub logs: BTreeMap<String, String>,
+    /// When the load began and ended.
+    pub span: (u64, u64),
+    /// Processes that ended by themselves, or not well when they were asked to.
+    pub crashed: Vec<String>,
+    /// When each process did not run: killed or stopped, until it went on.
+    pub away: Vec<(String, u64, u64)>,
+    /// Datagrams that went through links.
+    pub datagrams: u64,
+}
+
+struct Dispatcher {
+    files: Files,
+    address: SocketAddr,
+    process: Option<Process>,
+    load: Load,
+    kept: PathBuf,
+    away_since: Option<u64>,
+    rate: f64,
+}
+
+struct Play<'a> {
+    stage: Stage<'a>,
+    scenario: &'a Scenario,
+    notes: Notes,
+    log: ChangeLog,
+    hosts: Hosts,
+    zones: Vec<String>,
+    dispatchers: BTreeMap<String, Dispatcher>,
+    links: BTreeMap<(String, String), Link>,
+    away: Vec<(String, u64, u64)>,
+    crashed: Vec<String>,
+}
+
+const START_MOST: Duration = Duration::from_secs(10);
+const END_MOST: Duration = Duration::from_secs(5);
+/// The list tells of a start so much later.
+const LIST_LATE: Duration = Duration::from_millis(500);
+
+/// A port that was free a moment ago.
+fn free_port(udp: bool) -> io::Result<SocketAddr> {
+    if udp {
+        UdpSocket::bind("127.0.0.1:0")?.local_addr()
+    } else {
+        TcpListener::bind("127.0.0.1:0")?.local_addr()
+    }
+}
+
+pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
+    let notes = Notes::default();
+    let log = ChangeLog::start(notes.clone()).map_err(doing("the change log"))?;
+    let mut zones = vec!["hub".to_owned()];
+    let own = scenario.dispatchers.iter().map(|(_, location)| location);
+    for location in own.chain(scenario.hosts.iter().filter_map(|hosts| hosts.location.as_ref())) {
+        if !zones.contains(location) {
+            zones.push(location.clone());
+        }
+    }
+    let mut play = Play {
+        stage,
+        scenario,
+        notes,
+        log,
+        hosts: Hosts::default(),
+        zones,
+        dispatchers: BTreeMap::new(),
+        links: BTreeMap::new(),
+        away: Vec::new(),
+        crashed: Vec::new(),
+    };
+    play.start()?;
+    let span = play.run()?;
+    play.end(span)
+}
+
+impl Play<'_> {
+    fn start(&mut self) -> Result<(), Error> {
+        let (scenario, seed) = (self.scenario, self.stage.seed);
+        let work = Duration::from_secs_f64(scenario.work / 1e3);
+        for hosts in &scenario.hosts {
+            for name in &hosts.names {
+                let what = (&format!("s-{name}")[..], hosts.sort, hosts.transfers);
+                let seed = seed ^ self.hosts.read().map_or(0, |hosts| hosts.len() as u64 + 1);
+                Host::start(what, work, seed, self.notes.clone(), self.hosts.clone()).map_err(doing(name))?;
+            }
+        }
+        let names: Vec<String> = scenario.hosts.iter().flat_map(|hosts| hosts.names.clone()).collect();
+        let entries: Vec<Entry> = names.iter().filter_map(|name| self.entry(name)).collect();
+        self.log.list(&entries, "in_service", true);
+        let names: Vec<String> = scenario.dispatchers.iter().map(|(name, _)| name.clone()).collect();
+        let mut fleet: BTreeMap<String, SocketAddr> = BTreeMap::new();
+        for name in names.iter().filter(|_| scenario.fleet.is_some()) {
+            fleet.insert(name.clone(), free_port(true).map_err(doing("a port"))?);
+        }
+        for (place, (from, to)) in
+            names.iter().flat_map(|from| names.iter().map(move |to| (from, to))).enumerate()
+        {
+            if let Some(address) = fleet.get(to).filter(|_| from != to) {
+                let link =
+                    Link::start(*address, seed.wrapping_mul(31) + place as u64).map_err(doing("a link"))?;
+                self.links.insert((from.clone(), to.clone()), link);
+            }
+        }
+        let numbers = Numbers::default();
+        numbers.store(1, std::sync::atomic::Ordering::SeqCst);
+        for (place, name) in names.iter().enumerate() {
+            let address = free_port(false).map_err(doing("a port"))?;
+            let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
+            let operator = self.operator(name, &fleet);
+            let files = Files {
+                config: at(".json"),
+                operator: operator.is_some().then(|| at(".jsonnet")),
+                log: at(".log"),
+            };
+            std::fs::write(&files.config, self.config(place, name, address))
+                .map_err(doing("a configuration"))?;
+            if let (Some(path), Some(text)) = (&files.operator, operator) {
+                std::fs::write(path, text).map_err(doing("an operators' file"))?;
+            }
+            let of =
+                |who: &str| scenario.load.iter().rev().find(|(name, _)| name == who).map(|(_, rate)| *rate);
+            let rate = of(name).or(of("all")).unwrap_or(10.0);
+            let mix = Mix { writes: scenario.writes, objects: scenario.objects };
+            let seed = seed.wrapping_mul(1_000_003) + place as u64;
+            let load =
+                Load::start((name.clone(), address), 0.0, mix, seed, self.notes.clone(), numbers.clone());
+            let process = Process::start(self.stage.program, &files).map_err(doing("starting a process"))?;
+            let (process, kept, away_since) = (Some(process), at("-kept"), None);
+            let known = Dispatcher { files, address, process, load, kept, away_since, rate };
+            self.dispatchers.insert(name.clone(), known);
+        }
+        for name in names {
+            self.wait_for(&name)?;
+        }
+        Ok(())
+    }
+
+    /// Until it takes clients in.
+    fn wait_for(&mut self, name: &str) -> Result<(), Error> {
+        let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+        let until = Instant::now() + START_MOST;
+        while TcpStream::connect(known.address).is_err() {
+            let ended = known.process.as_mut().and_then(Process::ended);
+            if ended.is_some() || Instant::now() > until {
+                return Err(Error::NotStarted(name.into(), ended.unwrap_or("it takes no client".into())));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(())
+    }
+
+    fn entry(&self, name: &str) -> Option<Entry> {
+        let hosts = self.scenario.hosts.iter().find(|hosts| hosts.names.iter().any(|own| own == name))?;
+        let host = self.host(name)?;
+        let (zone, kind) = match hosts.sort {
+            Sort::Cache => (hosts.location.clone()?, "small"),
+            Sort::Parent => ("hub".to_owned(), "parent"),
+            Sort::Origin => ("hub".to_owned(), "origin"),
+        };
+        let (address, started) = (host.address, host.started_ms());
+        Some(Entry { name: host.name.clone(), address, zone, kind, weight: hosts.transfers, started })
+    }
+
+    fn host(&self, name: &str) -> Option<std::sync::Arc<Host>> {
+        self.hosts.read().ok()?.get(&format!("s-{name}")).cloned()
+    }
+
+    fn config(&self, place: usize, name: &str, listen: SocketAddr) -> String {
+        let dispatchers = &self.scenario.dispatchers;
+        let zone = |location: &String| self.zones.iter().position(|zone| zone == location).unwrap_or(0);
+        let own = zone(&dispatchers[place].1);
+        let count = |zone: &String| dispatchers.iter().filter(|(_, location)| location == zone).count();
+        let counts: Vec<usize> = self.zones.iter().map(count).collect();
+        let services: Vec<_> = BANDS
+            .iter()
+            .map(|(name, limit)| {
+                let effect = match *name {
+                    "read" => json!({"effect": "idempotent"}),
+                    "order" => json!({"effect": "deduplicated", "group": "all", "memory_span": 5_000_000}),
+                    _ => json!({"effect": "at_most_once"}),
+                };
+                let mut band = json!({"name": name, "aim": 400_000, "deadline": limit * 1000});
+                let effect = effect.as_object().cloned().unwrap_or_default();
+                band.as_object_mut().into_iter().for_each(|band| band.extend(effect.clone()));
+                band
+            })
+            .collect();
+        let micros = |seconds: f64| (seconds * 1e6) as u64;
+        let settings = json!({
+            "balancers": dispatchers.len(), "me": place, "zone": own, "zones": self.zones,
+            "weight_source": "rough", "models": ["small", "parent", "origin"], "services": services,
+            "bounds": {"cancel": true, "connect_timeout": 300_000, "conn_idle": 15_000_000, "streams_per_conn": 32,
+                "max_attempts": 6, "retry_after": true, "max_retry_after": 2_000_000},
+            "rules": {"cold_from": hosts::COLD_FROM, "cold": micros(hosts::RAMP),
+                "overload_factor": hosts::FACTOR, "overload_for": micros(hosts::WINDOW)},
+            "domain": {"class_fresh": [0, 0, 0], "goes_through": [false, true, true], "may_pass_by": true,
+                "obey_after": 1_000_000, "pace_kb_per_s": 0, "parent_kind": 1, "source_kind": 2,
+                "purge_done": micros(hosts::PURGE_DROPPED + 1.0), "count_by_zone": counts},
+        });
+        json!({"name": name, "listen": listen.to_string(), "seed": format!("{:x}", self.stage.seed ^ place as u64),
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512}, "changelog": self.log.address.to_string(),
+            "known": self.log.known(), "settings": settings})
+        .to_string()
+    }
+
+    /// The operators' file of one process: others are reached through the links.
+    fn operator(&self, name: &str, fleet: &BTreeMap<String, SocketAddr>) -> Option<String> {
+        let at = |what: &str| self.stage.folder.join(format!("{name}{what}")).display().to_string();
+        let mut text = String::from("{\n");
+        if self.scenario.store {
+            text += &format!("  store: {{ dir: '{}' }},\n", at("-kept"));
+        }
+        if let Some(keys) = &self.scenario.fleet {
+            let members: Vec<String> = self
+                .scenario
+                .dispatchers
+                .iter()
+                .filter_map(|(other, location)| {
+                    let link = self.links.get(&(name.to_owned(), other.clone()));
+                    let address = link.map_or(fleet.get(other).copied(), |link| Some(link.address))?;
+                    Some(format!("{{ name: '{other}', address: '{address}', location: '{location}' }}"))
+                })
+                .collect();
+            text += &format!(
+                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', members: [{}] }} + {keys},\n",
+                fleet.get(name)?,
+                at(".events"),
+                members.join(", ")
+            );
+        }
+        (self.scenario.store || self.scenario.fleet.is_some()).then(|| text + "}\n")
+    }
+
+    fn run(&mut self) -> Result<(u64, u64), Error> {
+        let mut due: Vec<(f64, bool, &Planned)> = Vec::new();
+        for planned in &self.scenario.faults {
+            due.push((planned.at, true, planned));
+            due.extend(planned.lasts.map(|lasts| (planned.at + lasts, false, planned)));
+        }
+        due.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // The processes find each other first.
+        std::thread::sleep(Duration::from_millis(if self.scenario.fleet.is_some() { 1_500 } else { 200 }));
+        let (begun, begun_at) = (Instant::now(), now());
+        self.dispatchers.values().for_each(|known| known.load.set(known.rate));
+        for (at, begins, planned) in due {
+            let at = Duration::from_secs_f64(at);
+            std::thread::sleep(at.saturating_sub(begun.elapsed()));
+            let what = format!("{} {:?}", if begins { "begins" } else { "ends" }, planned.fault);
+            self.notes.note(Note::Fault { what });
+            self.fault(&planned.fault, begins)?;
+        }
+        std::thread::sleep(Duration::from_secs_f64(self.scenario.lasts).saturating_sub(begun.elapsed()));
+        Ok((begun_at, now()))
+    }
+
+    fn each_link(&self, between: &Between, change: impl Fn(&mut Way)) {
+        let hit = |from: &str, to: &str| match between {
+            Between::All => true,
+            Between::Both(a, b) => (from == a && to == b) || (from == b && to == a),
+            Between::OneWay(a, b) => from == a && to == b,
+        };
+        let links = self.links.iter().filter(|((from, to), _)| hit(from, to));
+        links.for_each(|(_, link)| link.change(&change));
+    }
+
+    fn gone_away(&mut self, name: &str) {
+        if let Some(known) = self.dispatchers.get_mut(name) {
+            known.away_since.get_or_insert(now());
+        }
+    }
+
+    fn came_back(&mut self, name: &str) {
+        if let Some(since) = self.dispatchers.get_mut(name).and_then(|known| known.away_since.take()) {
+            self.away.push((name.to_owned(), since, now()));
+        }
+    }
+
+    fn kill(&mut self, name: &str) {
+        self.gone_away(name);
+        if let Some(process) = self.dispatchers.get_mut(name).and_then(|known| known.process.take()) {
+            process.kill();
+        }
+    }
+
+    fn fault(&mut self, fault: &Fault, begins: bool) -> Result<(), Error> {
+        let or = |value: f64| if begins { value } else { 0.0 };
+        match fault {
+            Fault::Cut(between) => self.each_link(between, |way| way.cut = begins),
+            Fault::Stall(between) => self.each_link(between, |way| way.stall = begins),
+            Fault::Lose(part, between) => self.each_link(between, |way| way.lost = or(part.min(1.0))),
+            Fault::Repeat(part, between) => self.each_link(between, |way| way.twice = or(part.min(1.0))),
+            Fault::Delay(least, most, between) => {
+                self.each_link(between, |way| way.delay = [or(*least), or(*most)]);
+            }
+            Fault::Throttle(most, between) => {
+                self.each_link(between, |way| way.most = Some(*most).filter(|_| begins));
+            }
+            Fault::Stop(name) => {
+                let signal = if begins { Signal::SIGSTOP } else { Signal::SIGCONT };
+                if begins {
+                    self.gone_away(name);
+                }
+                if let Some(process) = self.dispatchers.get(name).and_then(|known| known.process.as_ref()) {
+                    process.signal(signal);
+                }
+                if !begins {
+                    self.came_back(name);
+                }
+            }
+            Fault::Kill(name) if begins => self.kill(name),
+            Fault::Kill(name) => self.start_anew(name, false)?,
+            Fault::Restart { who, new } if begins => {
+                self.kill(who);
+                self.start_anew(who, *new)?;
+            }
+            Fault::Restart { .. } => {}
+            Fault::Load(who, rate) => {
+                for (name, known) in &self.dispatchers {
+                    if who == "all" || who == name {
+                        known.load.set(if begins { *rate } else { known.rate });
+                    }
+                }
+            }
+            Fault::Purge => {
+                for object in 0..self.scenario.objects.min(50) {
+                    let before = now();
+                    self.log.purge(object);
+                    let hosts = self.hosts.clone();
+                    std::thread::spawn(move || {
+                        std::thread::sleep(Duration::from_secs_f64(hosts::PURGE_DROPPED));
+                        let all = hosts.read().map(|all| all.values().cloned().collect::<Vec<_>>());
+                        all.iter().flatten().for_each(|host| host.drop_older(object, before));
+                    });
+                }
+            }
+            Fault::Fail(name, _)
+            | Fault::Hang(name)
+            | Fault::Slow(name, _)
+            | Fault::Vanish(name)
+            | Fault::Fresh(name)
+            | Fault::Drain(name) => self.host_fault(name, fault, begins)?,
+        }
+        Ok(())
+    }
+
+    fn host_fault(&mut self, name: &str, fault: &Fault, begins: bool) -> Result<(), Error> {
+        let Some(host) = self.host(name) else { return Ok(()) };
+        match fault {
+            Fault::Fail(_, part) if begins => host.set(Mode::Fail(*part)),
+            Fault::Hang(_) if begins => host.set(Mode::Hang),
+            Fault::Slow(_, times) if begins => host.set(Mode::Slow(*times)),
+            Fault::Vanish(_) if begins => host.end(),
+            Fault::Drain(_) => {
+                let state = if begins { "terminating" } else { "in_service" };
+                self.log.list(&self.entry(name).into_iter().collect::<Vec<_>>(), state, false);
+            }
+            Fault::Fresh(_) if !begins => {}
+            Fault::Vanish(_) | Fault::Fresh(_) => {
+                host.begin_anew().map_err(doing(name))?;
+                let (entry, log) = (self.entry(name), self.log.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(LIST_LATE);
+                    log.list(&entry.into_iter().collect::<Vec<_>>(), "in_service", false);
+                });
+            }
+            _ => host.set(Mode::Well),
+        }
+        Ok(())
+    }
+
+    fn start_anew(&mut self, name: &str, new: bool) -> Result<(), Error> {
+        let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+        if new {
+            let _ = std::fs::remove_dir_all(&known.kept);
+        }
+        known.process = Some(Process::start(self.stage.program, &known.files).map_err(doing(name))?);
+        self.wait_for(name)?;
+        self.came_back(name);
+        Ok(())
+    }
+
+    fn end(mut self, span: (u64, u64)) -> Result<Played, Error> {
+        self.dispatchers.values().for_each(|known| known.load.end());
+        // Every visit has had its time then.
+        std::thread::sleep(Duration::from_millis(2_400));
+        let names: Vec<String> = self.dispatchers.keys().cloned().collect();
+        for name in &names {
+            let stopped = self.dispatchers[name].away_since.is_some();
+            let Some(known) = self.dispatchers.get_mut(name) else { continue };
+            if let Some(ended) = known.process.as_mut().and_then(Process::ended) {
+                self.crashed.push(format!("{name} ended by itself: {ended}"));
+            } else if let Some(process) = known.process.as_ref().filter(|_| stopped) {
+                process.signal(Signal::SIGCONT);
+            }
+            self.came_back(name);
+        }
+        let processes: Vec<_> = self
+            .dispatchers
+            .iter_mut()
+            .filter_map(|(name, known)| Some((name, known.process.take()?)))
+            .collect();
+        let ends: Vec<_> = processes
+            .into_iter()
+            .map(|(name, process)| (name.clone(), std::thread::spawn(move || process.end(END_MOST))))
+            .collect();
+        for (name, end) in ends {
+            let already = self.crashed.iter().any(|line| line.starts_with(&format!("{name} ")));
+            if !already && !end.join().unwrap_or(false) {
+                self.crashed.push(format!("{name} did not end well on SIGTERM"));
+            }
+        }
+        let (mut found, mut logs) = (Vec::new(), BTreeMap::new());
+        for name in &names {
+            let path = self.stage.folder.join(format!("{name}.events"));
+            found.extend(std::fs::read_to_string(path).map(|text| events(&text)).unwrap_or_default());
+            let log = std::fs::read_to_string(&self.dispatchers[name].files.log).unwrap_or_default();
+            logs.insert(name.clone(), log);
+        }
+        found.sort_by_key(|event: &Event| event.t);
+        let datagrams =
+            self.links.values().map(|link| link.passed.load(std::sync::atomic::Ordering::SeqCst)).sum();
+        let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
+        Ok(Played { noted, events, logs, span, crashed, away, datagrams })
+    }
+}
--- /dev/null
+++ b/crates/faultbed/src/processes.rs
@@ -0,0 +1,62 @@
+//! Processes of the built program: started, stopped, continued, killed.
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::fs::OpenOptions;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub struct Process {
+    child: Child,
+}
+
+/// What a process is started with.
+#[derive(Clone, Debug)]
+pub struct Files {
+    pub config: PathBuf,
+    pub operator: Option<PathBuf>,
+    /// Its standard error, added to.
+    pub log: PathBuf,
+}
+
+impl Process {
+    pub fn start(program: &Path, files: &Files) -> io::Result<Process> {
+        let log = OpenOptions::new().create(true).append(true).open(&files.log)?;
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(&files.config);
+        if let Some(operator) = &files.operator {
+            command.arg("--operator").arg(operator);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        Ok(Process { child })
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    /// Whether it ended by itself, and how.
+    pub fn ended(&mut self) -> Option<String> {
+        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+    }
+
+    pub fn kill(mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// SIGTERM, and SIGKILL where that doesn't do within the time; whether it ended well by itself.
+    pub fn end(mut self, within: Duration) -> bool {
+        self.signal(Signal::SIGTERM);
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill();
+        false
+    }
+}
--- /dev/null
+++ b/crates/faultbed/tests/bed.rs
@@ -0,0 +1,148 @@
+//! The notation's mistakes, the judge on made-up histories (each of its verdicts must be able to fail), and scenarios
+//! played with the built program.
+use cherrypass_faultbed::judge;
+use cherrypass_faultbed::notation::{read, Fault};
+use cherrypass_faultbed::notes::{events, Note, Noted, Word};
+use cherrypass_faultbed::play::{play, Stage};
+use test_case::test_case;
+
+const HEAD: &str = "dispatchers d1 d2 at edge\norigin o1 transfers 3\nfor 5\n";
+
+#[test_case("at 1 brake d1", "line 4, column 6"; "an unknown fault")]
+#[test_case("at x cut d1 d2", "line 4, column 4"; "not a number")]
+#[test_case("at 1 kill d9", "line 4: there is no d9"; "an unknown process")]
+#[test_case("load d1 5 per second", "line 4, column 11"; "more than fits")]
+#[test_case("fleet { limits: { origin: 3 }", "line 4"; "braces that don't match")]
+#[test_case("caches c1 transfers 5", "line 4"; "caches without a location")]
+fn a_mistake_has_its_place(line: &str, place: &str) {
+    let said = read(&format!("{HEAD}{line}\n")).unwrap_err().to_string();
+    assert!(said.contains(place), "{said}");
+}
+
+#[test]
+fn faults_are_read_as_written() {
+    let text = format!(
+        "{HEAD}fleet {{ limits: {{ origin: 3 }} }} # so\nat 1 for 2 lose 0.5 d1 > d2\nat 2 restart d1 new\n"
+    );
+    let found = read(&text).unwrap();
+    assert_eq!(found.fleet.as_deref(), Some("{ limits: { origin: 3 } }"));
+    assert_eq!(found.faults[0].lasts, Some(2.0));
+    assert_eq!(found.faults[1].fault, Fault::Restart { who: "d1".into(), new: true });
+}
+
+const S: u64 = 1_000_000;
+
+fn asked(at: u64, visit: u64, band: &str) -> (u64, Note) {
+    let (dispatcher, band) = ("d1".to_owned(), band.to_owned());
+    (at, Note::Asked { visit, dispatcher, band, object: 7, limit: S })
+}
+
+fn answered(at: u64, visit: u64, word: Word, born: Option<u64>) -> (u64, Note) {
+    (at, Note::Answered { visit, word, born })
+}
+
+fn ran(at: u64, visit: u64) -> (u64, Note) {
+    (at, Note::Ran { host: "o1".into(), visit, band: "once".into() })
+}
+
+fn host(at: u64, what: fn(String) -> Note) -> (u64, Note) {
+    (at, what("c1".into()))
+}
+
+fn came(host: String) -> Note {
+    Note::Came { host, visit: 1, filled: false }
+}
+
+fn drains(host: String) -> Note {
+    Note::Listed { host, state: "terminating" }
+}
+
+fn fell(host: String) -> Note {
+    Note::Fell { host }
+}
+
+#[test_case(vec![asked(S, 1, "read"), answered(S + 100, 1, Word::Settled, Some(S))], None; "all well")]
+#[test_case(vec![asked(S, 1, "read")], Some("no answer"); "rule 1, none")]
+#[test_case(vec![asked(S, 1, "read"), answered(S, 1, Word::Settled, None), answered(S, 1, Word::Settled, None)], Some("2 answers"); "rule 1, two")]
+#[test_case(vec![asked(S, 1, "read"), answered(3 * S, 1, Word::TurnedBack, None)], Some("late"); "rule 1, late")]
+#[test_case(vec![asked(S, 1, "once"), ran(S, 1), ran(S, 1), answered(S, 1, Word::Settled, None)], Some("ran 2 times"); "rule 2, twice")]
+#[test_case(vec![asked(S, 1, "once"), ran(S, 1), answered(S, 1, Word::TurnedBack, None)], Some("was turned back"); "rule 2, called harmless")]
+#[test_case(vec![host(S, drains), host(9 * S, came)], Some("which drains"); "rule 3")]
+#[test_case(vec![host(S, drains), host(S + 1, came)], None; "rule 3, within the grace")]
+#[test_case(vec![host(S, fell)], Some("pushed over"); "rule 4")]
+#[test_case(vec![(S, Note::Purged { object: 7 }), asked(9 * S, 1, "read"), answered(9 * S, 1, Word::Settled, Some(S - 9))], Some("older than its purge"); "rule 5")]
+fn the_judge_of_the_rules(noted: Noted, words: Option<&str>) {
+    let broken = judge::rules(&noted, &[]);
+    match words {
+        None => assert!(broken.is_empty(), "{broken:?}"),
+        Some(words) => assert!(broken.len() == 1 && broken[0].contains(words), "{broken:?}"),
+    }
+}
+
+#[test]
+fn who_was_away_is_not_blamed_for_silence() {
+    let noted = vec![asked(S, 1, "read")];
+    assert!(judge::rules(&noted, &[("d1".into(), S / 2, 2 * S)]).is_empty());
+    assert!(!judge::rules(&noted, &[("d2".into(), S / 2, 2 * S)]).is_empty());
+}
+
+fn part(t: u64, me: &str, amount: f64, until: u64, after: f64) -> String {
+    format!(
+        r#"{{"t":{t},"me":"{me}","inc":1,"e":"part","key":"origin","amount":{amount},"until":{until},"after":{after}}}"#
+    )
+}
+
+#[test_case(&[part(1, "a", 6.0, 50, 2.0), part(2, "b", 4.0, 90, 4.0)], None; "all well")]
+#[test_case(&[part(1, "a", 6.0, 50, 2.0), part(2, "b", 4.0, 90, 4.0), part(49, "b", 5.0, 90, 5.0)], Some("11.000"); "lent before it ran out")]
+#[test_case(&[part(1, "a", 6.0, 50, 2.0), part(2, "b", 4.0, 90, 4.0), part(51, "b", 8.0, 90, 4.0)], None; "lent after it ran out")]
+#[test_case(&[part(1, "a", 6.0, 50, 6.0), part(2, "b", 4.0, 60, 9.0)], Some("15.000"); "falls back to more")]
+fn the_judge_of_a_sum(lines: &[String], words: Option<&str>) {
+    let broken = judge::sum(&events(&lines.join("\n")), &[], "origin", 10.0);
+    match words {
+        None => assert!(broken.is_empty(), "{broken:?}"),
+        Some(words) => assert!(broken.len() == 1 && broken[0].contains(words), "{broken:?}"),
+    }
+}
+
+fn fed(e: &str, n: u64) -> String {
+    format!(r#"{{"t":{n},"me":"a","inc":1,"e":"{e}","source":"b","sinc":1,"n":{n}}}"#)
+}
+
+#[test_case(&[fed("deliver", 1), fed("deliver", 2)], true; "in order")]
+#[test_case(&[fed("deliver", 1), fed("deliver", 3)], false; "a gap")]
+#[test_case(&[fed("deliver", 1), fed("deliver", 1)], false; "a repeat")]
+#[test_case(&[fed("deliver", 1), fed("state", 5), fed("deliver", 6)], true; "a state covers a gap")]
+#[test_case(&[fed("deliver", 1), fed("state", 5), fed("deliver", 5)], false; "a repeat of a state")]
+fn the_judge_of_the_feed(lines: &[String], well: bool) {
+    let broken = judge::feed(&events(&lines.join("\n")));
+    assert_eq!(broken.is_empty(), well, "{broken:?}");
+}
+
+#[test_case(10_000.0, true; "young enough")]
+#[test_case(900.0, false; "too old")]
+fn the_judge_of_ages(most: f64, well: bool) {
+    let line = r#"{"t":1,"me":"a","inc":1,"e":"hearsay","host":"9","kind":"shut","tellers":2,"age_ms":950}"#;
+    assert_eq!(judge::ages(&events(line), most).is_empty(), well);
+}
+
+#[test_case(&[1, 2, 3], true; "forward")]
+#[test_case(&[1, 3, 2], false; "back unasked")]
+fn the_judge_of_versions(numbers: &[u64], well: bool) {
+    let line = |n: &u64| format!(r#"{{"t":{n},"me":"a","inc":1,"e":"rules","number":{n}}}"#);
+    let lines: Vec<String> = numbers.iter().map(line).collect();
+    assert_eq!(judge::versions(&events(&lines.join("\n"))).is_empty(), well);
+}
+
+/// Plays with the program that stands beside the tests; the workspace's tests build it.
+#[test_case(include_str!("../scenarios/hosts.bed"); "hosts")]
+fn holds(text: &str) {
+    let own = std::env::current_exe().unwrap();
+    let program = own.parent().unwrap().parent().unwrap().join("cherrypass");
+    assert!(program.exists(), "{} is not built: cargo build first", program.display());
+    let scenario = read(text).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let seed = 1;
+    let played = play(&scenario, Stage { program: &program, folder: folder.path(), seed }).unwrap();
+    let broken = judge::judge(&scenario, &played);
+    assert!(broken.is_empty(), "seed {seed}: {broken:#?}\n{:#?}", judge::figures(&played));
+}
