--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,6 @@
 //! All decisions of a dispatcher. The host calls `start` once, then `listed`, `arrived`, `ended`, `left`,
-//! `purged`, `probed` and `woken` as things happen; these only update what is known. After each round it pulls
-//! decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
+//! `purged`, `probed` and `woken` as things happen; these only update what is known. After each round it
+//! pulls decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
 use crate::containers::Mean;
@@ -304,7 +304,7 @@
         self.ready.extend(out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }));
     }
 
-    /// A host that was asked tells how busy it is, or nothing within the time for that. Guards against sources
+    /// A host that was asked tells how busy it is, or nothing in the time for that. Guards against sources
     /// that are full, slow or silent and show it in too few fills of this dispatcher's own; harms one whose
     /// probes get lost on the way, which has a smaller part for some seconds.
     pub fn probed(&mut self, now: Time, id: HostId, report: Report) {
@@ -500,8 +500,8 @@
     }
 
     /// Whether a cache takes one more: it tells that it has room, for all that ask it, or the limit leaves
-    /// some. Guards against visits that leave their designated cache since this dispatcher's share of its limit
-    /// is below one; harms a cache that fills up within the seconds for which its word holds.
+    /// some. Guards against visits that leave their designated cache since this dispatcher's share of its
+    /// limit is below one; harms a cache that fills up within the seconds for which its word holds.
     fn has_room(&mut self, now: Time, id: HostId) -> bool {
         let Some(host) = self.hosts.get(&id) else { return false };
         let free = host.busy.is_some_and(|(at, busy)| now < at + BUSY_HOLDS && busy < BUSY_FULL);
--- a/src/state.rs
+++ b/src/state.rs
@@ -281,7 +281,7 @@
         }
     }
 
-    /// Counts a hand-off in (1) or out (-1): at its host, and its likely fill at source, part and both limits.
+    /// Counts a hand-off in (1) or out (-1): at its host; its likely fill at source, part and both limits.
     pub(crate) fn count(&mut self, sent: &Sent, by: i32) {
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             if host.in_flight == 0 {
