Dispatcher: an inbox below clients, hosts, changes and signals; no circle of files

Router, clients, hosts, changes, keeping and signals imported each other through Input, hosts and lines through the hosts' mailbox. A host's actor is made on the thread of all hosts, which has what they share. Nothing else is new.

--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -2,8 +2,8 @@
 //! holds. Whatever goes wrong, the last good list stays and the log is asked again.
 use crate::clock;
 use crate::config::Names;
+use crate::inbox::{Change, Input, Listed};
 use crate::line::is_wait;
-use crate::router::Input;
 use cherrypass::calls::{Listing, Phase};
 use cherrypass::ids::*;
 use cherrypass::time::{Span, Time};
@@ -45,20 +45,6 @@
     Gap(u64, u64),
 }
 
-/// A host of the list, with the address at which this dispatcher reaches it.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    pub listing: Listing,
-    pub name: String,
-    pub address: Option<SocketAddr>,
-}
-
-#[derive(Clone, Debug)]
-pub enum Change {
-    List { whole: bool, hosts: Vec<Listed> },
-    Purge(Purge),
-}
-
 /// The id of a host by its name in the list, which is the same for all dispatchers (FNV-1a).
 pub fn host_id(name: &str) -> HostId {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -3,10 +3,10 @@
 use crate::bounds::{Gauge, Held};
 use crate::clock;
 use crate::ids::ClientId;
+use crate::inbox::{FromClient, Input};
 use crate::line::{is_wait, spawn, Code, Line};
 use crate::mailbox;
-use crate::msgpack::{self, Asked, Message, Parts};
-use crate::router::Input;
+use crate::msgpack::{self, Message, Parts};
 use crate::spent::Spent;
 use bytes::{Bytes, BytesMut};
 use cherrypass::time::{Span, Time};
@@ -38,16 +38,6 @@
 const EVENTS: usize = 64;
 const LISTENER: u64 = u64::MAX;
 
-/// What clients tell the router; a visit with the time of its last byte.
-pub enum FromClient {
-    Opened { line: Arc<Line> },
-    Visit { id: u32, asked: Box<Asked>, at: Time, busy: Held },
-    Bad { id: u32, field: &'static str },
-    Status { id: u32 },
-    Withdrawn { ids: Vec<u32> },
-    Closed,
-}
-
 pub struct ToClient {
     pub parts: Parts,
     /// When the host's answer came that this passes on.
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -4,18 +4,18 @@
 use crate::clock;
 use crate::config::Reach;
 use crate::ids::{HandOffId, HostNo, LineId, ProbeNo, Txn};
+use crate::inbox::{FromHost, Input};
+use crate::letters::{HandOff, Letter, Mailbox, Newcomer, ToHost, Way};
 use crate::line::{spawn, Code, Line};
 use crate::lines::Lines;
 use crate::mailbox;
 use crate::resp::{self, Answer};
-use crate::router::Input;
 use bytes::Bytes;
 use cherrypass::calls::Outcome;
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
 /// A connection with less than this part of its most out takes one more before another is opened.
@@ -23,111 +23,16 @@
 /// Past a visit's time its id may not come again, but for the time on the way.
 const LATE: Span = Span::millis(100);
 
-/// How far a hand-off has got on its way out: when it was wholly written, before which it can't have run.
-#[derive(Clone, Debug, Default)]
-pub struct Way(Arc<AtomicU64>);
-
-const WAITS: u64 = 0;
-const BEGUN: u64 = 1;
-const OFF: u64 = u64::MAX;
-
-impl Way {
-    /// Guards against a hand-off that is written late, after its visit's final answer: one that is called off
-    /// before its first byte stays unwritten.
-    pub fn begin(&self) -> bool {
-        self.0.compare_exchange(WAITS, BEGUN, Relaxed, Relaxed).is_ok()
-    }
-
-    fn written(&self) {
-        self.0.store(clock::now().0, Relaxed);
-    }
-
-    /// Whether this came before the first byte, so that the hand-off never goes out.
-    pub fn call_off(&self) -> bool {
-        self.0.compare_exchange(WAITS, OFF, Relaxed, Relaxed).is_ok()
-    }
-
-    fn is_off(&self) -> bool {
-        self.0.load(Relaxed) == OFF
-    }
-
-    pub fn written_at(&self) -> Option<Time> {
-        Some(self.0.load(Relaxed)).filter(|at| ![WAITS, BEGUN, OFF].contains(at)).map(Time)
-    }
-}
-
-/// A hand-off as it goes out.
-#[derive(Clone, Debug)]
-pub struct HandOff {
-    pub id: HandOffId,
-    /// The client's id of the visit, which names the hand-off on the wire.
-    pub txn: Bytes,
-    pub fields: String,
-    pub body: Bytes,
-    /// The tag of the copy that the client holds.
-    pub seen: Option<Bytes>,
-    /// What answers it is a copy.
-    pub copy: bool,
-    /// Until when an answer may come.
-    pub until: Time,
-    pub way: Way,
-}
-
-/// What hosts tell the router of a hand-off.
-pub enum FromHost {
-    /// The host was told that no answer is wanted any more, or its connection has ended.
-    GivenUp {
-        at: Time,
-    },
-    Ended {
-        outcome: Outcome,
-        answer: Option<(Answer, Held)>,
-        at: Time,
-    },
-}
-
-pub enum ToHost {
-    HandOff(HandOff),
-    NeverMind(HandOffId),
-    /// How busy is it?
-    Probe(ProbeNo),
-    /// The hand-off's connection had to be up by now.
-    ConnectLimit(HandOffId),
-    /// Whether it drains, and so takes nothing new.
-    Drains(bool),
-    Retire,
-    Up(LineId, Arc<Line>),
-    GivenUp(LineId, HandOffId, Time),
-    Answered(LineId, Answer, Held, Time),
-    Closed(LineId, Code, Time),
-}
-
-/// What the thread of all hosts is sent. It is one, however long the list: guards against fleets in which each
-/// dispatcher keeps a thread for each host that it may never send to.
-pub enum Letter {
-    Join(HostNo, Box<Host>),
-    For(HostNo, ToHost),
-    Sweep(Time),
-}
-
-/// A host's mailbox.
-#[derive(Clone, Debug)]
-pub struct Mailbox {
-    pub number: HostNo,
-    pub letters: Sender<Letter>,
-}
-
-impl Mailbox {
-    /// Whether it was taken: it is until the thread of all hosts has ended.
-    pub fn send(&self, message: ToHost) -> bool {
-        self.letters.send(Letter::For(self.number, message)).is_ok()
-    }
-}
-
 /// All hosts' actors.
 pub struct Hosts {
     letters: Sender<Letter>,
     next: u64,
+    room: Room,
+}
+
+/// What all hosts' actors have in common.
+#[derive(Clone)]
+struct Common {
     reach: Reach,
     room: Room,
     wires: Arc<Lines>,
@@ -138,9 +43,9 @@
     pub fn start(reach: Reach, room: Room, router: Sender<Input>) -> std::io::Result<Hosts> {
         let (letters, mailbox) = unbounded();
         let wires = Lines::start(room.clone(), reach.connect_limit)?;
-        let (tell, own) = (router.clone(), wires.clone());
-        spawn("hosts", move || run(&mailbox, &tell, &own))?;
-        Ok(Hosts { letters, next: 0, reach, room, wires, router })
+        let common = Common { reach, room: room.clone(), wires, router };
+        spawn("hosts", move || run(&mailbox, &common))?;
+        Ok(Hosts { letters, next: 0, room })
     }
 
     /// One more host, and its mailbox.
@@ -148,23 +53,8 @@
         let number = HostNo(self.next);
         self.next += 1;
         let own = Mailbox { number, letters: self.letters.clone() };
-        let (reach, room) = (self.reach, self.room.clone());
-        let host = Box::new(Host {
-            name: name.to_owned(),
-            address,
-            reach,
-            _joined: room.join(),
-            room,
-            wires: self.wires.clone(),
-            own: own.clone(),
-            router: self.router.clone(),
-            lines: BTreeMap::new(),
-            next: 0,
-            probe: None,
-            drains: false,
-            retired: false,
-        });
-        let _ = self.letters.send(Letter::Join(number, host));
+        let host = Newcomer { name: name.to_owned(), address, own: own.clone(), joined: self.room.join() };
+        let _ = self.letters.send(Letter::Join(Box::new(host)));
         own
     }
 
@@ -173,12 +63,12 @@
     }
 }
 
-fn run(mailbox: &Receiver<Letter>, router: &Sender<Input>, wires: &Lines) {
+fn run(mailbox: &Receiver<Letter>, common: &Common) {
     let mut hosts: BTreeMap<HostNo, Box<Host>> = BTreeMap::new();
     while let Some(letter) = mailbox::next(mailbox) {
         match letter {
-            Letter::Join(number, host) => {
-                hosts.insert(number, host);
+            Letter::Join(host) => {
+                hosts.insert(host.own.number, Box::new(Host::new(*host, common.clone())));
             }
             Letter::For(number, message) => {
                 if matches!(message, ToHost::HandOff(_)) {
@@ -194,14 +84,14 @@
                     }
                     (None, ToHost::HandOff(HandOff { id, .. })) => {
                         let (outcome, at) = (Outcome::ConnectFailed, clock::now());
-                        let _ =
-                            router.send(Input::HandOff(id, FromHost::Ended { outcome, answer: None, at }));
+                        let ended = FromHost::Ended { outcome, answer: None, at };
+                        let _ = common.router.send(Input::HandOff(id, ended));
                     }
                     (None, _) => {}
                 }
             }
             Letter::Sweep(now) => {
-                wires.end_silent(now);
+                common.wires.end_silent(now);
                 hosts.values_mut().for_each(|host| {
                     host.sweep(now);
                     host.end_unused();
@@ -216,7 +106,7 @@
 fn make_room(hosts: &mut BTreeMap<HostNo, Box<Host>>, number: HostNo) {
     let Some(host) = hosts.get(&number) else { return };
     let has_one = host.lines.values().any(|pooled| pooled.stands());
-    if has_one || host.retired || host.room.place().is_some() {
+    if has_one || host.retired || host.common.room.place().is_some() {
         return;
     }
     let idle = hosts.values_mut().flat_map(|host| host.lines.values_mut()).filter(|pooled| pooled.is_idle());
@@ -306,14 +196,11 @@
     }
 }
 
-pub struct Host {
+struct Host {
     name: String,
     address: SocketAddr,
-    reach: Reach,
-    room: Room,
-    wires: Arc<Lines>,
+    common: Common,
     own: Mailbox,
-    router: Sender<Input>,
     lines: BTreeMap<LineId, Pooled>,
     next: u64,
     /// The last probe, until it is answered.
@@ -324,6 +211,21 @@
 }
 
 impl Host {
+    fn new(Newcomer { name, address, own, joined }: Newcomer, common: Common) -> Host {
+        Host {
+            name,
+            address,
+            common,
+            own,
+            lines: BTreeMap::new(),
+            next: 0,
+            probe: None,
+            drains: false,
+            retired: false,
+            _joined: joined,
+        }
+    }
+
     fn take(&mut self, message: ToHost) {
         match message {
             ToHost::HandOff(hand_off) => self.hand_off(hand_off),
@@ -338,7 +240,7 @@
                 }
             }
             ToHost::ConnectLimit(id) => {
-                self.wires.end_silent(clock::now());
+                self.common.wires.end_silent(clock::now());
                 let waits = |p: &Pooled| p.pending.iter().any(|hand_off| hand_off.id == id);
                 if let Some(pooled) = self.lines.values_mut().find(|p| waits(p)) {
                     pooled.pending.retain(|hand_off| hand_off.id != id);
@@ -381,7 +283,7 @@
                     "host {name} line {line} closed: {code} after {sent} hand-offs"
                 );
                 for id in pooled.untold {
-                    let _ = self.router.send(Input::HandOff(id, FromHost::GivenUp { at }));
+                    let _ = self.common.router.send(Input::HandOff(id, FromHost::GivenUp { at }));
                 }
                 for out in pooled.out.into_values() {
                     // What was not wholly written can't have run.
@@ -423,7 +325,7 @@
     }
 
     fn ended(&self, id: HandOffId, outcome: Outcome, answer: Option<(Answer, Held)>, at: Time) {
-        let _ = self.router.send(Input::HandOff(id, FromHost::Ended { outcome, answer, at }));
+        let _ = self.common.router.send(Input::HandOff(id, FromHost::Ended { outcome, answer, at }));
     }
 
     /// The connection with the least out, or a new one where that has its part and this host's share permits.
@@ -433,7 +335,7 @@
             self.ended(hand_off.id, Outcome::Moot, None, clock::now());
             return;
         }
-        let streams = self.reach.streams;
+        let streams = self.common.reach.streams;
         let txn = Txn::of(&hand_off.txn);
         let free = self.lines.iter().filter(|(_, pooled)| pooled.may_take(txn, streams));
         let best = free.min_by_key(|(_, pooled)| {
@@ -498,19 +400,19 @@
     fn given_up(&mut self, line: LineId, id: HandOffId, at: Time) {
         if let Some(pooled) = self.lines.get_mut(&line) {
             pooled.untold.retain(|untold| *untold != id);
-            let _ = self.router.send(Input::HandOff(id, FromHost::GivenUp { at }));
+            let _ = self.common.router.send(Input::HandOff(id, FromHost::GivenUp { at }));
         }
     }
 
     fn open(&mut self) -> Option<LineId> {
         let standing = self.lines.values().filter(|pooled| pooled.stands()).count();
-        if self.retired || standing >= self.room.share() {
+        if self.retired || standing >= self.common.room.share() {
             return None;
         }
-        let place = self.room.place()?;
+        let place = self.common.room.place()?;
         let line = LineId(self.next);
         self.next += 1;
-        self.wires.open(self.address, &self.own, line);
+        self.common.wires.open(self.address, &self.own, line);
         let pooled = Pooled {
             line: None,
             slow: None,
@@ -555,7 +457,7 @@
         let Some(pooled) = self.lines.get_mut(&line) else { return };
         pooled.used = at;
         if let Some(number) = self.probe.take_if(|number| resp::tag(*number).as_bytes() == &answer.id[..]) {
-            let _ = self.router.send(Input::Probed(number, answer.report));
+            let _ = self.common.router.send(Input::Probed(number, answer.report));
             return;
         }
         let txn = Txn::of(&answer.id);
@@ -580,12 +482,12 @@
 
     /// Closes what was idle for most of the time after which the host would close it.
     fn sweep(&mut self, now: Time) {
-        let idle = self.reach.idle.times(0.8);
+        let idle = self.common.reach.idle.times(0.8);
         for pooled in self.lines.values_mut() {
             pooled.given_up.retain(|_, until| now < *until + LATE);
             let Some(line) = pooled.line.as_ref().filter(|_| !pooled.ending) else { continue };
             // Guards against an answer that stops short or drips: nothing behind it can come through.
-            if line.half_for(now).is_some_and(|span| span > self.reach.connect_limit) {
+            if line.half_for(now).is_some_and(|span| span > self.common.reach.connect_limit) {
                 pooled.end(Code::HalfMessage);
             } else if pooled.out.is_empty() && now - pooled.used > idle {
                 pooled.end(Code::Idle);
--- /dev/null
+++ b/crates/dispatcher/src/inbox.rs
@@ -0,0 +1,60 @@
+//! The router's mailbox: what clients, hosts, the change log, signals and the store tell it. It lies below all of
+//! them and knows none, so that none of them knows the router.
+use crate::bounds::Held;
+use crate::ids::{ClientId, HandOffId, ProbeNo};
+use crate::line::Line;
+use crate::msgpack::Asked;
+use crate::resp::Answer;
+use cherrypass::calls::{Listing, Outcome, Report};
+use cherrypass::time::Time;
+use cherrypass_keep::purges::Purge;
+use cherrypass_keep::visits::Taken;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub enum Input {
+    Client(ClientId, FromClient),
+    HandOff(HandOffId, FromHost),
+    Probed(ProbeNo, Report),
+    Changed(Change),
+    /// What the store made of a hand-off's record.
+    Recorded(HandOffId, Taken),
+    Stop,
+}
+
+/// What clients tell the router; a visit with the time of its last byte.
+pub enum FromClient {
+    Opened { line: Arc<Line> },
+    Visit { id: u32, asked: Box<Asked>, at: Time, busy: Held },
+    Bad { id: u32, field: &'static str },
+    Status { id: u32 },
+    Withdrawn { ids: Vec<u32> },
+    Closed,
+}
+
+/// What hosts tell the router of a hand-off.
+pub enum FromHost {
+    /// The host was told that no answer is wanted any more, or its connection has ended.
+    GivenUp {
+        at: Time,
+    },
+    Ended {
+        outcome: Outcome,
+        answer: Option<(Answer, Held)>,
+        at: Time,
+    },
+}
+
+/// A host of the list, with the address at which this dispatcher reaches it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub listing: Listing,
+    pub name: String,
+    pub address: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Change {
+    List { whole: bool, hosts: Vec<Listed> },
+    Purge(Purge),
+}
--- a/crates/dispatcher/src/keeping.rs
+++ b/crates/dispatcher/src/keeping.rs
@@ -1,7 +1,7 @@
 //! What must last, between the router and the store: records go out as the decisions of `cherrypass_keep` say, and
 //! what the store makes of them comes back as messages. It never waits for the disk.
 use crate::clock;
-use crate::router::Input;
+use crate::inbox::Input;
 use cherrypass::ids::VisitId;
 use cherrypass::settings::Settings;
 use cherrypass::time::{Span, Time};
--- /dev/null
+++ b/crates/dispatcher/src/letters.rs
@@ -0,0 +1,108 @@
+//! What hosts' actors are sent, by the router, by their connections and by themselves.
+use crate::bounds::Held;
+use crate::clock;
+use crate::ids::{HandOffId, HostNo, LineId, ProbeNo};
+use crate::line::{Code, Line};
+use crate::resp::Answer;
+use bytes::Bytes;
+use cherrypass::time::Time;
+use crossbeam_channel::Sender;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
+
+/// How far a hand-off has got on its way out: when it was wholly written, before which it can't have run.
+#[derive(Clone, Debug, Default)]
+pub struct Way(Arc<AtomicU64>);
+
+const WAITS: u64 = 0;
+const BEGUN: u64 = 1;
+const OFF: u64 = u64::MAX;
+
+impl Way {
+    /// Guards against a hand-off that is written late, after its visit's final answer: one that is called off
+    /// before its first byte stays unwritten.
+    pub fn begin(&self) -> bool {
+        self.0.compare_exchange(WAITS, BEGUN, Relaxed, Relaxed).is_ok()
+    }
+
+    pub fn written(&self) {
+        self.0.store(clock::now().0, Relaxed);
+    }
+
+    /// Whether this came before the first byte, so that the hand-off never goes out.
+    pub fn call_off(&self) -> bool {
+        self.0.compare_exchange(WAITS, OFF, Relaxed, Relaxed).is_ok()
+    }
+
+    pub fn is_off(&self) -> bool {
+        self.0.load(Relaxed) == OFF
+    }
+
+    pub fn written_at(&self) -> Option<Time> {
+        Some(self.0.load(Relaxed)).filter(|at| ![WAITS, BEGUN, OFF].contains(at)).map(Time)
+    }
+}
+
+/// A hand-off as it goes out.
+#[derive(Clone, Debug)]
+pub struct HandOff {
+    pub id: HandOffId,
+    /// The client's id of the visit, which names the hand-off on the wire.
+    pub txn: Bytes,
+    pub fields: String,
+    pub body: Bytes,
+    /// The tag of the copy that the client holds.
+    pub seen: Option<Bytes>,
+    /// What answers it is a copy.
+    pub copy: bool,
+    /// Until when an answer may come.
+    pub until: Time,
+    pub way: Way,
+}
+
+pub enum ToHost {
+    HandOff(HandOff),
+    NeverMind(HandOffId),
+    /// How busy is it?
+    Probe(ProbeNo),
+    /// The hand-off's connection had to be up by now.
+    ConnectLimit(HandOffId),
+    /// Whether it drains, and so takes nothing new.
+    Drains(bool),
+    Retire,
+    Up(LineId, Arc<Line>),
+    GivenUp(LineId, HandOffId, Time),
+    Answered(LineId, Answer, Held, Time),
+    Closed(LineId, Code, Time),
+}
+
+/// What the thread of all hosts is sent. It is one, however long the list: guards against fleets in which each
+/// dispatcher keeps a thread for each host that it may never send to.
+pub enum Letter {
+    Join(Box<Newcomer>),
+    For(HostNo, ToHost),
+    Sweep(Time),
+}
+
+/// A host that begins, its actor made by the thread itself.
+pub struct Newcomer {
+    pub name: String,
+    pub address: SocketAddr,
+    pub own: Mailbox,
+    pub joined: Held,
+}
+
+/// A host's mailbox.
+#[derive(Clone, Debug)]
+pub struct Mailbox {
+    pub number: HostNo,
+    pub letters: Sender<Letter>,
+}
+
+impl Mailbox {
+    /// Whether it was taken: it is until the thread of all hosts has ended.
+    pub fn send(&self, message: ToHost) -> bool {
+        self.letters.send(Letter::For(self.number, message)).is_ok()
+    }
+}
--- a/crates/dispatcher/src/lines.rs
+++ b/crates/dispatcher/src/lines.rs
@@ -2,8 +2,8 @@
 //! connection, which many dispatchers on a machine can't have.
 use crate::bounds::Room;
 use crate::clock;
-use crate::hosts::{Mailbox, ToHost};
 use crate::ids::LineId;
+use crate::letters::{Mailbox, ToHost};
 use crate::line::{spawn, Code, Line};
 use crate::resp::{self, Begun};
 use bytes::BytesMut;
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -1,13 +1,14 @@
 //! The module's actor, the only owner of the module, of open visits and of hand-offs: turns messages into
 //! calls, pulls decisions, and sends them out. It decides nothing itself.
 use crate::bounds::{Gauge, Held, Room};
-use crate::changes::{Change, Listed};
-use crate::clients::{FromClient, Outlet, ToClient, PIECE};
+use crate::clients::{Outlet, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
-use crate::hosts::{FromHost, HandOff, Hosts, Mailbox, ToHost, Way};
+use crate::hosts::Hosts;
 use crate::ids::{ClientId, HandOffId, ProbeNo, Txn};
+use crate::inbox::{Change, FromClient, FromHost, Input, Listed};
 use crate::keeping::Keeper;
+use crate::letters::{HandOff, Mailbox, ToHost, Way};
 use crate::line::Code;
 use crate::mailbox;
 use crate::msgpack::{self, Asked, Parts};
@@ -47,16 +48,6 @@
 const LAST_WRITES: Span = Span::millis(200);
 const STOP_LOOK: Span = Span::millis(20);
 
-pub enum Input {
-    Client(ClientId, FromClient),
-    HandOff(HandOffId, FromHost),
-    Probed(ProbeNo, Report),
-    Changed(Change),
-    /// What the store made of a hand-off's record.
-    Recorded(HandOffId, Taken),
-    Stop,
-}
-
 enum Due {
     Wake,
     Until(HandOffId),
@@ -678,9 +669,9 @@
 mod tests {
     use super::*;
     use crate::changes::host_id;
-    use crate::hosts::Letter;
     use crate::ids::HostNo;
     use crate::keeping::Kept;
+    use crate::letters::Letter;
     use crate::line::Line;
     use cherrypass_operator as operator;
     use cherrypass_store::engine::{Batch, Options};
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -1,9 +1,9 @@
 //! Signals: SIGTERM tells the router, which serves on what comes and finishes what is open; SIGHUP reads the
 //! configuration anew. What can't be used leaves the one in force as it is.
 use crate::config::Config;
+use crate::inbox::Input;
 use crate::keeping::Kept;
 use crate::line::spawn;
-use crate::router::Input;
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
