Operators' file: the section fleet, checked key by key and across keys

Name, own member, addresses, limits, verdicts and rollout with their ranges; absent parts are off. Across keys: me is a member, names and addresses are unique, locations are named, control is on loopback, a lease is ten periodic timers, the rollout's order holds each location once, 1,024 members at most. Each mistake is one line with the key's path; check prints what the section comes to.

--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -163,9 +163,31 @@
         Some(store) => println!("store in {}: hand-offs {:?}", store.dir.display(), store.hand_offs),
         None => println!("no store"),
     }
+    match operator.fleet {
+        Some(fleet) => println!(
+            "fleet {} as {} on {}: {} members, {} followers; limits {}, verdicts {}, rollout {}",
+            fleet.name,
+            fleet.me,
+            fleet.listen,
+            fleet.members.len(),
+            fleet.followers.len(),
+            on(fleet.limits.is_some()),
+            on(fleet.verdicts.is_some()),
+            on(fleet.rollout.is_some())
+        ),
+        None => println!("no fleet"),
+    }
     ExitCode::SUCCESS
 }
 
+fn on(is: bool) -> &'static str {
+    if is {
+        "on"
+    } else {
+        "off"
+    }
+}
+
 fn show(path: &Path) -> ExitCode {
     let shown = operator::evaluate(path).and_then(|value| {
         operator::decode(&path.display().to_string(), value.clone())?;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -2,6 +2,10 @@
 //! section that is absent is off. What can't be used is one line with the key's path and what was expected.
 #![forbid(unsafe_code)]
 
+pub mod fleet;
+
+pub use fleet::Fleet;
+
 use cherrypass::time::Span;
 use jrsonnet_evaluator::error::ErrorKind;
 use jrsonnet_evaluator::trace::PathResolver;
@@ -28,6 +32,9 @@
     /// What must last; absent: nothing is kept on disk.
     #[serde(default)]
     pub store: Option<Store>,
+    /// Other dispatchers that this one knows of; absent: it is alone.
+    #[serde(default)]
+    pub fleet: Option<Fleet>,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -189,11 +196,11 @@
 }
 
 pub fn decode(file: &str, value: Value) -> Result<Operator, Error> {
-    serde_path_to_error::deserialize(value).map_err(|error| Error::Unusable {
-        file: file.to_owned(),
-        path: error.path().to_string(),
-        what: error.into_inner().to_string(),
-    })
+    let bad = |(path, what)| Error::Unusable { file: file.to_owned(), path, what };
+    let operator: Operator = serde_path_to_error::deserialize(value)
+        .map_err(|error| bad((error.path().to_string(), error.into_inner().to_string())))?;
+    operator.fleet.as_ref().map_or(Ok(()), Fleet::check).map_err(bad)?;
+    Ok(operator)
 }
 
 pub fn load(path: &Path) -> Result<Operator, Error> {
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -25,6 +25,45 @@
     assert_eq!((store.hand_offs, store.remember_visits), (HandOffs::Written, Span::seconds(120.0)));
 }
 
+/// A fleet of two, with what else is told; a key that comes again takes the place of the first.
+fn fleet(more: &str) -> String {
+    format!(
+        "local m(n, a) = {{ name: n, address: '127.0.0.1:' + a, location: 'edge' }};
+        {{ fleet: {{ name: 'shop', me: 'd1', listen: '127.0.0.1:7001', members: [m('d1', 7001), m('d2', 7002)] }} + {{ {more} }} }}"
+    )
+}
+
+#[test]
+fn what_a_fleet_doesn_t_set_is_off_or_usual() {
+    let found = read(&fleet("limits: { origin: 40 }")).unwrap().fleet.unwrap();
+    assert_eq!((found.members.len(), &found.verdicts, &found.rollout), (2, &None, &None));
+    let limits = found.limits.unwrap();
+    assert_eq!((limits.origin, limits.further_per_s, limits.cold), (Some(40.0), None, false));
+    assert_eq!((limits.lease, limits.floor), (Span::millis(2_000), 0.04));
+    assert!(read(&fleet("rollout: { order: ['edge'] }, verdicts: {}")).is_ok());
+}
+
+#[test_case("me: 'd3'", "fleet.me", "'d3' is none of the members"; "not one of them")]
+#[test_case("members: []", "fleet.me", "none of the members"; "no members")]
+#[test_case("members: [m('d1', 1), m('d1', 2)]", "fleet.members[1].name", "'d1' is fleet.members[0]'s already"; "a name twice")]
+#[test_case("followers: [{ name: 'd2', address: '127.0.0.1:9' }]", "fleet.followers[0].name", "fleet.members[1]'s already"; "a follower's name")]
+#[test_case("members: [m('d1', 1), m('d2', 1)]", "fleet.members[1].address", "127.0.0.1:1 is fleet.members[0]'s already"; "an address twice")]
+#[test_case("members: [m('d1', 1) + { location: '' }]", "fleet.members[0].location", "a location's name is expected"; "no location")]
+#[test_case("members: [m('d%d' % n, n) for n in std.range(1, 1025)]", "fleet.members", "1025 are more than 1024"; "too many")]
+#[test_case("members: [m('d1', '1:1')]", "fleet.members[0].address", "invalid socket address"; "no address")]
+#[test_case("control: '192.0.2.1:7101'", "fleet.control", "not on loopback"; "control from outside")]
+#[test_case("limits: { floor: 1.5 }", "fleet.limits.floor", "1.5 is not within 0 and 1"; "a floor out of bounds")]
+#[test_case("limits: { origin: 0 }", "fleet.limits.origin", "0 is not within 1 and"; "a limit of nothing")]
+#[test_case("limits: { lease_ms: 600 }, every_ms: 100", "fleet.limits.lease_ms", "600 is less than 10 of every_ms, 100"; "a short lease")]
+#[test_case("verdicts: { tellers: 0 }", "fleet.verdicts.tellers", "0 is not within 1 and 64"; "nobody tells")]
+#[test_case("verdict: {}", "fleet.verdict", "unknown field `verdict`"; "an unknown part of a fleet")]
+#[test_case("rollout: { order: ['edge', 'north'] }", "fleet.rollout.order", "'north' is the location of no member"; "an unknown location")]
+#[test_case("rollout: { order: [] }", "fleet.rollout.order", "'edge' is missing"; "a location left out")]
+fn a_fleet_that_can_t_be_is_one_line_with_its_place(more: &str, place: &str, words: &str) {
+    let said = read(&fleet(more)).unwrap_err().to_string();
+    assert!(said.contains(&format!("{place}: ")) && said.contains(words) && !said.contains('\n'), "{said}");
+}
+
 #[test_case("{ stor: {} }", "stor", "unknown field `stor`"; "an unknown section")]
 #[test_case("{ store: { dir: 'x', siz: 1 } }", "store.siz", "unknown field `siz`"; "an unknown key")]
 #[test_case("{ store: {} }", "store", "missing field `dir`"; "a key that is missing")]
--- a/deploy/operator.jsonnet
+++ b/deploy/operator.jsonnet
@@ -1,4 +1,4 @@
-// The operators' own file (docs/keeping.md). A section that is absent is off; on the platform all of it is, since no
+// The operators' own file (docs/keeping.md, docs/fleet.md). A section that is absent is off; on the platform all of it is, since no
 // disk lasts there: `run` in balancer.toml names no operators' file.
 local mb = 1e6;
 {
@@ -7,4 +7,16 @@
   //   hand_offs: 'written',
   //   background: { bytes_per_s: 8 * mb },
   // },
+
+  // Other dispatchers that this one knows of. All members have the same file but for `me`, `listen`, `events` and
+  // `control`; limits hold for all of them in sum.
+  // fleet: {
+  //   name: 'shop',
+  //   me: 'd1',
+  //   listen: '127.0.0.1:7001',
+  //   members: [{ name: 'd%d' % n, address: '127.0.0.1:%d' % (7000 + n), location: 'edge' } for n in std.range(1, 3)],
+  //   limits: { origin: 40, further_per_s: 20, cold: true, lease_ms: 2000, floor: 0.04 },
+  //   verdicts: { hold_ms: 10000, tellers: 2 },
+  //   rollout: { order: ['edge'], first: 0.25, hold_s: 60, visits: 1000, after_halt: 'back' },
+  // },
 }
