--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 use crate::calls::*;
 use crate::containers::Mean;
 use crate::ids::*;
-use crate::settings::{Effect, Group, Settings};
+use crate::settings::{Effect::*, Group, Settings};
 pub use crate::state::Brain;
 use crate::state::{Choice, Due, Gate, Host, Open, Sent, Shut};
 use crate::time::{Span, Time};
@@ -124,9 +124,7 @@
     /// against a repeat past the group that drops it, after a dispatcher's end; harms only where that try
     /// never ran.
     pub fn ran_before(&mut self, id: VisitId, at: Time, host: HostId) {
-        if let Some(open) = self.visits.get_mut(&id) {
-            open.may_have_run = Some((at, host));
-        }
+        self.visits.get_mut(&id).into_iter().for_each(|open| open.may_have_run = Some((at, host)));
     }
 
     pub fn ended(&mut self, now: Time, end: Ended) {
@@ -139,8 +137,7 @@
             self.copies.entry(sent.copy).or_default().settled = Some(now);
         }
         if end.last {
-            self.left(end.visit);
-            return;
+            return self.left(end.visit);
         }
         let Some(open) = self.visits.get_mut(&end.visit) else { return };
         open.out = open.out.saturating_sub(1);
@@ -169,9 +166,7 @@
         } else if matches!(end.outcome, Outcome::Settled | Outcome::Miss) {
             for sent in std::mem::take(&mut open.errors) {
                 self.judge(now, sent.at, sent.host, true, BAD_WEIGHT[0]);
-                if let Some(source) = sent.source {
-                    self.judge(now, sent.at, source, true, BAD_WEIGHT[1]);
-                }
+                sent.source.into_iter().for_each(|id| self.judge(now, sent.at, id, true, BAD_WEIGHT[1]));
             }
         }
     }
@@ -235,8 +230,7 @@
         let late = now + ANSWER_MARGIN >= visit.hard_limit;
         let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.further.take(1.0));
         if late || used_up || !self.may_go_again(now, id) {
-            self.give_up(id);
-            return;
+            return self.give_up(id);
         }
         let writes = self.band(visit.band).is_some_and(|band| band.writes);
         let choice = if writes { self.choose_for_write(now, visit) } else { self.choose(now, visit) };
@@ -252,8 +246,8 @@
         let Some(open) = self.visits.get(&id) else { return false };
         let Some((first, _)) = open.may_have_run else { return true };
         match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Idempotent) => true,
-            Some(Effect::Deduplicated { memory, .. }) => now + ANSWER_MARGIN < first + memory,
+            Some(Idempotent) => true,
+            Some(Deduplicated { memory, .. }) => now + ANSWER_MARGIN < first + memory,
             _ => false,
         }
     }
@@ -267,12 +261,10 @@
         let both = self.hosts.get(&first).zip(self.hosts.get(&host));
         let alike = |same: fn(&Host, &Host) -> bool| both.is_some_and(|(a, b)| same(a, b));
         match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Deduplicated { group: Group::Location, .. }) => {
+            Some(Deduplicated { group: Group::Location, .. }) => {
                 alike(|a, b| a.entry.location == b.entry.location)
             }
-            Some(Effect::Deduplicated { group: Group::Cell, .. }) => {
-                alike(|a, b| a.entry.cell == b.entry.cell)
-            }
+            Some(Deduplicated { group: Group::Cell, .. }) => alike(|a, b| a.entry.cell == b.entry.cell),
             _ => true,
         }
     }
@@ -282,7 +274,7 @@
         let Some(open) = self.visits.get(&id) else { return };
         let may_have_run = open.may_have_run.is_some() || open.out > 0;
         let harmless = match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. }) => true,
+            Some(Idempotent | Deduplicated { group: Group::All, .. }) => true,
             _ => !may_have_run,
         };
         self.further.level += open.errors.len().saturating_sub(1) as f64;
@@ -702,7 +694,7 @@
 
     /// Calls off what is out at a host that is not expected to answer, where a repeat does no harm.
     fn call_off(&mut self, id: HostId) {
-        let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Effect::Idempotent);
+        let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Idempotent);
         let out = self.sent.iter().filter(|(_, s)| self.set.cancel && s.host == id && harmless(s.band));
         let out: Vec<_> = out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }).collect();
         self.ready.extend(out);
@@ -714,9 +706,7 @@
         let waits = |h: &&Host| h.in_flight > 0 && h.shut.is_none() && h.silence(now) > SILENT_LEAST;
         let found = self.hosts.values().filter(waits).filter(|h| phi(h) > PHI_SILENT && !self.is_origin(h));
         let found: Vec<(HostId, f64)> = found.map(|h| (h.entry.host, phi(h))).collect();
-        for (id, phi) in found {
-            self.shut_out(now, id, format!("silent, phi {phi:.1}"));
-        }
+        found.into_iter().for_each(|(id, phi)| self.shut_out(now, id, format!("silent, phi {phi:.1}")));
     }
 
     /// Asks sources how busy they are, those first that were not heard of for longest. Each visit pays for a
@@ -729,12 +719,8 @@
         let asked = self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
         let mut asked: Vec<_> = asked.map(|h| (h.busy.map(|(at, _)| at), h.entry.host)).collect();
         asked.sort();
-        for (_, host) in asked {
-            if !self.probes.take(1.0) {
-                break;
-            }
-            self.ready.push_back(Decision::Probe { host });
-        }
+        let paid = asked.into_iter().take_while(|_| self.probes.take(1.0));
+        self.ready.extend(paid.map(|(_, host)| Decision::Probe { host }));
     }
 
     fn each_second(&mut self, now: Time) {
