Module: parts of limits that several share, and what others tell of hosts

allotted(shared, amount, until, after) and hearsay(now, host, since, until), the only two calls. A cold host's budget may go by need, repeated hand-offs and what is out at the origin have a part of what all may have; below one a part is a chance that is spent whether it comes or not, so that many small ones hold in sum. Others' word shuts out a host of which nothing good was seen for 2 s, never more than half of the caches, else makes the first own failure enough; it ends with its time, and three own hand-offs in a row that went well end it for this dispatcher.

findings, refuted, shut_out_now, cold and wanted tell what was found, used and refused.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,11 +3,10 @@
 //! decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
-use crate::containers::Mean;
 use crate::ids::*;
 use crate::settings::{Effect, Group, Settings};
 pub use crate::state::Brain;
-use crate::state::{Choice, Due, Gate, Host, Open, Sent, Shut};
+use crate::state::{Choice, Due, Gate, Host, Open, Sent};
 use crate::time::{Span, Time};
 use rand::Rng;
 
@@ -34,7 +33,7 @@
 const BAD_ALONE: f64 = 0.75;
 const BAD_WEIGHT: [f64; 2] = [0.12, 0.15];
 const ERRORS_ALIKE: usize = 2;
-const TRIALS_TO_OPEN: u32 = 3;
+pub(crate) const TRIALS_TO_OPEN: u32 = 3;
 const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.7;
@@ -55,7 +54,7 @@
 const FILLS_AT_ONE: f64 = 0.5;
 const PARENT_LATE: f64 = 0.3;
 const SLOWER_ALONE: f64 = 1.3;
-const ONWARD_START: f64 = 0.3;
+pub(crate) const ONWARD_START: f64 = 0.3;
 const GATE_LEAST: f64 = 0.1;
 const LEARNED_IN: f64 = 4.0;
 const ORIGIN_LATE: f64 = 0.8;
@@ -102,7 +101,7 @@
                 // A process that started anew has lost what it held, and what was known of it is void.
                 *host = Host { in_flight: host.in_flight, ..Host::new(*entry, now) };
             }
-            host.entry = *entry;
+            (host.entry, host.listed) = (*entry, entry.since);
         }
         let gone = self.hosts.values().filter(|h| h.is_gone() && h.in_flight > 0);
         let gone: Vec<HostId> = gone.map(|h| h.entry.host).collect();
@@ -190,6 +189,7 @@
                     self.due.put(now + HALVING, Due::Halve);
                 }
                 Due::Second => self.each_second(now),
+                Due::Told(id) => self.untold(now, id),
             }
         }
         // After a pause of this dispatcher itself the hosts' silence means nothing: it is counted anew.
@@ -233,7 +233,7 @@
         let Some(open) = self.visits.get(&id).filter(|open| open.out == 0) else { return };
         let (visit, again) = (open.visit, open.hand_offs > 0 && !open.looked);
         let late = now + ANSWER_MARGIN >= visit.hard_limit;
-        let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.further.take(1.0));
+        let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.may_repeat(now));
         if late || used_up || !self.may_go_again(now, id) {
             self.give_up(id);
             return;
@@ -333,7 +333,8 @@
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).into_iter().find(fits);
         // Guards against an origin that is slow, full or fallen: with no room there the parent is asked for
         // what it holds, so that its hits go on and the origin keeps its places for writes and recovery.
-        let deep = !self.origin.is_late() || self.has_part(self.origin.limit - self.origin.fills);
+        let shared = self.origin_takes(now, f64::from(lacks));
+        let deep = shared && (!self.origin.is_late() || self.has_part(self.origin.limit - self.origin.fills));
         sources.extend(origin.filter(|_| deep));
         let work = self.sending(visit.band);
         let (rank, join) = (RANKS[usize::from(popular)], self.set.joins);
@@ -370,7 +371,7 @@
                 let source = source.unwrap_or(cache);
                 Choice::HandOff(cache, Some(Fill { source, rank, oldest, join, renew, held }))
             }
-            (None, Some(host)) if self.set.direct && no_caches => {
+            (None, Some(host)) if self.set.direct && no_caches && shared => {
                 let source = origin.unwrap_or(host);
                 Choice::HandOff(host, Some(Fill { source, rank: 0, oldest, join, renew: false, held: false }))
             }
@@ -393,6 +394,7 @@
     /// Writes run at the origin: straight where that is allowed, else through a cache.
     fn choose_for_write(&mut self, now: Time, visit: Visit) -> Choice {
         let origin = self.by_hash(visit.object.0, |h| self.is_origin(h)).first().copied();
+        let origin = origin.filter(|_| self.origin_takes(now, 1.0));
         let (Some(source), Some(open)) = (origin, self.visits.get(&visit.id)) else { return Choice::GiveUp };
         if self.set.direct {
             return Choice::HandOff(source, None);
@@ -462,6 +464,7 @@
             let comes = self.has_part(level / work);
             if let Some(host) = self.hosts.get_mut(&id).filter(|_| level < work) {
                 host.cold.level = if comes { work } else { level.min(0.0) };
+                host.cold_use.refused += if comes { 0.0 } else { work };
             }
             if !comes {
                 return false;
@@ -472,19 +475,19 @@
 
     /// Guards rule 4. What this dispatcher may send a cold host each second and at once, in seconds of
     /// sending time: its part of multiple x present capacity, which rises in a line from the cold share.
-    fn cold_budget(&self, now: Time, id: HostId) -> Option<(f64, f64)> {
+    pub(crate) fn cold_budget(&self, now: Time, id: HostId) -> Option<(f64, f64)> {
+        let (whole, window) = self.cold_whole(now, id)?;
+        let rate = self.cold_part(now, id, whole);
+        Some((rate, rate * window * COLD_BURST))
+    }
+
+    /// What all may send it a second in sum, and the seconds of a window.
+    pub(crate) fn cold_whole(&self, now: Time, id: HostId) -> Option<(f64, f64)> {
         let host = self.hosts.get(&id)?;
-        let (rules, senders) = match self.is_parent(host) {
-            true => (self.set.cold_parent, self.set.dispatchers),
-            false => (self.set.cold_cache, self.set.location_dispatchers),
-        };
-        let age = now - host.entry.since?;
-        if age >= rules.ramp {
-            return None;
-        }
+        let rules = if self.is_parent(host) { self.set.cold_parent } else { self.set.cold_cache };
+        let age = Some(now - host.entry.since?).filter(|age| *age < rules.ramp)?;
         let warm = rules.share + (1.0 - rules.share) * age.as_seconds() / rules.ramp.as_seconds();
-        let rate = COLD_SPEND * rules.multiple * warm * self.capacity(host) / f64::from(senders.max(1));
-        Some((rate, rate * rules.window.as_seconds() * COLD_BURST))
+        Some((COLD_SPEND * rules.multiple * warm * self.capacity(host), rules.window.as_seconds()))
     }
 
     /// Guards against slow parents (ageing, crowded, cold, half broken, one or all): one whose fills take too
@@ -594,7 +597,7 @@
         let (settled, lacks) = (end.outcome == Settled, sent.held && end.outcome == Miss);
         let lost = matches!(end.outcome, Error | TimedOut) && untold && !is_hasty(end);
         if !untold {
-            source.cold.level += f64::from(!filled && !by_source && !lacks) * work;
+            source.unused(f64::from(!filled && !by_source && !lacks) * work);
         }
         let by_it = if filled { 1.0 } else { sent.fill_share * f64::from(untold) };
         source.settled_work += if settled { by_it * work } else { 0.0 };
@@ -664,42 +667,45 @@
         let peers_bad = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
         let least = if peers.is_empty() { BAD_ALONE } else { BAD_LEAST };
         let Some(host) = self.hosts.get_mut(&id) else { return };
-        host.bad.push(f64::from(failed), weight);
-        let bad = host.bad.value;
+        host.judged(now, failed, weight);
+        let (bad, told) = (host.bad.value, host.is_told(now));
         let Some(shut) = host.shut.as_mut().filter(|shut| sent >= shut.since) else {
-            if failed && host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad {
-                self.shut_out(now, id, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
+            let often = host.bad.seen >= 4 && bad > least && bad > BAD_OVER_PEERS * peers_bad;
+            if failed && (often || told) {
+                self.shut_out(now, id, Bad::Fails, format!("fails {bad:.2}, its peers {peers_bad:.2}"));
             }
             return;
         };
-        shut.passed = if failed { 0 } else { shut.passed + 1 };
-        shut.rest = if failed { (shut.rest + shut.rest).min(REST[1]) } else { REST[0] };
-        shut.next_trial = if failed { now + shut.rest } else { now };
+        shut.tried(now, failed, REST);
         if shut.passed >= TRIALS_TO_OPEN {
-            (host.shut, host.bad) = (None, Mean::default());
-            // Guards against a process that is new, and cold, before the list tells so: its connections broke
-            // or were refused. Harms a host that only lost its connections: it has a cold one's part until it
-            // would be warm.
-            let anew = std::mem::take(&mut host.broke);
-            host.entry.since = Some(now).filter(|_| anew).or(host.entry.since);
+            let anew = host.back(now);
             let how = if anew { "anew " } else { "" };
             self.log(format!("host {:x} back {how}after {TRIALS_TO_OPEN} good trials", id.0));
         }
     }
 
     /// Never more than half of the caches are shut out. Parents may all be, since the origin stands in.
-    fn shut_out(&mut self, now: Time, id: HostId, why: String) {
+    fn shut_out(&mut self, now: Time, id: HostId, why: Bad, line: String) {
         let shut = self.peers(id).filter(|h| h.shut.is_some()).count() + 1;
         let all = self.peers(id).count() + 1;
         let parent = self.hosts.get(&id).is_some_and(|h| self.is_parent(h));
         let Some(host) = self.hosts.get_mut(&id).filter(|h| h.shut.is_none()) else { return };
         if parent || all == 1 || shut * 2 <= all {
-            host.shut = Some(Shut { since: now, next_trial: now + REST[0], rest: REST[0], passed: 0 });
-            self.log(format!("host {:x} shut out: {why}", id.0));
+            host.shut(now, REST[0], why);
+            self.log(format!("host {:x} shut out: {line}", id.0));
             self.call_off(id);
         }
     }
 
+    /// Others find a host bad that started then; at `until` that is over. Guards against visits lost to it
+    /// before this dispatcher has tried it often enough itself. Harms a good host of which wrong is told: it
+    /// has trials alone until three went well, or until that is over.
+    pub fn hearsay(&mut self, now: Time, id: HostId, since: Option<Time>, until: Time) {
+        if self.heeds(now, id, since, until) {
+            self.shut_out(now, id, Bad::Told, "told by others".into());
+        }
+    }
+
     /// Calls off what is out at a host that is not expected to answer, where a repeat does no harm.
     fn call_off(&mut self, id: HostId) {
         let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Effect::Idempotent);
@@ -715,7 +721,7 @@
         let found = self.hosts.values().filter(waits).filter(|h| phi(h) > PHI_SILENT && !self.is_origin(h));
         let found: Vec<(HostId, f64)> = found.map(|h| (h.entry.host, phi(h))).collect();
         for (id, phi) in found {
-            self.shut_out(now, id, format!("silent, phi {phi:.1}"));
+            self.shut_out(now, id, Bad::Silent, format!("silent, phi {phi:.1}"));
         }
     }
 
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -76,6 +76,51 @@
     pub busy: Option<f64>,
 }
 
+/// What holds for several dispatchers in sum, where they know of each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Shared {
+    /// Hand-offs out at the origin at once, fills by it counted as they are likely.
+    Origin,
+    /// Repeated hand-offs a second.
+    Further,
+    /// Of what a cold host may be given; the whole is 1.
+    Cold(HostId),
+}
+
+/// What of a shared limit was used since that was last asked, and what would have been; in the limit's unit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wanted {
+    pub used: f64,
+    pub wanted: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    Fails,
+    Silent,
+    /// Others found it bad, and nothing of this dispatcher's own says so.
+    Told,
+}
+
+/// What this dispatcher finds of a host by itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finding {
+    pub host: HostId,
+    /// The host's start as listed.
+    pub since: Option<Time>,
+    pub what: Found,
+    /// Own hand-offs that it stands on.
+    pub evidence: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Shut out; `unreached` where all that was tried since broke or was refused.
+    Shut { why: Bad, unreached: bool },
+    /// It came back with its connections broken: most likely as a new process.
+    Anew,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     pub visit: VisitId,
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -87,6 +87,11 @@
 }
 
 impl Bucket {
+    /// Empty at that time.
+    pub fn empty(at: Time) -> Bucket {
+        Bucket { level: 0.0, at }
+    }
+
     pub fn refill(&mut self, now: Time, per_second: f64, most: f64) -> f64 {
         let gained = per_second * (now - self.at).as_seconds();
         self.level = (self.level + gained).min(most);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod ids;
 pub mod popularity;
 pub mod settings;
+pub mod shared;
 pub mod state;
 pub mod time;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,15 +1,19 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
-use crate::brain::FORGET;
-use crate::calls::{Decision, Fill, Listing, Phase, Visit};
+use crate::brain::{FORGET, TRIALS_TO_OPEN};
+use crate::calls::{Bad, Decision, Fill, Listing, Phase, Shared, Visit};
 use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
 use crate::ids::{BandId, GroupId, HandOffNo, HostId, ObjectId, VisitId};
 use crate::popularity::Popularity;
 use crate::settings::{Band, Settings};
+use crate::shared::{Part, Told, Use};
 use crate::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
+/// How many hand-offs the share of failures speaks of, about.
+const LAST: u32 = 8;
+
 /// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shut {
@@ -17,6 +21,20 @@
     pub next_trial: Time,
     pub rest: Span,
     pub passed: u32,
+    pub why: Bad,
+    pub evidence: u32,
+}
+
+impl Shut {
+    /// One more trial has ended; after a bad one it rests for longer, within these bounds.
+    pub fn tried(&mut self, now: Time, failed: bool, rest: [Span; 2]) {
+        self.passed = if failed { 0 } else { self.passed + 1 };
+        self.rest = if failed { (self.rest + self.rest).min(rest[1]) } else { rest[0] };
+        self.next_trial = if failed { now + self.rest } else { now };
+        if failed {
+            (self.why, self.evidence) = (Bad::Fails, self.evidence.saturating_add(1));
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -36,7 +54,14 @@
     pub gap: Mean,
     pub bad: Mean,
     pub shut: Option<Shut>,
+    /// When a hand-off to it, or a fill by it, last went well.
+    pub good: Option<Time>,
+    pub told: Option<Told>,
+    /// Its start as listed, and when it came back anew since.
+    pub listed: Option<Time>,
+    pub anew: Option<Time>,
     pub cold: Bucket,
+    pub cold_use: Use,
     pub carried: Mean,
     pub settled_work: f64,
     pub load: Gradient,
@@ -62,7 +87,12 @@
             gap: Mean::default(),
             bad: Mean::default(),
             shut: None,
+            good: None,
+            told: None,
+            listed: entry.since,
+            anew: None,
             cold: Bucket::default(),
+            cold_use: Use::default(),
             carried: Mean::default(),
             settled_work: 0.0,
             load: Gradient::default(),
@@ -89,6 +119,48 @@
     pub fn silence(&self, now: Time) -> Span {
         now - self.heard.max(self.waiting_since)
     }
+
+    /// One more hand-off that speaks for or against it.
+    pub fn judged(&mut self, now: Time, failed: bool, weight: f64) {
+        self.bad.push(f64::from(failed), weight);
+        self.good = Some(now).filter(|_| !failed).or(self.good);
+        self.told
+            .iter_mut()
+            .for_each(|told| told.passed = if failed { 0 } else { told.passed.saturating_add(1) });
+    }
+
+    /// Opens its breaker. It stands on what is out there, or on what failed of those last counted.
+    pub fn shut(&mut self, now: Time, rest: Span, why: Bad) {
+        let failed = self.bad.value * f64::from(self.bad.seen.min(LAST));
+        let evidence = match why {
+            Bad::Silent => self.in_flight,
+            Bad::Fails => failed.ceil() as u32,
+            Bad::Told => 0,
+        };
+        self.shut = Some(Shut { since: now, next_trial: now + rest, rest, passed: 0, why, evidence });
+    }
+
+    /// Closes its breaker after good trials, and tells whether it is back anew. Guards against a process that
+    /// is new, and cold, before the list tells so: its connections broke or were refused. Harms a host that
+    /// only lost its connections: it has a cold one's part until it would be warm.
+    pub fn back(&mut self, now: Time) -> bool {
+        (self.shut, self.bad) = (None, Mean::default());
+        self.told.iter_mut().for_each(|told| told.passed = told.passed.max(TRIALS_TO_OPEN));
+        self.anew = Some(now).filter(|_| std::mem::take(&mut self.broke));
+        self.entry.since = self.anew.or(self.entry.since);
+        self.anew.is_some()
+    }
+
+    /// Whether others' word on it holds.
+    pub fn is_told(&self, now: Time) -> bool {
+        self.told.is_some_and(|told| now < told.until)
+    }
+
+    /// So much of what it was counted for was not needed.
+    pub fn unused(&mut self, work: f64) {
+        self.cold.level += work;
+        self.cold_use.used -= work;
+    }
 }
 
 /// What this dispatcher knows of one part of an object at one cache.
@@ -226,6 +298,8 @@
     HardLimit(VisitId),
     Halve,
     Second,
+    /// What others told of a host may be over.
+    Told(HostId),
 }
 
 /// What is to become of a visit now.
@@ -255,6 +329,10 @@
     pub(crate) last_woken: Time,
     pub(crate) gate: Gate,
     pub(crate) origin: Gate,
+    /// What of limits that several share is this dispatcher's.
+    pub(crate) parts: BTreeMap<Shared, Part>,
+    pub(crate) origin_use: Use,
+    pub(crate) further_use: Use,
 }
 
 impl Brain {
@@ -278,10 +356,14 @@
             last_woken: Default::default(),
             gate: Default::default(),
             origin: Default::default(),
+            parts: Default::default(),
+            origin_use: Default::default(),
+            further_use: Default::default(),
         }
     }
 
-    /// Counts a hand-off in (1) or out (-1): at its host, and its likely fill at source, part and both limits.
+    /// Counts a hand-off in (1) or out (-1): at its host, and its likely fill at source, part and both
+    /// limits.
     pub(crate) fn count(&mut self, sent: &Sent, by: i32) {
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             if host.in_flight == 0 {
@@ -299,6 +381,7 @@
         if let Some(source) = sent.source.and_then(|id| self.hosts.get_mut(&id)) {
             source.fills = (source.fills + by * sent.fill_share).max(0.0);
         }
+        self.count_use(sent, by > 0.0);
     }
 
     pub(crate) fn is_cache(&self, host: &Host) -> bool {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -8,6 +8,8 @@
 //! `busy NAME VALUE` (so it tells with answers and when it is asked; one without is silent then),
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
 //! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
+//! `allot origin|further|NAME AMOUNT MS AFTER` (a part of what several share, until so long from now, and after that),
+//! `word NAME MS [SINCE]` (others find it bad, for so long; with the start that they know, without one as listed),
 //! `expect ID to|from|rank|oldest|hand-offs|final WORD` and `expect sent|filled|held|asked NAME OP NUMBER` (held: asked for
 //! what it holds alone; asked: how busy it is).
 //!
@@ -340,6 +342,23 @@
                 let (object, ago) = (object.parse().ok().map(ObjectId), Span(ms(ago)));
                 self.call(|brain, now| brain.purged(now, GroupId(1), object, ago));
             }
+            ["allot", what, amount, time, after] => {
+                let shared = match *what {
+                    "origin" => Shared::Origin,
+                    "further" => Shared::Further,
+                    name => Shared::Cold(self.names[name]),
+                };
+                let (amount, after) = (amount.parse().unwrap(), after.parse().unwrap());
+                let until = Time(self.now + ms(time));
+                self.call(|brain, _| brain.allotted(shared, amount, until, after));
+            }
+            ["word", name, time, since @ ..] => {
+                let host = self.names[*name];
+                let since = since.first().map(|word| Time(START + ms(word)));
+                let since = since.or(self.listings[&host].since);
+                let until = Time(self.now + ms(time));
+                self.call(|brain, now| brain.hearsay(now, host, since, until));
+            }
             ["leave", id] => {
                 let id = id.parse().unwrap();
                 self.visits.get_mut(&id).unwrap().finals.push("left");
@@ -415,6 +434,14 @@
 #[test_case(include_str!("scenarios/bad_visits.txt"); "bad_visits")]
 #[test_case(include_str!("scenarios/last_cache.txt"); "last_cache")]
 #[test_case(include_str!("scenarios/broken_line.txt"); "broken_line")]
+#[test_case(include_str!("scenarios/shared_cold.txt"); "shared_cold")]
+#[test_case(include_str!("scenarios/shared_further.txt"); "shared_further")]
+#[test_case(include_str!("scenarios/shared_origin.txt"); "shared_origin")]
+#[test_case(include_str!("scenarios/shared_writes.txt"); "shared_writes")]
+#[test_case(include_str!("scenarios/told_bad.txt"); "told_bad")]
+#[test_case(include_str!("scenarios/told_good.txt"); "told_good")]
+#[test_case(include_str!("scenarios/told_half.txt"); "told_half")]
+#[test_case(include_str!("scenarios/told_old.txt"); "told_old")]
 fn scenario(text: &str) {
     let mut play = Play::new();
     let lines = text.lines().map(|line| line.split('#').next().unwrap_or(""));
