Module: others' word that a host is new gives it a cold one's part

Of a host that this dispatcher shut out by others' word alone it has no trial that would show a new process: once that word was withdrawn it would have come back with its whole load. Findings tell when the last hand-off spoke for them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -697,11 +697,12 @@
         }
     }
 
-    /// Others find a host bad that started then; at `until` that is over. Guards against visits lost to it
-    /// before this dispatcher has tried it often enough itself. Harms a good host of which wrong is told: it
-    /// has trials alone until three went well, or until that is over.
-    pub fn hearsay(&mut self, now: Time, id: HostId, since: Option<Time>, until: Time) {
-        if self.heeds(now, id, since, until) {
+    /// Others find a host, started then, bad or new; at `until` that is over. Guards against visits lost to
+    /// it before this dispatcher has tried it often enough itself, and against a cold one that all come back
+    /// to at once. Harms a good host of which wrong is told: it has trials alone until three went well or
+    /// that is over, or a cold one's part.
+    pub fn hearsay(&mut self, now: Time, id: HostId, since: Option<Time>, word: Word, until: Time) {
+        if self.heeds(now, id, since, word, until) {
             self.shut_out(now, id, Bad::Told, "told by others".into());
         }
     }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -109,8 +109,9 @@
     /// The host's start as listed.
     pub since: Option<Time>,
     pub what: Found,
-    /// Own hand-offs that it stands on.
+    /// Own hand-offs that it stands on, and when the last of them spoke.
     pub evidence: u32,
+    pub at: Time,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,6 +122,14 @@
     Anew,
 }
 
+/// What others say of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Bad,
+    /// Its process is new, and cold, and the list does not tell so yet.
+    Anew,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     pub visit: VisitId,
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -1,7 +1,7 @@
 //! What holds for several dispatchers in sum, and what they tell each other of hosts. With nothing told,
 //! nothing of it is in force, and all is decided as by one that is alone.
 use crate::brain::{Brain, ONWARD_START, TRIALS_TO_OPEN};
-use crate::calls::{Bad, Finding, Found, Shared, Wanted};
+use crate::calls::{Bad, Finding, Found, Shared, Wanted, Word};
 use crate::containers::Bucket;
 use crate::ids::HostId;
 use crate::state::{Due, Host, Sent, Shut};
@@ -139,7 +139,14 @@
     /// Notes others' word on a host and tells whether that alone shuts it out: not within two seconds of an
     /// own good answer, nor once three in a row came while it held, nor where there is no other host to go
     /// to.
-    pub(crate) fn heeds(&mut self, now: Time, id: HostId, since: Option<Time>, until: Time) -> bool {
+    pub(crate) fn heeds(
+        &mut self,
+        now: Time,
+        id: HostId,
+        since: Option<Time>,
+        word: Word,
+        until: Time,
+    ) -> bool {
         let known = self.hosts.get(&id).filter(|h| !h.is_gone() && (self.is_cache(h) || self.is_parent(h)));
         // Word on another process than the present one says nothing.
         let Some(host) = known.filter(|h| h.listed == since && h.entry.since == since) else { return false };
@@ -147,6 +154,11 @@
         let own = refuted || host.good.is_some_and(|at| now < at + OWN_WORD);
         let alone = self.peers(id).next().is_none();
         let Some(host) = self.hosts.get_mut(&id) else { return false };
+        if word == Word::Anew {
+            // Until the list tells when: it has a cold one's part.
+            host.entry.since = Some(now).filter(|_| now < until).or(since);
+            return false;
+        }
         let passed = host.told.filter(|told| now < told.until).map_or(0, |told| told.passed);
         let due = host.told.map(|told| told.due).filter(|due| *due <= until);
         if due.is_none() {
@@ -178,12 +190,16 @@
         self.hosts.values().filter(|host| !host.is_gone()).filter_map(move |host| {
             let id = host.entry.host;
             let anew = host.anew.is_some() && host.anew == host.entry.since;
-            let (what, evidence) = match host.shut.filter(|shut| shut.why != Bad::Told) {
-                Some(Shut { why, evidence, .. }) => (Found::Shut { why, unreached: host.broke }, evidence),
-                None if anew && self.cold_budget(now, id).is_some() => (Found::Anew, TRIALS_TO_OPEN),
+            let (what, evidence, at) = match host.shut.filter(|shut| shut.why != Bad::Told) {
+                Some(Shut { why, evidence, at, .. }) => {
+                    (Found::Shut { why, unreached: host.broke }, evidence, at)
+                }
+                None if anew && self.cold_budget(now, id).is_some() => {
+                    (Found::Anew, TRIALS_TO_OPEN, host.anew?)
+                }
                 None => return None,
             };
-            Some(Finding { host: id, since: host.listed, what, evidence: evidence.max(1) })
+            Some(Finding { host: id, since: host.listed, what, evidence: evidence.max(1), at })
         })
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,8 @@
     pub passed: u32,
     pub why: Bad,
     pub evidence: u32,
+    /// When a hand-off last spoke for it.
+    pub at: Time,
 }
 
 impl Shut {
@@ -32,7 +34,7 @@
         self.rest = if failed { (self.rest + self.rest).min(rest[1]) } else { rest[0] };
         self.next_trial = if failed { now + self.rest } else { now };
         if failed {
-            (self.why, self.evidence) = (Bad::Fails, self.evidence.saturating_add(1));
+            (self.why, self.evidence, self.at) = (Bad::Fails, self.evidence.saturating_add(1), now);
         }
     }
 }
@@ -137,7 +139,8 @@
             Bad::Fails => failed.ceil() as u32,
             Bad::Told => 0,
         };
-        self.shut = Some(Shut { since: now, next_trial: now + rest, rest, passed: 0, why, evidence });
+        let next_trial = now + rest;
+        self.shut = Some(Shut { since: now, next_trial, rest, passed: 0, why, evidence, at: now });
     }
 
     /// Closes its breaker after good trials, and tells whether it is back anew. Guards against a process that
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -9,7 +9,7 @@
 //! `answer NAME,..|from:NAME OUTCOME NOTE MS` (from now on by itself; `silent` never), `flow N BAND EVERY OBJECTS`,
 //! `name NEW to|from ID` (a further name for where a visit went or was filled from), `mark` (counts start anew),
 //! `allot origin|further|NAME AMOUNT MS AFTER` (a part of what several share, until so long from now, and after that),
-//! `word NAME MS [SINCE]` (others find it bad, for so long; with the start that they know, without one as listed),
+//! `word|new NAME MS [SINCE]` (others find it bad, or just started, for so long; with the start that they know, without one as listed),
 //! `expect ID to|from|rank|oldest|hand-offs|final WORD` and `expect sent|filled|held|asked NAME OP NUMBER` (held: asked for
 //! what it holds alone; asked: how busy it is).
 //!
@@ -352,12 +352,13 @@
                 let until = Time(self.now + ms(time));
                 self.call(|brain, _| brain.allotted(shared, amount, until, after));
             }
-            ["word", name, time, since @ ..] => {
+            [word @ ("word" | "new"), name, time, since @ ..] => {
+                let word = if *word == "new" { Word::Anew } else { Word::Bad };
                 let host = self.names[*name];
                 let since = since.first().map(|word| Time(START + ms(word)));
                 let since = since.or(self.listings[&host].since);
                 let until = Time(self.now + ms(time));
-                self.call(|brain, now| brain.hearsay(now, host, since, until));
+                self.call(|brain, now| brain.hearsay(now, host, since, word, until));
             }
             ["leave", id] => {
                 let id = id.parse().unwrap();
@@ -442,6 +443,7 @@
 #[test_case(include_str!("scenarios/told_good.txt"); "told_good")]
 #[test_case(include_str!("scenarios/told_half.txt"); "told_half")]
 #[test_case(include_str!("scenarios/told_old.txt"); "told_old")]
+#[test_case(include_str!("scenarios/told_new.txt"); "told_new")]
 fn scenario(text: &str) {
     let mut play = Play::new();
     let lines = text.lines().map(|line| line.split('#').next().unwrap_or(""));
