--- a/src/shared.rs
+++ b/src/shared.rs
@@ -134,13 +134,13 @@
         self.has_part(chance)
     }
 
-    /// Notes others' word on a host as it is listed; word on another process than the present one says nothing,
-    /// nor does that a host is bad where there is no other to go to.
+    /// Notes others' word on a host as it is listed; word on another process than the present one says
+    /// nothing, nor that a host is bad where there is no other.
     pub(crate) fn told(
         &mut self,
         now: Time,
         word: Word,
-        heard: (HostId, Option<Time>, Time),
+        of: (HostId, Option<Time>, Time),
     ) -> Option<&mut Host> {
         let (id, since, until) = of;
         let known = self.hosts.get(&id).filter(|h| !h.is_gone() && (self.is_cache(h) || self.is_parent(h)));
