--- /dev/null
+++ b/crates/peers/src/error.rs
@@ -0,0 +1,53 @@
+//! What keeps a fleet from starting, and what its operator can do.
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("fleet: {name} is not among the members; add it, or set `me` to one of them")]
+    NotListed { name: String },
+    #[error("fleet: {name} is listed twice; each member and follower needs a name of its own")]
+    Twice { name: String },
+    #[error("fleet: {found} members and followers, {most} at most")]
+    TooMany { found: usize, most: usize },
+    #[error("fleet: no name; give the fleet one of 1 to {most} bytes")]
+    Name { most: usize },
+    #[error("fleet: form {found} of messages is not known; this build writes {least} to {most}")]
+    Form { found: u8, least: u8, most: u8 },
+    #[error("fleet: {what} is {found}; {wanted}")]
+    Value { what: &'static str, found: String, wanted: &'static str },
+    #[error(
+        "fleet: can't listen on {at}: {error}; is another process there, or the address not this machine's?"
+    )]
+    Listen { at: SocketAddr, error: io::Error },
+    #[error(
+        "fleet: control on {at} is refused; orders carry no sign-in, so it has to be a loopback address"
+    )]
+    NotLoopback { at: SocketAddr },
+    #[error("fleet: can't write events to {}: {error}; check the path and its rights, or leave `events` out", path.display())]
+    Events { path: PathBuf, error: io::Error },
+    #[error("fleet: reading what was kept of the rollout: {0}; see docs/store.md on repair")]
+    Store(#[from] cherrypass_store::error::Error),
+    #[error("fleet: can't start a thread: {0}; check the limits on processes and memory")]
+    Thread(io::Error),
+}
+
+impl Error {
+    /// Short and lasting, for alarms and searches.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Error::NotListed { .. } => "fleet-not-listed",
+            Error::Twice { .. } => "fleet-twice",
+            Error::TooMany { .. } => "fleet-too-many",
+            Error::Name { .. } => "fleet-name",
+            Error::Form { .. } => "fleet-form",
+            Error::Value { .. } => "fleet-value",
+            Error::Listen { .. } => "fleet-listen",
+            Error::NotLoopback { .. } => "fleet-control",
+            Error::Events { .. } => "fleet-events",
+            Error::Store(_) => "fleet-store",
+            Error::Thread(_) => "fleet-thread",
+        }
+    }
+}
