--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,7 +3,12 @@
 //! gave at the start.
 #![forbid(unsafe_code)]
 
+pub mod clock;
+#[cfg(feature = "faults")]
+pub mod disk;
 pub mod error;
+pub mod events;
+pub mod link;
 
 pub use error::Error;
 
