Peers: the surface follows what the rooms ask of a dispatcher

A part of a limit is numbered and answered once it is in force, so that what was lowered may be lent; rules that can't be taken, findings refuted by own hand-offs and hosts by who uses them are told.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -13,7 +13,7 @@
 pub use error::Error;
 
 use cherrypass::ids::{HostId, LocationId};
-use cherrypass::time::Time;
+use cherrypass::time::{Span, Time};
 use cherrypass_store::store::Store;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -47,24 +47,32 @@
     /// The host's start as the list gives it, the same at all dispatchers.
     pub since: Option<Time>,
     pub kind: Kind,
-    /// Hand-offs that it stands on.
+    /// Hand-offs that speak for it.
     pub evidence: u32,
+    /// How long ago the last of them did; zero where it stands now and no more is known.
+    pub age: Span,
 }
 
-/// What was counted since the last time this was told.
+/// Who sends visits to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum UsedBy {
+    /// A cache: the dispatchers of its location.
+    Location(LocationId),
+    /// A parent or the origin: all.
+    All,
+}
+
+/// What was counted since the last time this was told; to be told each second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
-    /// Visits that ended.
     pub visits: u64,
-    /// Of these, settled within the quoted time.
-    pub in_quoted_time: u64,
+    /// Settled within their quoted time.
+    pub in_time: u64,
     pub turned_back: u64,
     pub written_off: u64,
     pub hand_offs: u64,
-    /// Hosts that are shut out now.
-    pub shut_out: u32,
-    /// Hosts that are listed now.
-    pub hosts: u32,
+    /// Hosts that were newly shut out.
+    pub shut_out: u64,
 }
 
 /// An order to the rollout of rules.
@@ -79,28 +87,41 @@
 /// What the dispatcher tells the fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ToFleet {
-    /// How much of a limit it could use now.
+    /// What it would use of a limit if it could; to be told again at least every 10 s while it lasts.
     Wants {
         key: Key,
         amount: f64,
     },
+    /// The `FromFleet::Part` of this key and number is in force. Untold, this member lends nothing of what it keeps.
+    Taken {
+        key: Key,
+        number: u64,
+    },
     /// The most it used within the last second; for the event log alone.
     Used {
         key: Key,
         amount: f64,
     },
+    /// Its own module holds this, by its own hand-offs alone; to be told again as evidence comes.
     Found(Finding),
-    /// What was found about a host no longer holds.
+    /// It holds the host to be bad no more.
     Cleared(HostId),
-    /// The list's word on a host.
+    /// Own hand-offs to a host went well after it was told to be bad.
+    Refuted(HostId),
+    /// The list's word on a host that is ready.
     Listed {
         host: HostId,
         since: Option<Time>,
-        location: LocationId,
+        used_by: UsedBy,
     },
-    /// The list has it no longer.
+    /// The host is draining or gone.
     Unlisted(HostId),
     Counted(Figures),
+    /// `FromFleet::Rules` of this number can't be taken; the old ones stay in force.
+    NotTaken {
+        number: u64,
+        why: String,
+    },
     /// The module has shut a host out, by what others told or by its own evidence; for the event log alone.
     Shut {
         host: HostId,
@@ -111,20 +132,31 @@
         host: HostId,
     },
     Order(Order),
+    /// As `Peers::stop`, without waiting.
     Stop,
 }
 
 /// What the fleet tells the dispatcher.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FromFleet {
-    /// Its part of a limit until a point in time, and from then on without any further call.
-    Part { key: Key, amount: f64, until: Instant, after: f64 },
-    /// Others found a host bad; void from `until` on. `weight` is 0 to 1, own evidence being 1.
-    Hearsay { host: HostId, since: Option<Time>, kind: Kind, weight: f64, until: Instant },
-    /// Forget what was told of a host.
+    /// Its part of a limit: `amount` until a point in time, from then on `after` without any further call. Answered
+    /// by `ToFleet::Taken` with its number once it is in force.
+    Part { key: Key, number: u64, amount: f64, until: Instant, after: f64 },
+    /// Others found a host bad, or that it just started; void from `until` on. `weight` is below 1, own evidence's.
+    /// `age`: of the oldest evidence it rests on, at most.
+    Hearsay {
+        host: HostId,
+        since: Option<Time>,
+        kind: Kind,
+        weight: f64,
+        until: Instant,
+        age: Span,
+        tellers: u8,
+    },
+    /// What was told of a host's being bad counts no more.
     Withdraw { host: HostId },
-    /// Rules in force here from now on; 0 and an empty document are those of the operators' file.
-    Rules { number: u64, document: Arc<str> },
+    /// Rules in force here from now on; number 0 and no text: those of the operators' file alone.
+    Rules { number: u64, text: Arc<str> },
 }
 
 #[derive(Clone, Debug, PartialEq)]
