--- a/crates/fleet/examples/members.rs
+++ b/crates/fleet/examples/members.rs
@@ -143,7 +143,7 @@
                     .count();
             }
             println!(
-                "{n:5} {name}: itself {} never {never}, it suspected another before in {before} looks, declared \
+                "{n:5} {name}: itself {} never {never}, suspected another before in {before} looks, declared \
                  {declared}; all hold it dead {}; all agree again {}; others declared another {others}",
                 line(&mut itself), line(&mut held), line(&mut healed)
             );
@@ -209,6 +209,7 @@
                 troubles += node.trouble.iter().filter(|(_, is)| *is).count();
             }
         }
-        println!("{n:5} for {minutes} min, {seeds} seeds: suspected {suspected}, dead {dead}, own trouble {troubles}");
+        let of = format!("{n:5} for {minutes} min, {seeds} seeds");
+        println!("{of}: suspected {suspected}, dead {dead}, own trouble {troubles}");
     }
 }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,8 +1,10 @@
-//! Who is there. The operators' file lists the members; this room tells how each stands, by asking some of them in
-//! turn, by what others say, and by suspicions that the suspect may refute before they become a verdict.
+//! Who is there. The operators' file lists the members; this room tells how each stands, by asking some of
+//! them in turn, by what others say, and by suspicions that the suspect may refute before they become a
+//! verdict.
 //!
-//! After SWIM (Das, Gupta, Motivala 2002) with the waits of phi accrual (Hayashibara et al. 2004) and the local health
-//! of Lifeguard (Dadgar, Phillips, Currey 2018). Options, bounds and figures: docs/fleet-members.md.
+//! After SWIM (Das, Gupta, Motivala 2002) with the waits of phi accrual (Hayashibara et al. 2004) and the
+//! local health of Lifeguard (Dadgar, Phillips, Currey 2018). Options, bounds and figures:
+//! docs/fleet-members.md.
 mod links;
 mod table;
 
@@ -43,8 +45,8 @@
     pub again: Span,
     /// The least and the most mean time of an answer that waits are made from.
     pub gap: [Span; 2],
-    /// The phi of silence at which others are asked to ask, one that was asked to says it heard nothing, a member is
-    /// suspected, and an ask is given up.
+    /// The phi of silence at which others are asked to ask, one that was asked to says it heard nothing, a
+    /// member is suspected, and an ask is given up.
     pub phi: [f64; 4],
     /// How many others are asked to ask.
     pub through: usize,
@@ -270,8 +272,8 @@
         self.trouble
     }
 
-    /// A message of any room came. False where it is void: of one that isn't listed, of an older incarnation, of one
-    /// too far ahead, or this process has stepped down.
+    /// A message of any room came. False where it is void: of one that isn't listed, of an older incarnation,
+    /// of one too far ahead, or this process has stepped down.
     pub fn came(&mut self, now: Time, from: MemberId, incarnation: Incarnation) -> bool {
         let Some(i) = self.table.find(from).filter(|_| !self.stepped_down) else { return false };
         let claim = Claim { incarnation, count: 0, standing: Standing::Alive };
@@ -363,6 +365,7 @@
         }
     }
 
+    #[allow(clippy::should_implement_trait)] // Effects come as calls go on; it never ends for good.
     pub fn next(&mut self) -> Option<Effect> {
         if self.stepped_down {
             self.ready.clear();
@@ -410,7 +413,8 @@
         picked.to_vec()
     }
 
-    /// Sends a message; it carries what is held of its receiver where that isn't alive, of one more, and news.
+    /// Sends a message; it carries what is held of its receiver where that isn't alive, of one more, and
+    /// news.
     fn tell(&mut self, to: MemberId, body: Body, about: Option<usize>) {
         let times = (f64::from(self.set.tellings) * self.doublings()).ceil() as u32;
         let trouble = self.trouble;
@@ -433,7 +437,8 @@
         }
     }
 
-    /// Guards against a word that nothing newer could ever replace, as a peer that lies or whose clock is wrong tells it.
+    /// Guards against a word that nothing newer could ever replace, as a peer that lies or whose clock is
+    /// wrong tells it.
     fn is_sound(&mut self, now: Time, i: usize, claim: Claim) -> bool {
         let clock = self.table.claim(self.own).incarnation.0.saturating_add((now - self.started).0);
         let newest = clock.saturating_add(self.set.ahead.0);
@@ -444,8 +449,8 @@
             self.void_line = Some(now);
             let (id, ahead) = (self.table.entries[i].id.0, self.set.ahead.as_seconds());
             self.log(format!(
-                "members: a word on {id:x} is passed over: incarnation {} (at most {ahead} s ahead of this clock), \
-                 count {}; compare the clocks of the machines",
+                "members: a word on {id:x} is passed over: incarnation {} (at most {ahead} s ahead of this \
+                 clock), count {}; compare the clocks of the machines",
                 claim.incarnation.0, claim.count
             ));
         }
@@ -498,12 +503,12 @@
             for i in self.pick(self.set.through, &[], |_| true) {
                 self.ask_to_compare(i);
             }
-        } else if self.rounds % self.set.compare_every.max(1) == 0 {
+        } else if self.rounds.is_multiple_of(self.set.compare_every.max(1)) {
             for i in self.pick(1, &[], |standing| standing == Standing::Alive) {
                 self.ask_to_compare(i);
             }
         }
-        if self.rounds % self.set.lost_every.max(1) == 0 {
+        if self.rounds.is_multiple_of(self.set.lost_every.max(1)) {
             for i in self.pick(1, &[], |standing| !matches!(standing, Standing::Alive | Standing::Suspect)) {
                 let number = self.number();
                 self.tell(self.table.entries[i].id, Body::Ask { number }, None);
@@ -672,7 +677,8 @@
         self.judge_links();
     }
 
-    /// How long a suspicion can be refuted: what news and answer take to go round, and twice the wait for an answer.
+    /// How long a suspicion can be refuted: what news and answer take to go round, and twice the wait for an
+    /// answer.
     fn suspicion_wait(&self) -> Span {
         let [base, doubling] = self.set.wait;
         let round = self.set.round.times(base + doubling * self.doublings());
--- a/crates/fleet/src/members/links.rs
+++ b/crates/fleet/src/members/links.rs
@@ -25,8 +25,8 @@
         own.push(took, WEIGHT[1]);
     }
 
-    /// The wait after which silence has this phi, as if waits were exponential: the longer of the means, of all
-    /// members and of this one, as the gap. It starts from a long one, while answers are few.
+    /// The wait after which silence has this phi, as if waits were exponential: the longer of the means, of
+    /// all members and of this one, as the gap. It starts from a long one, while answers are few.
     pub fn wait(&self, phi: f64, of: Option<&Mean>, set: &Set) -> Span {
         let least = set.gap[0].as_seconds();
         let start = set.gap[1].as_seconds() / f64::from(self.answers.seen.max(1));
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -17,7 +17,8 @@
 /// After quiet all agree within it.
 const AGREE: Span = Span::millis(15_000);
 
-/// Faults hit a third of the members; the rest are only lost to, late, twice told and cut one way from single others.
+/// Faults hit a third of the members; the rest are only lost to, late, twice told and cut one way from single
+/// others.
 #[test_case(6, 0..60)]
 #[test_case(30, 100..115)]
 #[test_case(300, 200..202)]
--- a/crates/fleet/tests/members/node.rs
+++ b/crates/fleet/tests/members/node.rs
@@ -92,8 +92,8 @@
         nodes.filter(|node| node.members.standing(who) == Some(standing)).count()
     }
 
-    /// Who holds whom otherwise than it is: those that run are alive, of the others `left` have left in order, the rest are
-    /// dead.
+    /// Who holds whom otherwise than it is: those that run are alive, of the others `left` have left in
+    /// order, the rest are dead.
     pub fn errors(&self, left: &BTreeSet<MemberId>) -> Vec<(MemberId, MemberId, Standing)> {
         let running: BTreeSet<MemberId> = self.net.ids().into_iter().collect();
         let mut truth = BTreeMap::new();
