--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,5 +8,6 @@
 #![forbid(unsafe_code)]
 
 pub mod common;
+pub mod limits;
 pub mod made;
 pub mod members;
