--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod limits;
 pub mod made;
 pub mod members;
+pub mod verdicts;
