A feed numbered by source, carried to groups of followers, moved under fences

Items go from their source to all members and from each member to the followers it carries, by each one's acknowledged place in every source's numbers: nothing is queued for a follower, one too far behind gets what still matters. Slow ones form a group of their own carried where there is room; a carrier whose followers all lag gives them away; orphans ask by rendezvous order. Fences by follower decide who carries.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,4 +8,5 @@
 #![forbid(unsafe_code)]
 
 pub mod common;
+pub mod feed;
 pub mod made;
--- /dev/null
+++ b/crates/fleet/tests/feed_bed/mod.rs
@@ -0,0 +1,267 @@
+//! Members and followers of a feed on the made network, each watched by a checker of what it hands over.
+use cherrypass::time::{Span, Time};
+use cherrypass_fleet::common::{Incarnation, MemberId};
+use cherrypass_fleet::feed::{Effect, Feed, Follower, Said, Set};
+use cherrypass_fleet::made::{Network, Node};
+use rand::Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// All that was ever published, by run of a source: key, hold, and when in true time.
+pub type Ledger = Rc<RefCell<BTreeMap<(MemberId, Incarnation), Vec<(Vec<u8>, Span, Time)>>>>;
+
+pub enum Side {
+    Member(Feed),
+    Listener(Follower),
+}
+
+pub struct Bed {
+    pub id: MemberId,
+    pub side: Side,
+    pub ledger: Ledger,
+    /// True time and own clock at the start, and how fast the clock goes.
+    start: (Time, Time),
+    rate: f64,
+    /// By source: how far it is, and the number it knows of each key.
+    pub at: BTreeMap<MemberId, (Incarnation, u64)>,
+    pub knows: BTreeMap<(MemberId, Vec<u8>), u64>,
+    pub states: u64,
+    pub delivered: u64,
+    /// True delays of what came, from so long after the network's start on.
+    pub measure_from: Time,
+    pub delays: Vec<u32>,
+    /// How much longer told ages were than true ones, the worst.
+    pub looseness: Span,
+    pub largest: usize,
+}
+
+impl Bed {
+    pub fn feed(&self) -> Option<&Feed> {
+        match &self.side {
+            Side::Member(feed) => Some(feed),
+            Side::Listener(_) => None,
+        }
+    }
+
+    pub fn follower(&self) -> Option<&Follower> {
+        match &self.side {
+            Side::Member(_) => None,
+            Side::Listener(follower) => Some(follower),
+        }
+    }
+
+    pub fn publish(&mut self, now: Time, key: Vec<u8>, bytes: usize, hold: Span) {
+        let at = self.true_time(now);
+        let Side::Member(feed) = &mut self.side else { return };
+        let Ok(number) = feed.publish(now, key.clone(), vec![0; bytes], hold) else { return };
+        let incarnation = self.at[&self.id].0;
+        let mut ledger = self.ledger.borrow_mut();
+        let run = ledger.entry((self.id, incarnation)).or_default();
+        run.push((key, hold, at));
+        assert_eq!(run.len() as u64, number);
+    }
+
+    fn true_time(&self, now: Time) -> Time {
+        self.start.0 + (now - self.start.1).times(1.0 / self.rate)
+    }
+
+    fn came(
+        &mut self,
+        now: Time,
+        source: MemberId,
+        incarnation: Incarnation,
+        number: u64,
+        key: &[u8],
+        age: Span,
+    ) {
+        let at = self.true_time(now);
+        let ledger = self.ledger.borrow();
+        let (published, _, when) = &ledger[&(source, incarnation)][number as usize - 1];
+        assert_eq!(published, key);
+        let true_age = at - *when;
+        assert!(age + Span(50) >= true_age, "an item of {true_age:?} was told as {age:?} old");
+        self.looseness = self.looseness.max(Span(age.0.saturating_sub(true_age.0)));
+        if *when >= self.measure_from {
+            self.delays.push(true_age.0 as u32);
+        }
+        self.knows.insert((source, key.to_vec()), number);
+    }
+
+    fn note(&mut self, now: Time, effect: Effect) {
+        match effect {
+            Effect::Deliver { source, incarnation, number, key, age, .. } => {
+                let at = self.at.get(&source).copied().unwrap_or_default();
+                let before = if at.0 == incarnation { at.1 } else { 0 };
+                assert!(incarnation >= at.0, "an older run's item came after a newer's");
+                assert_eq!(number, before + 1, "a gap or a repeat from {source:?}");
+                self.at.insert(source, (incarnation, number));
+                self.delivered += 1;
+                self.came(now, source, incarnation, number, &key, age);
+            }
+            Effect::State { source, incarnation, up_to, items } => {
+                let at = self.at.get(&source).copied().unwrap_or_default();
+                let before = if at.0 == incarnation { at.1 } else { 0 };
+                assert!(incarnation >= at.0 && up_to > before, "a state that goes back");
+                let mut last = before;
+                for item in &items {
+                    assert!(item.number > last && item.number <= up_to, "a state out of order");
+                    last = item.number;
+                }
+                {
+                    let ledger = self.ledger.borrow();
+                    let run = &ledger[&(source, incarnation)];
+                    for number in before + 1..=up_to {
+                        let (key, hold, _) = &run[number as usize - 1];
+                        let there = items.iter().any(|item| item.number == number);
+                        let replaced = run[number as usize..].iter().any(|(later, ..)| later == key);
+                        let short = *hold < Span::seconds(60.0);
+                        assert!(there || replaced || short, "a state lacks number {number} of {source:?}");
+                    }
+                }
+                self.at.insert(source, (incarnation, up_to));
+                self.states += 1;
+                for item in items {
+                    self.came(now, source, incarnation, item.number, &item.key, item.age);
+                }
+            }
+            Effect::Log(_) | Effect::Tell { .. } => {}
+        }
+    }
+}
+
+impl Node for Bed {
+    type Said = Said;
+
+    fn heard(&mut self, now: Time, from: MemberId, said: Said) {
+        match &mut self.side {
+            Side::Member(feed) => feed.heard(now, from, said),
+            Side::Listener(follower) => follower.heard(now, from, said),
+        }
+    }
+
+    fn woken(&mut self, now: Time) {
+        match &mut self.side {
+            Side::Member(feed) => feed.woken(now),
+            Side::Listener(follower) => follower.woken(now),
+        }
+        if let Some(feed) = self.feed() {
+            self.largest = self.largest.max(feed.size().1);
+        }
+    }
+
+    fn next(&mut self, now: Time) -> Option<(MemberId, Said)> {
+        loop {
+            let effect = match &mut self.side {
+                Side::Member(feed) => feed.next(),
+                Side::Listener(follower) => follower.next(),
+            }?;
+            match effect {
+                Effect::Tell { to, said } => return Some((to, said)),
+                other => self.note(now, other),
+            }
+        }
+    }
+}
+
+pub struct Fleet {
+    pub net: Network<Bed>,
+    pub set: Set,
+    pub members: Vec<MemberId>,
+    pub followers: Vec<MemberId>,
+    pub ledger: Ledger,
+    runs: u64,
+    pub measure_from: Time,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, set: Set, members: usize, followers: usize) -> Fleet {
+        let net = Network::new(seed, set.round);
+        let name = |kind: &str, count: usize| -> Vec<MemberId> {
+            (0..count).map(|i| MemberId::of(&format!("{kind}{i}"))).collect()
+        };
+        let mut fleet = Fleet {
+            net,
+            set,
+            members: name("member", members),
+            followers: name("follower", followers),
+            ledger: Ledger::default(),
+            runs: 0,
+            measure_from: Time(0),
+        };
+        for id in fleet.members.clone().into_iter().chain(fleet.followers.clone()) {
+            fleet.start(id);
+        }
+        fleet
+    }
+
+    /// Starts a member or a follower, or starts it anew.
+    pub fn start(&mut self, id: MemberId) {
+        self.runs += 1;
+        let incarnation = Incarnation(self.net.now.0 + self.runs);
+        let rate = self.net.chance.gen_range(0.995..1.005);
+        let seed = self.net.chance.gen();
+        let (set, ledger, true_start) = (self.set.clone(), self.ledger.clone(), self.net.now);
+        let (members, followers, measure_from) = (&self.members, &self.followers, self.measure_from);
+        self.net.start(id, rate, |now| {
+            let side = if members.contains(&id) {
+                Side::Member(Feed::new(set, id, incarnation, members, followers, seed, now))
+            } else {
+                Side::Listener(Follower::new(set, id, incarnation, members, now))
+            };
+            Bed {
+                id,
+                side,
+                ledger,
+                start: (true_start, now),
+                rate,
+                at: BTreeMap::from([(id, (incarnation, 0))]),
+                knows: BTreeMap::new(),
+                states: 0,
+                delivered: 0,
+                measure_from,
+                delays: Vec::new(),
+                looseness: Span::ZERO,
+                largest: 0,
+            }
+        });
+    }
+
+    pub fn publish(&mut self, id: MemberId, key: u32, bytes: usize, hold: Span) {
+        self.net.call(id, |bed, now| bed.publish(now, key.to_le_bytes().to_vec(), bytes, hold));
+    }
+
+    /// That everyone who is there has all of every source that is, and the latest of each key that lasts.
+    pub fn assert_complete(&self) {
+        let ledger = self.ledger.borrow();
+        for source in &self.members {
+            let Some(run) = self.net.node(*source).map(|bed| bed.at[source].0) else { continue };
+            let Some(items) = ledger.get(&(*source, run)) else { continue };
+            for bed in self.net.ids().iter().filter(|id| *id != source).filter_map(|id| self.net.node(*id)) {
+                let at = bed.at.get(source).copied().unwrap_or_default();
+                assert_eq!(at, (run, items.len() as u64), "{:?} lacks items of {source:?}", bed.id);
+                for (number, (key, hold, _)) in items.iter().enumerate() {
+                    let replaced = items[number + 1..].iter().any(|(later, ..)| later == key);
+                    if !replaced && *hold >= Span::seconds(60.0) {
+                        assert_eq!(bed.knows.get(&(*source, key.clone())), Some(&(number as u64 + 1)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// That every follower has one carrier, and no other member believes it carries it.
+    pub fn assert_carried_once(&self) {
+        for id in &self.followers {
+            let Some(follower) = self.net.node(*id).and_then(Bed::follower) else { continue };
+            let carriers: Vec<MemberId> = (self.members.iter())
+                .filter_map(|member| self.net.node(*member))
+                .filter(|bed| {
+                    bed.feed().is_some_and(|feed| feed.carried().any(|(carried, _)| carried == *id))
+                })
+                .map(|bed| bed.id)
+                .collect();
+            assert_eq!(carriers, [follower.fence().carrier], "carriers of {id:?}");
+        }
+    }
+}
