--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod common;
+pub mod feed;
 pub mod limits;
 pub mod made;
 pub mod members;
