--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,3 +9,4 @@
 
 pub mod common;
 pub mod made;
+pub mod rollout;
