--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod limits;
 pub mod made;
 pub mod members;
+pub mod rollout;
 pub mod verdicts;
