Peers: a member of the fleet on one socket and two threads, with the five rooms as one house

One thread reads the UDP socket, one decides; what waits for it is bounded, its wakes come before what waited while the process stood still. Parts of limits go out with instants, so that they run out without the fleet's thread. The rollout's records are a space of the dispatcher's store and answered once they outlast the machine. Each cause and sender of a refused datagram has one line a minute at most. A control listener on loopback gives the status and takes orders; a process listed as a follower takes the feed alone.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod common;
 pub mod feed;
+pub mod house;
 pub mod limits;
 pub mod made;
 pub mod members;
--- /dev/null
+++ b/crates/peers/examples/idle.rs
@@ -0,0 +1,64 @@
+//! What nine members of a fleet cost while nothing happens: threads, memory and core time of each, in one process on loopback.
+use cherrypass::ids::LocationId;
+use cherrypass_fleet::{house, limits, rollout, verdicts};
+use cherrypass_peers::{Member, Peers, Set};
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+fn field(file: &str, name: &str) -> f64 {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with(name)).unwrap_or_default().to_owned();
+    line.split_whitespace().nth(1).and_then(|value| value.parse().ok()).unwrap_or_default()
+}
+
+/// Seconds of core time so far, at 100 ticks a second.
+fn core() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<f64> = text.split_whitespace().skip(13).take(2).filter_map(|x| x.parse().ok()).collect();
+    fields.iter().sum::<f64>() / 100.0
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let most: u32 = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(9);
+    let seconds = std::env::args().nth(2).and_then(|n| n.parse().ok()).unwrap_or(30);
+    let free = (0..most).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
+    let at = free.iter().map(UdpSocket::local_addr).collect::<Result<Vec<SocketAddr>, _>>()?;
+    drop(free);
+    let name = |i: usize| format!("d{i}");
+    let before = [field("/proc/self/status", "VmRSS:"), field("/proc/self/status", "Threads:")];
+    let members = at.iter().enumerate();
+    let members: Vec<Member> = members
+        .map(|(i, at)| Member { name: name(i), address: *at, location: LocationId(i as u8 / 3) })
+        .collect();
+    let mut all = Vec::new();
+    for (i, at) in at.iter().enumerate() {
+        let mut set = Set::of("shop", &name(i), *at);
+        set.members = members.clone();
+        let limits = limits::Set {
+            origin: Some(40.0),
+            further_per_s: Some(20.0),
+            cold: true,
+            ..limits::Set::default()
+        };
+        set.rooms = house::Set {
+            limits: Some(limits),
+            verdicts: Some(verdicts::Set::default()),
+            rollout: Some(rollout::Set::default()),
+            ..house::Set::default()
+        };
+        all.push(Peers::start(set, None, |_| {}, |_| {})?);
+    }
+    std::thread::sleep(Duration::from_secs(10));
+    let (begun, used) = (Instant::now(), core());
+    std::thread::sleep(Duration::from_secs(seconds));
+    let used = (core() - used) / begun.elapsed().as_secs_f64() / f64::from(most);
+    let after = [field("/proc/self/status", "VmRSS:"), field("/proc/self/status", "Threads:")];
+    let each = |i: usize| (after[i] - before[i]) / f64::from(most);
+    println!(
+        "{most} members, each: {} threads, {:.0} kB, {:.3}% of a core idle",
+        each(1),
+        each(0),
+        used * 100.0
+    );
+    Ok(())
+}
--- a/crates/peers/src/error.rs
+++ b/crates/peers/src/error.rs
@@ -1,4 +1,5 @@
 //! What keeps a fleet from starting, and what its operator can do.
+use cherrypass_fleet::{limits, verdicts};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,10 +26,14 @@
         "fleet: control on {at} is refused; orders carry no sign-in, so it has to be a loopback address"
     )]
     NotLoopback { at: SocketAddr },
+    #[error("fleet: can't listen for control on {at}: {error}; is another process there?")]
+    Control { at: SocketAddr, error: String },
+    #[error("fleet.limits: {0}")]
+    Limits(#[from] limits::SetError),
+    #[error("fleet.{0}")]
+    Verdicts(#[from] verdicts::SetError),
     #[error("fleet: can't write events to {}: {error}; check the path and its rights, or leave `events` out", path.display())]
     Events { path: PathBuf, error: io::Error },
-    #[error("fleet: reading what was kept of the rollout: {0}; see docs/store.md on repair")]
-    Store(#[from] cherrypass_store::error::Error),
     #[error("fleet: can't start a thread: {0}; check the limits on processes and memory")]
     Thread(io::Error),
 }
@@ -44,9 +49,11 @@
             Error::Form { .. } => "fleet-form",
             Error::Value { .. } => "fleet-value",
             Error::Listen { .. } => "fleet-listen",
-            Error::NotLoopback { .. } => "fleet-control",
+            Error::NotLoopback { .. } => "fleet-not-loopback",
             Error::Events { .. } => "fleet-events",
-            Error::Store(_) => "fleet-store",
+            Error::Control { .. } => "fleet-control",
+            Error::Limits(error) => error.code(),
+            Error::Verdicts(error) => error.code(),
             Error::Thread(_) => "fleet-thread",
         }
     }
--- a/crates/peers/src/events.rs
+++ b/crates/peers/src/events.rs
@@ -51,7 +51,7 @@
 
 pub struct Events {
     to: Option<(NonBlocking, WorkerGuard)>,
-    me: String,
+    pub me: String,
     incarnation: u64,
     clock: Clock,
     log: Log,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,43 +3,48 @@
 //! gave at the start.
 #![forbid(unsafe_code)]
 
-pub mod clock;
+mod clock;
+mod control;
 #[cfg(feature = "faults")]
 pub mod disk;
 pub mod error;
-pub mod events;
+mod events;
+mod keep;
 pub mod link;
+mod refusals;
+mod run;
 
 pub use error::Error;
 
 use cherrypass::ids::{HostId, LocationId};
 use cherrypass::time::{Span, Time};
+use cherrypass_fleet::common::{Incarnation, MemberId};
+use cherrypass_fleet::house::Fleet;
+pub use cherrypass_fleet::limits::Key;
+pub use cherrypass_fleet::rollout::{Figures, Order};
+pub use cherrypass_fleet::verdicts::{Kind, UsedBy};
+use cherrypass_fleet::{feed, house, limits};
 use cherrypass_store::store::Store;
-use std::net::SocketAddr;
+use clock::Clock;
+use crossbeam_channel::Sender;
+use events::{Events, Log};
+use keep::Keeper;
+use refusals::Refusals;
+use run::{Input, Peer, Role, Run, Waiting};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::path::PathBuf;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// What holds for all dispatchers in sum. Amounts are in its own unit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Key {
-    /// Hand-offs out at the origin at once.
-    Origin,
-    /// Repeated hand-offs a second.
-    Further,
-    /// Part of a host's cold budget; the whole of it is 1.
-    Cold(HostId),
-}
-
-/// What was found out about a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    ShutOut,
-    Slow,
-    JustStarted,
-    /// It can't be reached from this location.
-    CutOff,
-}
+/// Members and followers of one fleet at most.
+pub const MEMBERS: usize = 1000;
+/// What the dispatcher told and the fleet's thread has not taken yet, at most.
+const TOLD_MOST: usize = 16 << 10;
+/// Of each thread.
+const STACK: usize = 512 << 10;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Finding {
@@ -53,37 +58,6 @@
     pub age: Span,
 }
 
-/// Who sends visits to a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum UsedBy {
-    /// A cache: the dispatchers of its location.
-    Location(LocationId),
-    /// A parent or the origin: all.
-    All,
-}
-
-/// What was counted since the last time this was told; to be told each second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    pub visits: u64,
-    /// Settled within their quoted time.
-    pub in_time: u64,
-    pub turned_back: u64,
-    pub written_off: u64,
-    pub hand_offs: u64,
-    /// Hosts that were newly shut out.
-    pub shut_out: u64,
-}
-
-/// An order to the rollout of rules.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
-    Start { number: u64, document: String },
-    Halt,
-    Resume,
-    Back,
-}
-
 /// What the dispatcher tells the fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ToFleet {
@@ -178,20 +152,24 @@
 #[derive(Clone, Debug)]
 pub struct Set {
     pub fleet: String,
-    /// This process: one of the members.
+    /// This process: one of the members, or of the followers.
     pub me: String,
     pub listen: SocketAddr,
     pub members: Vec<Member>,
     pub followers: Vec<Follower>,
+    /// Names of locations, for orders.
+    pub locations: BTreeMap<String, LocationId>,
     /// JSON lines for whoever judges a run; none, no cost.
     pub events: Option<PathBuf>,
     /// On loopback: status, and orders to the rollout.
     pub control: Option<SocketAddr>,
-    /// The form of messages to write; without it the newest that all listed members were seen to read.
+    /// The newest form of messages to write and to be written to; without it the newest that is known. To each member
+    /// goes the newest that both have.
     pub form: Option<u8>,
     /// The periodic timer.
-    pub every: Duration,
+    pub every: Span,
     pub seed: u64,
+    pub rooms: house::Set,
 }
 
 impl Set {
@@ -202,18 +180,80 @@
             listen,
             members: Vec::new(),
             followers: Vec::new(),
+            locations: BTreeMap::new(),
             events: None,
             control: None,
             form: None,
-            every: Duration::from_millis(50),
+            every: Span::millis(50),
             seed: 0,
+            rooms: house::Set::default(),
+        }
+    }
+
+    pub fn check(&self) -> Result<(), Error> {
+        if !(1..=link::NAME_MOST).contains(&self.fleet.len()) {
+            return Err(Error::Name { most: link::NAME_MOST });
+        }
+        let members = self.members.iter().map(|member| &member.name);
+        let names: Vec<&String> = members.chain(self.followers.iter().map(|one| &one.name)).collect();
+        if names.len() > MEMBERS {
+            return Err(Error::TooMany { found: names.len(), most: MEMBERS });
+        }
+        let mut seen = BTreeSet::new();
+        if let Some(twice) = names.iter().find(|name| !seen.insert(MemberId::of(name))) {
+            return Err(Error::Twice { name: twice.to_string() });
+        }
+        if !names.contains(&&self.me) {
+            return Err(Error::NotListed { name: self.me.clone() });
+        }
+        let (least, most) = (link::OLDEST, link::NEWEST);
+        if let Some(found) = self.form.filter(|form| !(least..=most).contains(form)) {
+            return Err(Error::Form { found, least, most });
+        }
+        if !(Span::millis(10)..=Span::millis(1_000)).contains(&self.every) {
+            let found = format!("{} ms", self.every.0 / 1000);
+            return Err(Error::Value { what: "the timer", found, wanted: "give 10 to 1000 ms" });
+        }
+        if let Some(at) = self.control.filter(|at| !at.ip().is_loopback()) {
+            return Err(Error::NotLoopback { at });
+        }
+        let own = MemberId::of(&self.me);
+        let ids: Vec<MemberId> = self.members.iter().map(|member| MemberId::of(&member.name)).collect();
+        if let Some(limits) = self.rooms.limits.as_ref().filter(|_| ids.contains(&own)) {
+            limits::Set { round: self.every, ..limits.clone() }.check(own, &ids)?;
+        }
+        if let Some(verdicts) = &self.rooms.verdicts {
+            verdicts.check()?;
+        }
+        Ok(())
+    }
+}
+
+/// Tells the fleet, from any thread.
+#[derive(Clone)]
+pub struct ToPeers {
+    to: Sender<Input>,
+    waiting: Arc<Waiting>,
+}
+
+impl ToPeers {
+    /// Never waits; where too much waits already it is let go, and told again by what is told periodically.
+    pub fn send(&self, what: ToFleet) {
+        if self.waiting.told.fetch_add(1, Relaxed) < TOLD_MOST || matches!(what, ToFleet::Stop) {
+            let _ = self.to.send(Input::Told(what));
+        } else {
+            self.waiting.told.fetch_sub(1, Relaxed);
         }
     }
 }
 
 /// A member of a fleet at work. Dropping it leaves the fleet in order.
 pub struct Peers {
-    to: crossbeam_channel::Sender<ToFleet>,
+    sender: ToPeers,
+    socket: UdpSocket,
+    server: Option<Arc<tiny_http::Server>>,
+    threads: Vec<JoinHandle<()>>,
+    control: Option<JoinHandle<()>>,
 }
 
 impl Peers {
@@ -224,16 +264,149 @@
         tell: impl Fn(FromFleet) + Send + 'static,
         log: impl Fn(&str) + Send + Sync + 'static,
     ) -> Result<Peers, Error> {
-        let _ = (set, store, tell, log);
-        let (to, _) = crossbeam_channel::bounded(1);
-        Ok(Peers { to })
+        set.check()?;
+        let log: Log = Arc::new(log);
+        let clock = Clock::start();
+        let (me, incarnation) = (MemberId::of(&set.me), Incarnation(clock.unix));
+        let own = set.members.iter().find(|member| member.name == set.me);
+        let location = own.map(|own| own.location).unwrap_or_default();
+        let listed: Vec<(MemberId, LocationId)> =
+            set.members.iter().map(|member| (MemberId::of(&member.name), member.location)).collect();
+        let followers: Vec<MemberId> = set.followers.iter().map(|one| MemberId::of(&one.name)).collect();
+        let members =
+            set.members.iter().map(|one| (&one.name, Peer::new(&one.name, one.address, one.location)));
+        let others = set
+            .followers
+            .iter()
+            .map(|one| (&one.name, Peer::new(&one.name, one.address, LocationId::default())));
+        let mut peers: BTreeMap<MemberId, Peer> =
+            members.chain(others).map(|(name, peer)| (MemberId::of(name), peer)).collect();
+        peers.remove(&me);
+
+        let listen = |error| Error::Listen { at: set.listen, error };
+        let socket = UdpSocket::bind(set.listen).map_err(listen)?;
+        // Guards against a full socket that holds up decisions: what can't be sent at once is lost, as on the way.
+        socket.set_write_timeout(Some(Duration::from_millis(1))).map_err(listen)?;
+        let (reading, waking) = (socket.try_clone().map_err(listen)?, socket.try_clone().map_err(listen)?);
+        let server = set.control.map(|at| {
+            let server = tiny_http::Server::http(at);
+            server.map(Arc::new).map_err(|error| Error::Control { at, error: error.to_string() })
+        });
+        let server = server.transpose()?;
+        let events = Events::open(set.events.as_deref(), &set.me, clock, log.clone())?;
+        let (to, inputs) = crossbeam_channel::unbounded();
+        let waiting = Arc::new(Waiting::default());
+
+        let seed = set.seed ^ incarnation.0;
+        let ahead = set.rooms.members.ahead;
+        let now = clock.now();
+        let rolls = set.rooms.rollout.is_some() && own.is_some();
+        let (keeper, kept) = Keeper::open(store.filter(|_| rolls), &log);
+        let role = match own {
+            Some(_) => {
+                let every = set.every;
+                let fleet =
+                    Fleet::new(set.rooms, me, incarnation, &listed, &followers, kept, every, seed, now);
+                Role::Member(Box::new(fleet))
+            }
+            None => {
+                let ids: Vec<MemberId> = listed.iter().map(|(id, _)| *id).collect();
+                let feed = feed::Set { round: set.every, ..set.rooms.feed };
+                Role::Follower(Box::new(feed::Follower::new(feed, me, incarnation, &ids, now)))
+            }
+        };
+        let run = Run {
+            role,
+            fleet: set.fleet,
+            me,
+            incarnation,
+            location,
+            form: set.form.unwrap_or(link::NEWEST),
+            ahead,
+            peers,
+            socket,
+            clock,
+            events,
+            keeper,
+            log,
+            tell: Box::new(tell),
+            own: to.clone(),
+            waiting: waiting.clone(),
+            refusals: Refusals::default(),
+            parts: BTreeMap::new(),
+            number: 0,
+        };
+        // From here on a thread that can't be started ends those that were.
+        let mut own = Peers {
+            sender: ToPeers { to, waiting },
+            socket: waking,
+            server,
+            threads: Vec::new(),
+            control: None,
+        };
+        let spawn = |name: &str, work: Box<dyn FnOnce() + Send>| {
+            let builder = std::thread::Builder::new().name(name.to_owned()).stack_size(STACK);
+            builder.spawn(work).map_err(Error::Thread)
+        };
+        let every = set.every;
+        own.threads.push(spawn("fleet", Box::new(move || run.run(&inputs, every)))?);
+        let (to, waiting) = (own.sender.to.clone(), own.sender.waiting.clone());
+        own.threads.push(spawn("fleet-link", Box::new(move || run::read(&reading, &to, &waiting)))?);
+        if let Some(server) = own.server.clone() {
+            let (to, locations) = (own.sender.to.clone(), set.locations);
+            let work = Box::new(move || control::serve(server, to, locations));
+            own.control = Some(spawn("fleet-control", work)?);
+        }
+        Ok(own)
     }
 
-    /// Never waits; where too much waits already it is let go, and told again by what is told periodically.
+    /// As `ToPeers::send`.
     pub fn send(&self, what: ToFleet) {
-        let _ = self.to.try_send(what);
+        self.sender.send(what);
+    }
+
+    /// For threads that don't own this.
+    pub fn sender(&self) -> ToPeers {
+        self.sender.clone()
+    }
+
+    /// Where it listens, its port settled.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.socket.local_addr().ok()
     }
 
     /// Leaves the fleet in order and ends the threads.
     pub fn stop(self) {}
+
+    fn wake_reader(&self) {
+        let Some(mut at) = self.address() else { return };
+        if at.ip().is_unspecified() {
+            let v4 = at.is_ipv4();
+            at.set_ip(if v4 { Ipv4Addr::LOCALHOST.into() } else { Ipv6Addr::LOCALHOST.into() });
+        }
+        let _ = self.socket.send_to(&[], at);
+    }
+}
+
+impl Drop for Peers {
+    fn drop(&mut self) {
+        let _ = self.sender.to.send(Input::Stop);
+        if let Some(server) = &self.server {
+            server.unblock();
+        }
+        for thread in std::mem::take(&mut self.threads) {
+            // The fleet's thread comes first and says that it has ended.
+            let _ = thread.join();
+            self.sender.waiting.ended.store(true, Relaxed);
+            self.wake_reader();
+        }
+        // One that waits for the rest of an order is left to end by itself.
+        for _ in 0..50 {
+            match self.control.take_if(|control| control.is_finished()) {
+                Some(control) => drop(control.join()),
+                None if self.control.is_some() => std::thread::sleep(Duration::from_millis(10)),
+                None => break,
+            }
+        }
+    }
 }
--- /dev/null
+++ b/crates/peers/tests/kept.rs
@@ -0,0 +1,96 @@
+//! What the rollout keeps outlasts the process, and a store that takes nothing or loses its end promotes nothing.
+use cherrypass::ids::LocationId;
+use cherrypass::time::{Span, Time};
+use cherrypass_fleet::{house, rollout};
+use cherrypass_peers::{FromFleet, Member, Order, Peers, Set, ToFleet};
+use cherrypass_store::disk::{Disk, Folder};
+use cherrypass_store::engine::Options;
+use cherrypass_store::store::Store;
+use rollout::{AfterHalt, Plan, Version};
+use std::net::UdpSocket;
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::Duration;
+
+fn store(disk: Arc<dyn Disk>) -> Arc<Store> {
+    Arc::new(Store::on(disk, Options::default(), Arc::new(|| Time(1)), None).unwrap())
+}
+
+fn folder(path: &Path) -> Arc<dyn Disk> {
+    Arc::new(Folder::lock(path).unwrap())
+}
+
+/// A fleet of one, and the rules that come to be in force.
+fn start(store: Arc<Store>) -> (Peers, Receiver<(u64, String)>) {
+    let listen = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut set = Set::of("shop", "d1", listen);
+    set.members = vec![Member { name: "d1".into(), address: listen, location: LocationId(0) }];
+    let rollout = rollout::Set { store_rest: Span::millis(200), ..rollout::Set::default() };
+    set.rooms = house::Set { rollout: Some(rollout), ..house::Set::default() };
+    let (to, rules) = channel();
+    let tell = move |what| {
+        if let FromFleet::Rules { number, text } = what {
+            let _ = to.send((number, text.to_string()));
+        }
+    };
+    (Peers::start(set, Some(store), tell, |line| println!("{line}")).unwrap(), rules)
+}
+
+fn version(number: u64) -> Order {
+    let order = vec![LocationId(0)];
+    let (hold, after_halt) = (Span::seconds(60.0), AfterHalt::Stay);
+    let plan = Plan { order, first: 1000, hold, visits: 1, after_halt };
+    Order::Start(Version { number, text: format!("{{\"n\":{number}}}"), plan })
+}
+
+fn comes(rules: &Receiver<(u64, String)>) -> Option<u64> {
+    rules.recv_timeout(Duration::from_secs(5)).ok().map(|(number, text)| {
+        assert_eq!(text, format!("{{\"n\":{number}}}"));
+        number
+    })
+}
+
+#[test]
+fn rules_come_up_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let (peers, rules) = start(store(folder(dir.path())));
+    std::thread::sleep(Duration::from_millis(500));
+    peers.send(ToFleet::Order(version(7)));
+    assert_eq!(comes(&rules), Some(7));
+    drop(peers);
+    let (_peers, rules) = start(store(folder(dir.path())));
+    assert_eq!(comes(&rules), Some(7));
+}
+
+#[cfg(feature = "faults")]
+#[test]
+fn a_disk_that_lies_promotes_nothing_it_can_not_keep() {
+    use cherrypass_peers::disk::Lying;
+    let (dir, orders) = (tempfile::tempdir().unwrap(), tempfile::NamedTempFile::new().unwrap());
+    let lying = || Arc::new(Lying::new(folder(dir.path()), orders.path().to_owned()));
+    let say = |what: &str| std::fs::write(orders.path(), what).unwrap();
+    let (peers, rules) = start(store(lying()));
+    std::thread::sleep(Duration::from_millis(500));
+    say("stall 300\n");
+    peers.send(ToFleet::Order(version(1)));
+    assert_eq!(comes(&rules), Some(1));
+    // Acknowledged, and gone with the process.
+    say("lose\n");
+    peers.send(ToFleet::Order(Order::Halt));
+    std::thread::sleep(Duration::from_millis(500));
+    drop(peers);
+    say("");
+    let (peers, rules) = start(store(lying()));
+    assert_eq!(comes(&rules), Some(1));
+    drop(peers);
+    for fault in ["full\n", "error\n"] {
+        let dir = tempfile::tempdir().unwrap();
+        say("");
+        let (peers, rules) = start(store(Arc::new(Lying::new(folder(dir.path()), orders.path().to_owned()))));
+        std::thread::sleep(Duration::from_millis(500));
+        say(fault);
+        peers.send(ToFleet::Order(version(2)));
+        assert!(rules.recv_timeout(Duration::from_secs(1)).is_err(), "{fault}");
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/peers.rs
@@ -0,0 +1,308 @@
+//! Three dispatchers' fleets in one process, on loopback.
+use cherrypass::ids::{HostId, LocationId};
+use cherrypass::time::{Span, Time};
+use cherrypass_fleet::common::{Incarnation, MemberId};
+use cherrypass_fleet::{house, limits, rollout, verdicts};
+use cherrypass_peers::link::{encode, Envelope};
+use cherrypass_peers::{Finding, Follower, FromFleet, Key, Kind, Member, Peers, Set, ToFleet, UsedBy};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const NAMES: [&str; 3] = ["d1", "d2", "d3"];
+const ORIGIN: f64 = 30.0;
+
+/// Passes on what comes to it, until it is cut.
+struct Relay {
+    at: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+fn relay(to: SocketAddr) -> Relay {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let (at, cut) = (socket.local_addr().unwrap(), Arc::new(AtomicBool::new(false)));
+    let ended = cut.clone();
+    std::thread::spawn(move || {
+        let mut bytes = [0; 65536];
+        while !ended.load(SeqCst) {
+            if let Ok((length, _)) = socket.recv_from(&mut bytes) {
+                let _ = socket.send_to(&bytes[..length], to);
+            }
+        }
+    });
+    Relay { at, cut }
+}
+
+#[derive(Default)]
+struct Seen {
+    lines: Vec<String>,
+    parts: Vec<(Instant, u64, f64, Instant, f64)>,
+    hearsay: Vec<(HostId, Option<Time>, Instant)>,
+}
+
+struct Place {
+    peers: Option<Peers>,
+    seen: Arc<Mutex<Seen>>,
+    control: SocketAddr,
+}
+
+impl Place {
+    fn start(mut set: Set) -> Place {
+        let control = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        set.control = Some(control);
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let (told, logged) = (seen.clone(), seen.clone());
+        let tell = move |what| {
+            let mut seen = told.lock().unwrap();
+            match what {
+                FromFleet::Part { key: Key::Origin, number, amount, until, after } => {
+                    seen.parts.push((Instant::now(), number, amount, until, after));
+                }
+                FromFleet::Hearsay { host, since, until, .. } => seen.hearsay.push((host, since, until)),
+                _ => {}
+            }
+        };
+        let log = move |line: &str| logged.lock().unwrap().lines.push(line.to_owned());
+        let peers = Some(Peers::start(set, None, tell, log).unwrap());
+        Place { peers, seen, control }
+    }
+
+    fn send(&self, what: ToFleet) {
+        self.peers.as_ref().unwrap().send(what);
+    }
+
+    fn http(&self, asked: &str, body: &str) -> String {
+        let mut stream = TcpStream::connect(self.control).unwrap();
+        let length = body.len();
+        let head =
+            format!("{asked} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all((head + body).as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let answer = self.http("GET /status", "");
+        serde_json::from_str(answer.split("\r\n\r\n").nth(1).unwrap()).unwrap()
+    }
+
+    fn standings(&self) -> Vec<String> {
+        let status = self.status();
+        let members = status["members"].as_array().unwrap().iter();
+        let mut found: Vec<String> =
+            members.map(|one| format!("{}:{}", one["name"], one["standing"]).replace('"', "")).collect();
+        found.sort();
+        found
+    }
+
+    /// What it may have out at the origin at an instant.
+    fn part_at(&self, at: Instant) -> f64 {
+        let seen = self.seen.lock().unwrap();
+        let last = seen.parts.iter().rfind(|part| part.0 <= at);
+        last.map_or(0.0, |(_, _, amount, until, after)| if at < *until { *amount } else { *after })
+    }
+
+    fn has_line(&self, what: &str) -> bool {
+        self.seen.lock().unwrap().lines.iter().any(|line| line.contains(what))
+    }
+}
+
+fn until(what: &str, seconds: u64, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(seconds);
+    while !holds() {
+        assert!(Instant::now() < end, "not within {seconds} s: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn rooms() -> house::Set {
+    let limits = limits::Set {
+        origin: Some(ORIGIN),
+        lease: Span::millis(1000),
+        drain: Span::millis(300),
+        ..limits::Set::default()
+    };
+    house::Set {
+        limits: Some(limits),
+        verdicts: Some(verdicts::Set::default()),
+        rollout: Some(rollout::Set::default()),
+        ..house::Set::default()
+    }
+}
+
+/// Their settings, and the relays round the third.
+fn three() -> (Vec<Set>, Vec<Relay>) {
+    let free = || UdpSocket::bind("127.0.0.1:0").unwrap();
+    let at: Vec<SocketAddr> = [free(), free(), free()].map(|socket| socket.local_addr().unwrap()).to_vec();
+    let follows = free().local_addr().unwrap();
+    let relays: Vec<Relay> = at.iter().map(|at| relay(*at)).collect();
+    let set = |i: usize| {
+        let mut set = Set::of("shop", NAMES[i], at[i]);
+        set.rooms = rooms();
+        set.seed = 7 + i as u64;
+        let address = |j: usize| if i == 2 || j == 2 { relays[j].at } else { at[j] };
+        let member =
+            |j: usize| Member { name: NAMES[j].into(), address: address(j), location: LocationId(0) };
+        set.members = (0..3).map(member).collect();
+        set.followers = vec![Follower { name: "f1".into(), address: follows }];
+        set
+    };
+    ((0..3).map(set).collect(), relays)
+}
+
+fn found(host: HostId) -> ToFleet {
+    let (since, kind) = (Some(Time(5)), Kind::ShutOut);
+    ToFleet::Found(Finding { host, since, kind, evidence: 20, age: Span::ZERO })
+}
+
+#[test]
+fn three_find_each_other_share_and_miss_the_one_cut_off() {
+    let (mut sets, relays) = three();
+    // One of them is of the older form.
+    sets[1].form = Some(1);
+    let events = tempfile::NamedTempFile::new().unwrap();
+    let follower = Set {
+        me: "f1".into(),
+        listen: sets[0].followers[0].address,
+        events: Some(events.path().to_owned()),
+        ..sets[0].clone()
+    };
+    let _follower = Place::start(follower);
+    let second_run = Set { listen: "127.0.0.1:0".parse().unwrap(), ..sets[0].clone() };
+    let mut places: Vec<Place> = sets.into_iter().map(Place::start).collect();
+    let alive = ["d1:alive", "d2:alive", "d3:alive"];
+    until("all know all", 10, || places.iter().all(|place| place.standings() == alive));
+
+    // What one could use and the others don't goes to it; in sum it is never over.
+    let begun = Instant::now();
+    let mut answered = [0; 3];
+    until("the first has what the others spare", 10, || {
+        for (i, place) in places.iter().enumerate() {
+            place.send(ToFleet::Wants { key: Key::Origin, amount: if i == 0 { ORIGIN } else { 0.0 } });
+            let last = place.seen.lock().unwrap().parts.last().map_or(0, |part| part.1);
+            if last != std::mem::replace(&mut answered[i], last) {
+                place.send(ToFleet::Taken { key: Key::Origin, number: last });
+            }
+        }
+        places[0].part_at(Instant::now()) > 0.9 * ORIGIN
+    });
+    let mut at = begun;
+    while at < Instant::now() {
+        let sum: f64 = places.iter().map(|place| place.part_at(at)).sum();
+        assert!(sum <= ORIGIN * (1.0 + 1e-9), "{sum} at {:?}", at - begun);
+        at += Duration::from_millis(1);
+    }
+
+    // What two have found out the third is told, of this run of the host alone.
+    let host = HostId(0x0a00_0001_1f90);
+    for place in &places {
+        for i in 0..8 {
+            let (host, used_by) = (HostId(host.0 + i), UsedBy::Location(LocationId(0)));
+            place.send(ToFleet::Listed { host, since: Some(Time(5)), used_by });
+        }
+    }
+    places[..2].iter().for_each(|place| place.send(found(host)));
+    until("the third is told of the host", 5, || {
+        places[2]
+            .seen
+            .lock()
+            .unwrap()
+            .hearsay
+            .iter()
+            .any(|(h, since, _)| (*h, *since) == (host, Some(Time(5))))
+    });
+
+    // What went to all went to the follower too.
+    until("the follower has an item of each", 5, || {
+        let text = std::fs::read_to_string(events.path()).unwrap();
+        let lines = text.lines().map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap());
+        let items: Vec<_> = lines.filter(|line| line["e"] == "deliver" && line["me"] == "f1").collect();
+        ["d1", "d2"]
+            .iter()
+            .all(|source| items.iter().any(|item| item["source"] == **source && item["n"] == 1))
+    });
+
+    // An order that makes no sense is refused with one line.
+    let orders = [
+        r#"{"order":"start"}"#,
+        r#"{"order":"up"}"#,
+        r#"{"order":"resume","now":1}"#,
+        "{",
+        r#"{"order":"halt"}"#,
+    ];
+    for order in orders {
+        let answer = places[0].http("POST /rollout", order);
+        let body = answer.split("\r\n\r\n").nth(1).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 400") && body.lines().count() == 1, "{order}: {answer}");
+    }
+
+    relays.iter().for_each(|relay| relay.cut.store(true, SeqCst));
+    until("two know that the third is gone", 30, || {
+        places[..2].iter().all(|place| place.standings() == ["d1:alive", "d2:alive", "d3:dead"])
+    });
+    until("the third holds its own links for the trouble", 10, || places[2].has_line("own links are bad"));
+
+    // A second process under a listed name: the first takes no part any more, and uses nothing.
+    let second = Place::start(second_run);
+    until("the first run steps down", 20, || places[0].status()["stepped_down"] == true);
+    assert_eq!(places[0].part_at(Instant::now()), 0.0);
+    drop(second);
+
+    // One that ends says so.
+    places[1].peers.take();
+    assert!(places[1].has_line("d1 is"));
+}
+
+#[test]
+fn bad_datagrams_change_nothing() {
+    let (sets, _relays) = three();
+    let at = sets[0].listen;
+    let places: Vec<Place> = sets.into_iter().take(2).map(Place::start).collect();
+    until("two know each other", 10, || {
+        places[..2].iter().all(|place| place.standings() == ["d1:alive", "d2:alive", "d3:unheard"])
+    });
+    let before = places[0].status();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64;
+    let mut chance = Pcg64Mcg::seed_from_u64(11);
+    let (d2, mine) = (MemberId::of("d2"), before["inc"].as_u64().unwrap());
+    for round in 0..4_000 {
+        let length = chance.gen_range(0..if round % 50 == 0 { 32_000 } else { 200 });
+        let payload: Vec<u8> = (0..length).map(|_| chance.gen()).collect();
+        let fleet = ["shop", "mall"][usize::from(chance.gen_bool(0.3))];
+        let from = [d2, MemberId(chance.gen()), MemberId::of("d1")][chance.gen_range(0..3)];
+        // Of a run before, of the future, or of no kind that is known: whatever they say is void.
+        let (incarnation, kind) =
+            [(1, 1), (u64::MAX, 1), (unix * 2, 2), (mine, 99), (7, 3)][chance.gen_range(0..5)];
+        let location = Some(LocationId(chance.gen_range(0..2)));
+        let reads = 2;
+        let incarnation = Incarnation(incarnation);
+        let envelope = Envelope { reads, fleet, from, incarnation, location, kind, payload: &payload };
+        let mut bytes = encode(chance.gen_range(1..=2), &envelope).unwrap();
+        if chance.gen_bool(0.5) {
+            let place = chance.gen_range(0..bytes.len().min(60));
+            bytes[place] = chance.gen();
+        }
+        if chance.gen_bool(0.2) {
+            bytes = payload;
+        }
+        let _ = socket.send_to(&bytes, at);
+        if round % 40 == 0 {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let after = places[0].status();
+    assert!(after["refused"].as_u64().unwrap() > 1_000, "{after}");
+    for what in ["members", "rollout", "stepped_down", "own_trouble"] {
+        assert_eq!(before[what], after[what], "{what}");
+    }
+    let lines = places[0].seen.lock().unwrap().lines.clone();
+    assert!(lines.iter().filter(|line| line.contains("not taken (link")).count() <= 40, "{lines:#?}");
+}
