--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,8 +3,9 @@
 //! pulls decisions with `next` until there is none. The values are in `calls`, the settings in `settings`.
 //! The ordinary path is the semi-hashing rule of Ni et al.; docs/design.md lists every exception to it.
 use crate::calls::*;
+use crate::containers::Mean;
 use crate::ids::*;
-use crate::settings::{Effect, Group, Settings};
+use crate::settings::{Effect::*, Group, Settings};
 pub use crate::state::Brain;
 use crate::state::{Choice, Due, Gate, Host, Open, Sent};
 use crate::time::{Span, Time};
@@ -31,9 +32,11 @@
 const BAD_LEAST: f64 = 0.35;
 const BAD_OVER_PEERS: f64 = 5.0;
 const BAD_ALONE: f64 = 0.75;
-const BAD_WEIGHT: [f64; 2] = [0.12, 0.15];
+pub(crate) const BAD_WEIGHT: [f64; 2] = [0.12, 0.15];
 const ERRORS_ALIKE: usize = 2;
 pub(crate) const TRIALS_TO_OPEN: u32 = 3;
+// For so long a good answer of its own is worth more than what others say.
+const OWN_WORD: Span = Span::millis(2_000);
 const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.7;
@@ -119,15 +122,6 @@
         self.waiting.push_back(visit.id);
     }
 
-    /// An earlier try of a visit that has just arrived may have run, sent then and to that host. Guards
-    /// against a repeat past the group that drops it, after a dispatcher's end; harms only where that try
-    /// never ran.
-    pub fn ran_before(&mut self, id: VisitId, at: Time, host: HostId) {
-        if let Some(open) = self.visits.get_mut(&id) {
-            open.may_have_run = Some((at, host));
-        }
-    }
-
     pub fn ended(&mut self, now: Time, end: Ended) {
         let Some(sent) = self.sent.remove(&(end.visit, end.number)) else { return };
         let by_cache = self.hosts.get(&sent.host).is_some_and(|h| self.is_cache(h));
@@ -138,8 +132,7 @@
             self.copies.entry(sent.copy).or_default().settled = Some(now);
         }
         if end.last {
-            self.left(end.visit);
-            return;
+            return self.left(end.visit);
         }
         let Some(open) = self.visits.get_mut(&end.visit) else { return };
         open.out = open.out.saturating_sub(1);
@@ -168,17 +161,11 @@
         } else if matches!(end.outcome, Outcome::Settled | Outcome::Miss) {
             for sent in std::mem::take(&mut open.errors) {
                 self.judge(now, sent.at, sent.host, true, BAD_WEIGHT[0]);
-                if let Some(source) = sent.source {
-                    self.judge(now, sent.at, source, true, BAD_WEIGHT[1]);
-                }
+                sent.source.into_iter().for_each(|id| self.judge(now, sent.at, id, true, BAD_WEIGHT[1]));
             }
         }
     }
 
-    pub fn purged(&mut self, now: Time, group: GroupId, object: Option<ObjectId>, ago: Span) {
-        self.purges.note(group, object, now - ago);
-    }
-
     pub fn woken(&mut self, now: Time) {
         while let Some(due) = self.due.pop(now) {
             match due {
@@ -235,8 +222,7 @@
         let late = now + ANSWER_MARGIN >= visit.hard_limit;
         let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.may_repeat(now));
         if late || used_up || !self.may_go_again(now, id) {
-            self.give_up(id);
-            return;
+            return self.give_up(id);
         }
         let writes = self.band(visit.band).is_some_and(|band| band.writes);
         let choice = if writes { self.choose_for_write(now, visit) } else { self.choose(now, visit) };
@@ -252,8 +238,8 @@
         let Some(open) = self.visits.get(&id) else { return false };
         let Some((first, _)) = open.may_have_run else { return true };
         match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Idempotent) => true,
-            Some(Effect::Deduplicated { memory, .. }) => now + ANSWER_MARGIN < first + memory,
+            Some(Idempotent) => true,
+            Some(Deduplicated { memory, .. }) => now + ANSWER_MARGIN < first + memory,
             _ => false,
         }
     }
@@ -267,12 +253,10 @@
         let both = self.hosts.get(&first).zip(self.hosts.get(&host));
         let alike = |same: fn(&Host, &Host) -> bool| both.is_some_and(|(a, b)| same(a, b));
         match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Deduplicated { group: Group::Location, .. }) => {
+            Some(Deduplicated { group: Group::Location, .. }) => {
                 alike(|a, b| a.entry.location == b.entry.location)
             }
-            Some(Effect::Deduplicated { group: Group::Cell, .. }) => {
-                alike(|a, b| a.entry.cell == b.entry.cell)
-            }
+            Some(Deduplicated { group: Group::Cell, .. }) => alike(|a, b| a.entry.cell == b.entry.cell),
             _ => true,
         }
     }
@@ -282,7 +266,7 @@
         let Some(open) = self.visits.get(&id) else { return };
         let may_have_run = open.may_have_run.is_some() || open.out > 0;
         let harmless = match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. }) => true,
+            Some(Idempotent | Deduplicated { group: Group::All, .. }) => true,
             _ => !may_have_run,
         };
         self.further.level += open.errors.len().saturating_sub(1) as f64;
@@ -678,7 +662,14 @@
         };
         shut.tried(now, failed, REST);
         if shut.passed >= TRIALS_TO_OPEN {
-            let anew = host.back(now);
+            (host.shut, host.bad) = (None, Mean::default());
+            host.told.iter_mut().for_each(|told| told.passed = told.passed.max(TRIALS_TO_OPEN));
+            // Guards against a process that is new, and cold, before the list tells so: its connections broke
+            // or were refused. Harms a host that only lost its connections: it has a cold one's part until it
+            // would be warm.
+            let anew = std::mem::take(&mut host.broke);
+            host.anew = Some(now).filter(|_| anew);
+            host.entry.since = host.anew.or(host.entry.since);
             let how = if anew { "anew " } else { "" };
             self.log(format!("host {:x} back {how}after {TRIALS_TO_OPEN} good trials", id.0));
         }
@@ -702,14 +693,28 @@
     /// to at once. Harms a good host of which wrong is told: it has trials alone until three went well or
     /// that is over, or a cold one's part.
     pub fn hearsay(&mut self, now: Time, id: HostId, since: Option<Time>, word: Word, until: Time) {
-        if self.heeds(now, id, since, word, until) {
+        let Some(host) = self.told(now, word, (id, since, until)) else { return };
+        let own = host.good.is_some_and(|at| now < at + OWN_WORD);
+        if word == Word::Anew {
+            host.entry.since = Some(now);
+        } else if !own && !host.told.is_some_and(|told| told.is_refuted(now)) {
             self.shut_out(now, id, Bad::Told, "told by others".into());
         }
     }
 
+    /// What shut a host out by others' word alone does so no longer once that is over. Guards against word
+    /// that is older than those who gave it would bear.
+    fn untold(&mut self, now: Time, id: HostId) {
+        let over = self.is_told_out(now, id);
+        let Some(host) = self.hosts.get_mut(&id).filter(|_| over) else { return };
+        if host.shut.take_if(|shut| shut.why == Bad::Told).is_some() {
+            self.log(format!("host {:x} back: others' word on it is over", id.0));
+        }
+    }
+
     /// Calls off what is out at a host that is not expected to answer, where a repeat does no harm.
     fn call_off(&mut self, id: HostId) {
-        let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Effect::Idempotent);
+        let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Idempotent);
         let out = self.sent.iter().filter(|(_, s)| self.set.cancel && s.host == id && harmless(s.band));
         let out: Vec<_> = out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }).collect();
         self.ready.extend(out);
@@ -736,12 +741,8 @@
         let asked = self.hosts.values().filter(|h| h.is_ready() && (self.is_parent(h) || self.is_origin(h)));
         let mut asked: Vec<_> = asked.map(|h| (h.busy.map(|(at, _)| at), h.entry.host)).collect();
         asked.sort();
-        for (_, host) in asked {
-            if !self.probes.take(1.0) {
-                break;
-            }
-            self.ready.push_back(Decision::Probe { host });
-        }
+        let paid = asked.into_iter().take_while(|_| self.probes.take(1.0));
+        self.ready.extend(paid.map(|(_, host)| Decision::Probe { host }));
     }
 
     fn each_second(&mut self, now: Time) {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -5,10 +5,8 @@
 use crate::containers::Bucket;
 use crate::ids::HostId;
 use crate::state::{Due, Host, Sent, Shut};
-use crate::time::{Span, Time};
+use crate::time::Time;
 
-/// For so long a good answer of its own is worth more than what others say.
-const OWN_WORD: Span = Span::millis(2_000);
 /// An amount past it is none that could be used up.
 const AMOUNT_MOST: f64 = 1e9;
 
@@ -22,7 +20,7 @@
 }
 
 impl Told {
-    fn is_refuted(&self, now: Time) -> bool {
+    pub(crate) fn is_refuted(&self, now: Time) -> bool {
         now < self.until && self.passed >= TRIALS_TO_OPEN
     }
 }
@@ -136,53 +134,42 @@
         self.has_part(chance)
     }
 
-    /// Notes others' word on a host and tells whether that alone shuts it out: not within two seconds of an
-    /// own good answer, nor once three in a row came while it held, nor where there is no other host to go
-    /// to.
-    pub(crate) fn heeds(
+    /// Notes others' word on a host as it is listed; word on another process than the present one says
+    /// nothing, nor that a host is bad where there is no other.
+    pub(crate) fn told(
         &mut self,
         now: Time,
-        id: HostId,
-        since: Option<Time>,
         word: Word,
-        until: Time,
-    ) -> bool {
+        of: (HostId, Option<Time>, Time),
+    ) -> Option<&mut Host> {
+        let (id, since, until) = of;
         let known = self.hosts.get(&id).filter(|h| !h.is_gone() && (self.is_cache(h) || self.is_parent(h)));
-        // Word on another process than the present one says nothing.
-        let Some(host) = known.filter(|h| h.listed == since && h.entry.since == since) else { return false };
-        let refuted = host.told.is_some_and(|told| told.is_refuted(now));
-        let own = refuted || host.good.is_some_and(|at| now < at + OWN_WORD);
-        let alone = self.peers(id).next().is_none();
-        let Some(host) = self.hosts.get_mut(&id) else { return false };
+        known.filter(|h| h.listed == since && h.entry.since == since && now < until)?;
         if word == Word::Anew {
-            // Until the list tells when: it has a cold one's part.
-            host.entry.since = Some(now).filter(|_| now < until).or(since);
-            return false;
+            return self.hosts.get_mut(&id);
         }
+        self.peers(id).next()?;
+        let host = self.hosts.get_mut(&id)?;
         let passed = host.told.filter(|told| now < told.until).map_or(0, |told| told.passed);
         let due = host.told.map(|told| told.due).filter(|due| *due <= until);
         if due.is_none() {
             self.due.put(until, Due::Told(id));
         }
         host.told = Some(Told { until, due: due.unwrap_or(until), passed });
-        now < until && !own && !alone
+        Some(host)
     }
 
-    /// What others told of a host may be over: what shut it out alone does so no longer then. Guards against
-    /// word that is older than those who gave it would bear.
-    pub(crate) fn untold(&mut self, now: Time, id: HostId) {
-        let Some(host) = self.hosts.get_mut(&id) else { return };
-        let Some(told) = host.told.as_mut().filter(|told| told.due <= now) else { return };
+    /// Whether what others told of a host has come to its end.
+    pub(crate) fn is_told_out(&mut self, now: Time, id: HostId) -> bool {
+        let Some(host) = self.hosts.get_mut(&id) else { return false };
+        let Some(told) = host.told.as_mut().filter(|told| told.due <= now) else { return false };
         if now < told.until {
             told.due = told.until;
             self.due.put(told.until, Due::Told(id));
-            return;
+            return false;
         }
         host.told = None;
-        if host.shut.is_some_and(|shut| shut.why == Bad::Told) {
-            host.shut = None;
-            self.log(format!("host {:x} back: others' word on it is over", id.0));
-        }
+        true
     }
 
     /// What this dispatcher finds of hosts now by what it saw itself; nothing that it was only told.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
 //! What an instance remembers of hosts, objects, bands, visits and hand-offs: plain fields only.
-use crate::brain::{FORGET, TRIALS_TO_OPEN};
+use crate::brain::{BAD_WEIGHT, FORGET};
 use crate::calls::{Bad, Decision, Fill, Listing, Phase, Shared, Visit};
 use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
 use crate::ids::{BandId, GroupId, HandOffNo, HostId, ObjectId, VisitId};
@@ -11,9 +11,6 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
-/// How many hand-offs the share of failures speaks of, about.
-const LAST: u32 = 8;
-
 /// An open circuit breaker: when the next trial visit may go, and how many trials in a row went well.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shut {
@@ -133,7 +130,7 @@
 
     /// Opens its breaker. It stands on what is out there, or on what failed of those last counted.
     pub fn shut(&mut self, now: Time, rest: Span, why: Bad) {
-        let failed = self.bad.value * f64::from(self.bad.seen.min(LAST));
+        let failed = self.bad.value * f64::from(self.bad.seen).min(1.0 / BAD_WEIGHT[0]);
         let evidence = match why {
             Bad::Silent => self.in_flight,
             Bad::Fails => failed.ceil() as u32,
@@ -143,17 +140,6 @@
         self.shut = Some(Shut { since: now, next_trial, rest, passed: 0, why, evidence, at: now });
     }
 
-    /// Closes its breaker after good trials, and tells whether it is back anew. Guards against a process that
-    /// is new, and cold, before the list tells so: its connections broke or were refused. Harms a host that
-    /// only lost its connections: it has a cold one's part until it would be warm.
-    pub fn back(&mut self, now: Time) -> bool {
-        (self.shut, self.bad) = (None, Mean::default());
-        self.told.iter_mut().for_each(|told| told.passed = told.passed.max(TRIALS_TO_OPEN));
-        self.anew = Some(now).filter(|_| std::mem::take(&mut self.broke));
-        self.entry.since = self.anew.or(self.entry.since);
-        self.anew.is_some()
-    }
-
     /// Whether others' word on it holds.
     pub fn is_told(&self, now: Time) -> bool {
         self.told.is_some_and(|told| now < told.until)
@@ -365,6 +351,17 @@
         }
     }
 
+    /// An earlier try of a visit that has just arrived may have run, sent then and to that host. Guards
+    /// against a repeat past the group that drops it, after a dispatcher's end; harms only where that try
+    /// never ran.
+    pub fn ran_before(&mut self, id: VisitId, at: Time, host: HostId) {
+        self.visits.get_mut(&id).into_iter().for_each(|open| open.may_have_run = Some((at, host)));
+    }
+
+    pub fn purged(&mut self, now: Time, group: GroupId, object: Option<ObjectId>, ago: Span) {
+        self.purges.note(group, object, now - ago);
+    }
+
     /// Counts a hand-off in (1) or out (-1): at its host; its likely fill at source, part and both limits.
     pub(crate) fn count(&mut self, sent: &Sent, by: i32) {
         if let Some(host) = self.hosts.get_mut(&sent.host) {
