Dispatcher: the fleet at work beside the router, by the operators' section

Without the section there is no thread and no call. Others' word can be taken back again, also of a process that is known to be new by now.

--- a/crates/dispatcher/src/inbox.rs
+++ b/crates/dispatcher/src/inbox.rs
@@ -1,4 +1,4 @@
-//! The router's mailbox: what clients, hosts, the change log, signals and the store tell it. It lies below all of
+//! The router's mailbox: what clients, hosts, the change log, signals, the store and the fleet tell it. It lies below all of
 //! them and knows none, so that none of them knows the router.
 use crate::bounds::Held;
 use crate::ids::{ClientId, HandOffId, ProbeNo};
@@ -9,6 +9,7 @@
 use cherrypass::time::Time;
 use cherrypass_keep::purges::Purge;
 use cherrypass_keep::visits::Taken;
+use cherrypass_peers::FromFleet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -19,6 +20,7 @@
     Changed(Change),
     /// What the store made of a hand-off's record.
     Recorded(HandOffId, Taken),
+    Fleet(FromFleet),
     Stop,
 }
 
--- a/crates/dispatcher/src/keeping.rs
+++ b/crates/dispatcher/src/keeping.rs
@@ -65,6 +65,10 @@
         Kept { store, set, failing: Arc::default() }
     }
 
+    pub fn store(&self) -> Option<Arc<Store>> {
+        self.store.clone()
+    }
+
     /// A planned end.
     pub fn end(&self) {
         match self.store.as_ref().map(|store| store.mark()) {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod resp;
 pub mod router;
 pub mod serve;
+pub mod sharing;
 pub mod signals;
 pub mod spent;
 pub mod store_commands;
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -2,7 +2,7 @@
 use cherrypass_dispatcher::config::{Config, Error};
 use cherrypass_dispatcher::keeping::Kept;
 use cherrypass_dispatcher::serve::Dispatcher;
-use cherrypass_dispatcher::{logger, signals, store_commands};
+use cherrypass_dispatcher::{logger, sharing, signals, store_commands};
 use cherrypass_operator as operator;
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -116,8 +116,16 @@
             return bad(error);
         }
     };
+    let fleet = operator.fleet.map(|fleet| sharing::set(&fleet, &config).map(|set| (fleet, set)));
+    let fleet = match fleet.transpose() {
+        Ok(fleet) => fleet,
+        Err(error) => {
+            drop(log);
+            return bad(error);
+        }
+    };
     let listen = config.listen;
-    let started = Dispatcher::start(config.clone(), kept.clone()).and_then(|(dispatcher, tell)| {
+    let started = Dispatcher::start(config.clone(), kept.clone(), fleet).and_then(|(dispatcher, tell)| {
         config.known = serde_json::Value::Null;
         if let Some(kept) = &kept {
             kept.in_force(&path, &text);
@@ -163,6 +171,9 @@
         Some(store) => println!("store in {}: hand-offs {:?}", store.dir.display(), store.hand_offs),
         None => println!("no store"),
     }
+    if let Some(Err(error)) = operator.fleet.as_ref().map(|fleet| sharing::set(fleet, &config)) {
+        return bad(error);
+    }
     match operator.fleet {
         Some(fleet) => println!(
             "fleet {} as {} on {}: {} members, {} followers; limits {}, verdicts {}, rollout {}",
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -13,6 +13,7 @@
 use crate::mailbox;
 use crate::msgpack::{self, Asked, Parts};
 use crate::resp::Answer;
+use crate::sharing::Sharing;
 use crate::spent::Spent;
 use bytes::Bytes;
 use cherrypass::brain::Brain;
@@ -69,6 +70,7 @@
     id: u32,
     band: BandId,
     asked: Asked,
+    came: Time,
     read: Time,
     hand_offs: u8,
     busy: Held,
@@ -125,6 +127,8 @@
     sweeps: u32,
     done: bool,
     keeper: Option<Keeper>,
+    /// Where other dispatchers are known.
+    sharing: Option<Sharing>,
 }
 
 impl Asked {
@@ -167,6 +171,7 @@
             sweeps: 0,
             done: false,
             keeper: None,
+            sharing: None,
         })
     }
 
@@ -177,6 +182,12 @@
         self.keeper = Some(keeper);
     }
 
+    /// From here on limits and what is found of hosts are shared.
+    pub fn share(&mut self, mut sharing: Sharing) {
+        sharing.begin(&mut self.brain);
+        self.sharing = Some(sharing);
+    }
+
     fn purged(&mut self, now: Time, purge: &Purge) {
         if let Some(keeper) = &self.keeper {
             keeper.purged(now, purge);
@@ -189,8 +200,9 @@
         self.pull();
         while !self.done {
             let now = clock::now();
-            let wait = self.due.first().map_or(SWEEP, |at| at - now);
-            if let Some(input) = mailbox::next_within(&self.mailboxes, clock::duration(wait)) {
+            let wait = clock::duration(self.due.first().map_or(SWEEP, |at| at - now));
+            let wait = self.sharing.as_ref().map_or(wait, |sharing| wait.min(sharing.wait()));
+            if let Some(input) = mailbox::next_within(&self.mailboxes, wait) {
                 self.take(input);
                 self.pull();
             }
@@ -205,6 +217,9 @@
                 }
             }
             self.fire();
+            if let Some(sharing) = self.sharing.as_mut().filter(|sharing| sharing.wait().is_zero()) {
+                sharing.round(&mut self.brain);
+            }
             self.pull();
         }
     }
@@ -249,6 +264,11 @@
             Input::Probed(number, report) => self.probed(number, report),
             Input::Changed(change) => self.changed(change),
             Input::Recorded(id, taken) => self.recorded(id, taken),
+            Input::Fleet(what) => {
+                if let Some(sharing) = &mut self.sharing {
+                    sharing.take(&mut self.brain, what);
+                }
+            }
             Input::Stop => {
                 let now = clock::now();
                 if self.stopping.is_none() {
@@ -335,6 +355,7 @@
             return;
         };
         if self.kept + asked.weight() > self.config.kept {
+            self.sharing.iter_mut().for_each(Sharing::turned_back);
             self.answer(client, msgpack::turned_back(id, Span::ZERO), None, Some(busy));
             return;
         }
@@ -352,7 +373,8 @@
             kilobytes: None,
             hard_limit: at + asked.limit,
         };
-        let open = Open { client, id, band: BandId(band as u8), asked, read: at, hand_offs: 0, busy };
+        let open =
+            Open { client, id, band: BandId(band as u8), asked, came: at, read: at, hand_offs: 0, busy };
         let before = self.keeper.as_ref().and_then(|keeper| keeper.visits.arrived(at, open.name()));
         self.visits.insert(visit, open);
         self.spent.open_most.fetch_max(self.visits.len(), Relaxed);
@@ -386,6 +408,9 @@
     /// The final answer of a visit, unless it has left.
     fn finish(&mut self, visit: VisitId, parts: impl FnOnce(u32) -> Parts, from: Option<(Time, Held)>) {
         let Some(open) = self.close(visit, from.is_some()) else { return };
+        if let (Some(sharing), Some((at, _))) = (&mut self.sharing, &from) {
+            sharing.settled(&self.brain, open.band, *at - open.came);
+        }
         if let Some(known) = self.clients.get_mut(&open.client) {
             known.open.remove(&open.id);
         }
@@ -440,9 +465,13 @@
                 }
                 Decision::Cancel { visit, number } => self.stop(HandOffId(visit, number), Outcome::Cancelled),
                 Decision::TurnBack { visit, come_back } => {
+                    self.sharing.iter_mut().for_each(Sharing::turned_back);
                     self.finish(visit, |id| msgpack::turned_back(id, come_back), None);
                 }
-                Decision::WriteOff { visit } => self.finish(visit, msgpack::written_off, None),
+                Decision::WriteOff { visit } => {
+                    self.sharing.iter_mut().for_each(Sharing::written_off);
+                    self.finish(visit, msgpack::written_off, None);
+                }
                 Decision::Wake { after } => self.due.put(now + after, Due::Wake),
                 Decision::Probe { host } => self.probe(now, host),
                 Decision::Log(line) => tracing::info!("module: {line}"),
@@ -468,6 +497,7 @@
 
     fn hand_off(&mut self, now: Time, visit: VisitId, host: HostId, until: Time, fill: Option<Fill>) {
         let Some(open) = self.visits.get_mut(&visit) else { return };
+        self.sharing.iter_mut().for_each(Sharing::handed_off);
         let id = HandOffId(visit, HandOffNo(open.hand_offs));
         open.hand_offs = open.hand_offs.saturating_add(1);
         let read = std::mem::replace(&mut open.read, now);
@@ -552,6 +582,9 @@
                 }
                 hosts.into_iter().for_each(|host| self.listed(host));
                 self.brain.listed(now, &entries, whole);
+                if let Some(sharing) = &mut self.sharing {
+                    entries.iter().for_each(|entry| sharing.listed(&mut self.brain, entry));
+                }
             }
             Change::Purge(purge) => self.purged(now, &purge),
         }
@@ -560,6 +593,7 @@
     /// Nothing is kept for a host that has gone; its actor ends by itself once nothing is out there.
     fn retire(&mut self, id: HostId) {
         if let Some(known) = self.hosts.remove(&id) {
+            self.sharing.iter_mut().for_each(|sharing| sharing.unlisted(id, true));
             let _ = known.mailbox.send(ToHost::Retire);
         }
     }
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -3,9 +3,12 @@
 use crate::keeping::{Keeper, Kept};
 use crate::line::spawn;
 use crate::router::Router;
+use crate::sharing::Sharing;
 use crate::signals::Signalled;
 use crate::{changes, clients};
 use cherrypass::time::Span;
+use cherrypass_operator::Fleet;
+use cherrypass_peers as peers;
 use crossbeam_channel::{bounded, unbounded};
 use std::io;
 use std::net::TcpListener;
@@ -21,7 +24,12 @@
 const PATIENCE_LEAST: Span = Span::millis(1_000);
 
 impl Dispatcher {
-    pub fn start(mut config: Config, kept: Option<Kept>) -> io::Result<(Dispatcher, Signalled)> {
+    /// `fleet`: the section and what it comes to.
+    pub fn start(
+        mut config: Config,
+        kept: Option<Kept>,
+        fleet: Option<(Fleet, peers::Set)>,
+    ) -> io::Result<(Dispatcher, Signalled)> {
         let listener = TcpListener::bind(config.listen)?;
         let (own, mailbox) = unbounded();
         let (clients_own, clients) = bounded(CLIENTS);
@@ -34,9 +42,14 @@
         }
         tracing::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
         let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients])?;
+        let store = kept.as_ref().and_then(Kept::store);
         if let Some(kept) = kept {
             router.keep(Keeper::start(kept, &config.settings, own.clone()));
         }
+        if let Some((fleet, set)) = fleet {
+            let sharing = Sharing::start(&fleet, set, &config.settings, store, own.clone());
+            router.share(sharing.map_err(io::Error::other)?);
+        }
         known.into_iter().for_each(|change| router.changed(change));
         let changes_own = own.clone();
         let patience = config.longest().max(PATIENCE_LEAST);
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -144,7 +144,15 @@
     ) -> Option<&mut Host> {
         let (id, since, until) = of;
         let known = self.hosts.get(&id).filter(|h| !h.is_gone() && (self.is_cache(h) || self.is_parent(h)));
-        known.filter(|h| h.listed == since && h.entry.since == since && now < until)?;
+        let present = known.filter(|h| h.listed == since)?.entry.since == since;
+        if now >= until {
+            // It is taken back, also where the process is known to be new by now.
+            let told = self.hosts.get_mut(&id)?.told.as_mut()?;
+            (told.until, told.due) = (until, until);
+            self.due.put(until, Due::Told(id));
+            return None;
+        }
+        Some(()).filter(|()| present)?;
         if word == Word::Anew {
             return self.hosts.get_mut(&id);
         }
@@ -196,6 +204,10 @@
         self.hosts.values().filter(refuted).map(|host| host.entry.host)
     }
 
+    pub fn is_listed(&self, id: HostId) -> bool {
+        self.hosts.get(&id).is_some_and(|host| !host.is_gone())
+    }
+
     /// Hosts that are shut out now, and why.
     pub fn shut_out_now(&self) -> impl Iterator<Item = (HostId, Bad)> + '_ {
         self.hosts.values().filter_map(|host| Some((host.entry.host, host.shut?.why)))
--- a/src/state.rs
+++ b/src/state.rs
@@ -419,7 +419,7 @@
     }
 
     /// The quoted time of a band's mean visit, in seconds.
-    pub(crate) fn quoted(&self, id: BandId) -> f64 {
+    pub fn quoted(&self, id: BandId) -> f64 {
         self.band(id).map_or(1.0, |b| b.quoted.as_seconds() + b.stretch * self.sending(id))
     }
 
