--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,4 +8,10 @@
 #![forbid(unsafe_code)]
 
 pub mod common;
+pub mod feed;
+pub mod house;
+pub mod limits;
 pub mod made;
+pub mod members;
+pub mod rollout;
+pub mod verdicts;
