--- a/crates/faultbed/src/clients.rs
+++ b/crates/faultbed/src/clients.rs
@@ -14,6 +14,10 @@
 pub const BANDS: [(&str, u64); 3] = [("read", 2_000), ("order", 1_000), ("once", 1_000)];
 const CONNECTIONS: usize = 4;
 const OPEN_MOST: usize = 30;
+/// Past so many open another connection is opened.
+const BUSY: usize = 8;
+/// What is open at the end has its time, and a busy machine's.
+const LAST_ANSWERS: Duration = Duration::from_millis(4_000);
 
 /// What is asked.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +31,7 @@
     /// Visits in 1,000 s.
     rate: Arc<AtomicU64>,
     ended: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
 }
 
 struct Connection {
@@ -48,9 +53,10 @@
         notes: Notes,
         numbers: Numbers,
     ) -> Load {
-        let load = Load { rate: Arc::new(AtomicU64::new((rate * 1e3) as u64)), ended: Arc::default() };
+        let rate = Arc::new(AtomicU64::new((rate * 1e3) as u64));
+        let mut load = Load { rate, ended: Arc::default(), thread: None };
         let (rate, ended) = (load.rate.clone(), load.ended.clone());
-        std::thread::spawn(move || {
+        let run = move || {
             let mut chance = Pcg64Mcg::seed_from_u64(seed);
             let mut connections: Vec<Connection> = Vec::new();
             let mut due = Instant::now();
@@ -64,7 +70,9 @@
                 due += Duration::from_secs_f64(-(1.0 - chance.gen::<f64>()).ln() / rate);
                 std::thread::sleep(due.saturating_duration_since(Instant::now()));
                 connections.retain(|connection| !connection.closed.load(SeqCst));
-                if connections.len() < CONNECTIONS {
+                // One that is opened and not used would be taken for mute.
+                let full = connections.iter().all(|connection| connection.waiting() >= BUSY);
+                if full && connections.len() < CONNECTIONS {
                     connections.extend(Connection::open(address, &notes));
                 }
                 let visit = numbers.fetch_add(1, SeqCst);
@@ -86,10 +94,13 @@
                     }
                 }
             }
-            // What is open still has its time.
-            std::thread::sleep(Duration::from_millis(2_200));
+            let until = Instant::now() + LAST_ANSWERS;
+            while connections.iter().any(|connection| connection.waiting() > 0) && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(10));
+            }
             connections.iter().for_each(|connection| drop(connection.stream.shutdown(Shutdown::Both)));
-        });
+        };
+        load.thread = Some(std::thread::spawn(run));
         load
     }
 
@@ -100,6 +111,13 @@
     pub fn end(&self) {
         self.ended.store(true, SeqCst);
     }
+
+    /// Until what was open has had its answers, or its time is over.
+    pub fn join(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
 }
 
 impl Connection {
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -423,8 +423,7 @@
 
     fn end(mut self, span: (u64, u64)) -> Result<Played, Error> {
         self.dispatchers.values().for_each(|known| known.load.end());
-        // Every visit has had its time then.
-        std::thread::sleep(Duration::from_millis(2_400));
+        self.dispatchers.values_mut().for_each(|known| known.load.join());
         let names: Vec<String> = self.dispatchers.keys().cloned().collect();
         for name in &names {
             let stopped = self.dispatchers[name].away_since.is_some();
