--- a/crates/fleet/examples/members.rs
+++ b/crates/fleet/examples/members.rs
@@ -1,11 +1,12 @@
 //! Prints what docs/fleet-members.md states of the room of who is there: virtual time, a made network.
-//! `cargo run --release -p cherrypass-fleet --example members [deaths|loss|cuts|rates]`
+//! `cargo run --release -p cherrypass-fleet --example members [deaths|rates|cuts|masses|loss]`
 #[allow(dead_code)]
 #[path = "../tests/members/node.rs"]
 mod node;
 
 use cherrypass::time::Span;
 use cherrypass_fleet::common::MemberId;
+use cherrypass_fleet::made::Link;
 use cherrypass_fleet::members::Standing;
 use node::Fleet;
 use rand::seq::SliceRandom;
@@ -28,6 +29,9 @@
     if wanted("cuts") {
         cuts();
     }
+    if wanted("masses") {
+        masses();
+    }
     if wanted("loss") {
         loss();
     }
@@ -191,6 +195,75 @@
     }
 }
 
+/// Many at once: a part dies, the fleet is split and heals, all start, one has slow links.
+fn masses() {
+    let none = BTreeSet::new();
+    println!("\nMany at once: seconds p50 / p99 / worst until all agree with the truth");
+    for n in [9, 30, 300] {
+        let (mut starts, mut slow, mut late) = (Vec::new(), [0, 0, 0], Vec::new());
+        for seed in 0..seeds(n, 1500) {
+            let mut fleet = Fleet::new(seed, n);
+            starts.extend(fleet.until(LONG, |fleet| fleet.errors(&none).is_empty()));
+            let ids = fleet.ids();
+            let who = ids[0];
+            let link = Link { delay: [Span::millis(900), Span::millis(1_100)], ..Link::default() };
+            for id in &ids[1..] {
+                fleet.net.links.extend([((who, *id), link), ((*id, who), link)]);
+            }
+            fleet.run(LONG);
+            for id in &ids {
+                let node = fleet.net.node(*id).expect("runs");
+                slow[0] += node.held(Standing::Suspect);
+                slow[1] += node.held(Standing::Dead);
+                slow[2] += node.trouble.len();
+            }
+            fleet.net.links.clear();
+            late.extend(fleet.until(LONG, |fleet| fleet.errors(&none).is_empty()));
+        }
+        println!("{n:5} all start: {}", line(&mut starts));
+        println!(
+            "{n:5} one whose links take 1 s more each way, for 60 s: suspected {}, dead {}, own trouble told {}; agree {}",
+            slow[0], slow[1], slow[2], line(&mut late)
+        );
+        for part in [3, 2, 1] {
+            let (mut gone, mut wrong) = (Vec::new(), 0);
+            for seed in 0..seeds(n, 1500) {
+                let mut fleet = Fleet::new(seed, n);
+                fleet.run(Span::millis(10_000));
+                let ids = fleet.ids();
+                ids[..n * (4 - part) / 4].iter().for_each(|id| fleet.net.kill(*id));
+                let agree = fleet.until(LONG, |fleet| fleet.errors(&none).is_empty());
+                wrong += usize::from(agree.is_none());
+                gone.extend(agree);
+            }
+            println!("{n:5} {} of 4 die at once: {}; not within 60 s: {wrong}", 4 - part, line(&mut gone));
+        }
+        let (mut split, mut healed, mut wrong) = (Vec::new(), Vec::new(), 0);
+        for seed in 0..seeds(n, 1500) {
+            let mut fleet = Fleet::new(seed, n);
+            fleet.run(Span::millis(10_000));
+            let ids = fleet.ids();
+            let (one, other) = ids.split_at(n / 2);
+            let pairs = one.iter().flat_map(|a| other.iter().flat_map(move |b| [(*a, *b), (*b, *a)]));
+            fleet.net.cut.extend(pairs);
+            let dead = |fleet: &Fleet| {
+                one.iter().all(|id| fleet.holding(*id, Standing::Dead) == other.len())
+                    && other.iter().all(|id| fleet.holding(*id, Standing::Dead) == one.len())
+            };
+            split.extend(fleet.until(LONG, dead));
+            fleet.net.cut.clear();
+            let agree = fleet.until(LONG, |fleet| fleet.errors(&none).is_empty());
+            wrong += usize::from(agree.is_none());
+            healed.extend(agree);
+        }
+        println!(
+            "{n:5} split in half: each holds the other dead {}; healed {}; not within 60 s: {wrong}",
+            line(&mut split),
+            line(&mut healed)
+        );
+    }
+}
+
 /// Ten minutes at 20% loss, nobody dies.
 fn loss() {
     println!("\n20% lost, all running: suspicions held, held dead, own troubles, in sum over all members");
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -32,6 +32,8 @@
 const LATE: usize = 64;
 const MOST_READY: usize = 8192;
 const MOST_LINES: usize = 64;
+/// Compares of whole tables in the rounds after a start, a stand-still and own trouble.
+const COMPARE_SOON: u32 = 8;
 /// A count above it is void: guards against a word that its subject could not refute any more.
 const MOST_COUNT: u32 = 1 << 30;
 /// Checks of suspects at one waking; the others' turn comes with the next.
@@ -196,6 +198,8 @@
     number: u32,
     /// It has compared its table with another's since its start.
     joined: bool,
+    /// So many compares follow soon.
+    compare_soon: u32,
     trouble: bool,
     trouble_told: bool,
     stepped_down: bool,
@@ -243,6 +247,7 @@
             rounds,
             number: 0,
             joined: false,
+            compare_soon: COMPARE_SOON,
             trouble: false,
             trouble_told: false,
             stepped_down: false,
@@ -503,7 +508,7 @@
             for i in self.pick(self.set.through, &[], |_| true) {
                 self.ask_to_compare(i);
             }
-        } else if self.rounds.is_multiple_of(self.set.compare_every.max(1)) {
+        } else if self.is_to_compare() {
             for i in self.pick(1, &[], |standing| standing == Standing::Alive) {
                 self.ask_to_compare(i);
             }
@@ -521,6 +526,13 @@
         self.tell(self.table.entries[who].id, Body::Ask { number }, None);
     }
 
+    /// Often after a start, a stand-still and own trouble, else seldom.
+    fn is_to_compare(&mut self) -> bool {
+        let quick = self.compare_soon > 0 && self.rounds.is_multiple_of(2);
+        self.compare_soon -= u32::from(quick);
+        quick || self.rounds.is_multiple_of(self.set.compare_every.max(1))
+    }
+
     fn ask_to_compare(&mut self, i: usize) {
         let digest = self.table.digest();
         self.tell(self.table.entries[i].id, Body::Compare { digest }, None);
@@ -603,9 +615,7 @@
         if !bad {
             // What refutes a suspicion may have been lost meanwhile.
             self.wait_anew(self.woken);
-            for i in self.pick(self.set.through, &[], |standing| standing == Standing::Alive) {
-                self.ask_to_compare(i);
-            }
+            self.compare_soon = COMPARE_SOON;
         }
     }
 
@@ -727,11 +737,7 @@
         self.links.forget();
         self.wait_anew(now);
         self.heard = now;
-        if !self.is_silent() {
-            for i in self.pick(self.set.through, &[], |standing| standing == Standing::Alive) {
-                self.ask_to_compare(i);
-            }
-        }
+        self.compare_soon = COMPARE_SOON;
     }
 
     fn compare(&mut self, from: MemberId, digest: u64) {
