--- a/crates/fleet/examples/limits.rs
+++ b/crates/fleet/examples/limits.rs
@@ -1,4 +1,5 @@
-//! The tables of docs/fleet-limits.md, in virtual time: `cargo run --release -p cherrypass-fleet --example limits`.
+//! The tables of docs/fleet-limits.md, in virtual time: `cargo run --release -p cherrypass-fleet --example
+//! limits`.
 use cherrypass::time::{Span, Time};
 use cherrypass_fleet::common::{Incarnation, MemberId};
 use cherrypass_fleet::limits::{Effect, Key, Limits, Said, Set};
@@ -141,7 +142,7 @@
             .collect();
         println!("| {n} | {} |", shown(&mut times));
     }
-    println!("one had all, then all want all | n | all have 0.9 shares after | least, most share | mean messages/s");
+    println!("one had all, then all want all | n | all at 0.9 shares | least, most share | mean messages/s");
     for n in [8, 30, 100, 300] {
         let mut fleet = Fleet::new(n, 1, 0.0);
         fleet.need(0, WHOLE);
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -1,163 +1,48 @@
-//! Limits that hold for all members in sum. Each listed member owns an equal share of each limit, keeps a floor of it
-//! for good and lends what it does not need, by leases that run out. Nobody grants, so nothing fails over, and no
-//! store is needed: a start lends nothing until all that an earlier run may have lent has run out.
+//! Limits that hold for all members in sum. Each listed member owns an equal share of each limit, keeps a
+//! floor of it for good and lends what it does not need, by leases that run out. Nobody grants, so nothing
+//! fails over, and no store is needed: a start lends nothing until all that an earlier run may have lent has
+//! run out.
 //!
-//! Why the sum holds, the formulas for what can't be held, and the measured times are in docs/fleet-limits.md.
+//! Why the sum holds, the formulas for what can't be held, and the measured times are in
+//! docs/fleet-limits.md.
 use crate::common::{Incarnation, MemberId};
-use cherrypass::ids::HostId;
 use cherrypass::time::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Clocks of members run at most this much off true time.
-pub const DRIFT: f64 = 0.01;
-/// A lease may be used for this part of its span, from the ask on: two drifts, and one for the way from the look at
-/// the clock to the hand-off.
+mod limit;
+mod set;
+use limit::{Ask, Asker, Held, Lender, Limit, Loan};
+use set::SPAN_MOST;
+pub use set::{Key, Set, SetError, DRIFT};
+
+/// A lease may be used for this part of its span, from the ask on: two drifts, and one for the way from the
+/// look at the clock to the hand-off.
 const USABLE: f64 = 1.0 - 3.0 * DRIFT;
 /// Fewer hand-offs, or less of a rate, than this part of a share aren't lent.
 const LEAST: f64 = 1.0 / 64.0;
 /// What a lender keeps over its present need.
 const HEADROOM: f64 = 1.1;
-/// A need that isn't told again for so long is over.
-const NEED_HOLDS: Span = Span::millis(10_000);
 /// An ask not answered by then is lost; a later answer counts all the same.
 const ANSWER_WITHIN: Span = Span::millis(120);
 /// Doubled with each ask that brought nothing, six times at most.
 const BACKOFF: Span = Span::millis(100);
 const WAIT_MOST: Span = Span::millis(4_000);
-/// The longest lease and drain that settings may have, and that is taken from a peer.
-const SPAN_MOST: Span = Span::millis(600_000);
-
-/// What is limited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Key {
-    /// Hand-offs out at the origin at once.
-    Origin,
-    /// Repeated hand-offs a second.
-    Further,
-    /// Part of what a cold host may be given; the whole is 1.
-    Cold(HostId),
-}
-
-/// What holds for the whole fleet. All members must have the same.
-#[derive(Clone, Debug)]
-pub struct Set {
-    /// Hand-offs out at the origin at once, in sum; none: not limited here.
-    pub origin: Option<f64>,
-    /// Repeated hand-offs a second, in sum; none: not limited here.
-    pub further_per_s: Option<f64>,
-    /// Whether what cold hosts may be given is shared.
-    pub cold: bool,
-    pub lease: Span,
-    /// The part of a share that is never lent.
-    pub floor: f64,
-    /// The longest a hand-off may be out at the origin; what was begun under a lease may outlast it by this.
-    pub drain: Span,
-    /// For rates: as many seconds of a rate as a dispatcher may use up at once.
-    pub window: Span,
-    /// The caller's periodic timer.
-    pub round: Span,
-    /// Asks a round and key, at most.
-    pub asks: u32,
-    /// Cold hosts known at once by own need, and as many again by asks of others.
-    pub cold_keys: usize,
-}
-
-impl Default for Set {
-    fn default() -> Set {
-        Set {
-            origin: None,
-            further_per_s: None,
-            cold: false,
-            lease: Span::millis(2_000),
-            floor: 0.04,
-            drain: Span::millis(1_000),
-            window: Span::millis(1_000),
-            round: Span::millis(50),
-            asks: 32,
-            cold_keys: 64,
-        }
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
-pub enum SetError {
-    #[error("a whole of {0}: give a number above 0, or leave the limit out")]
-    Whole(f64),
-    #[error("a floor of {0}: give a part of a member's share, from 0 to 1")]
-    Floor(f64),
-    #[error("a lease of {0:?} at a round of {1:?}: give at least ten rounds, and at most ten minutes")]
-    Lease(Span, Span),
-    #[error("a drain or window of {0:?}: give at most ten minutes, the longest a hand-off may be out")]
-    Drain(Span),
-    #[error("this process isn't among the members listed: add it, or correct its name")]
-    NotListed,
-}
-
-impl SetError {
-    pub fn code(&self) -> &'static str {
-        match self {
-            SetError::Whole(_) => "limit-whole",
-            SetError::Floor(_) => "limit-floor",
-            SetError::Lease(..) => "limit-lease",
-            SetError::Drain(_) => "limit-drain",
-            SetError::NotListed => "limit-not-listed",
-        }
-    }
-}
-
-impl Set {
-    /// What `Limits::new` relies on. With other values it is safe all the same, but gives little or nothing.
-    pub fn check(&self, own: MemberId, listed: &[MemberId]) -> Result<(), SetError> {
-        for whole in [self.origin, self.further_per_s].into_iter().flatten() {
-            if !(whole > 0.0 && whole.is_finite()) {
-                return Err(SetError::Whole(whole));
-            }
-        }
-        if !(0.0..=1.0).contains(&self.floor) {
-            return Err(SetError::Floor(self.floor));
-        }
-        if self.lease > SPAN_MOST || self.lease.0 < self.round.0.saturating_mul(10) {
-            return Err(SetError::Lease(self.lease, self.round));
-        }
-        if let Some(long) = [self.drain, self.window].into_iter().find(|span| *span > SPAN_MOST) {
-            return Err(SetError::Drain(long));
-        }
-        if !listed.contains(&own) {
-            return Err(SetError::NotListed);
-        }
-        Ok(())
-    }
-
-    fn whole(&self, key: Key) -> Option<f64> {
-        match key {
-            Key::Origin => self.origin,
-            Key::Further => self.further_per_s,
-            Key::Cold(_) => self.cold.then_some(1.0),
-        }
-        .filter(|whole| whole.is_finite() && *whole > 0.0)
-    }
-
-    /// How long what was begun may be out, on a clock that may run fast.
-    fn drain(&self, key: Key) -> Span {
-        let drain = if key == Key::Origin { self.drain } else { self.window };
-        drain.min(SPAN_MOST).times(1.0 + 2.0 * DRIFT)
-    }
-}
 
 /// What goes between members. Spans are told, never points in time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Said {
     /// For so much, in place of what the asker holds of this member's already.
     Ask { incarnation: Incarnation, serial: u64, key: Key, amount: f64, span: Span },
-    /// The answer: so much for the span from the ask on, maybe nothing. `incarnation` is the asker's. `wait`: when to
-    /// ask again, if more may be had then.
+    /// The answer: so much for the span from the ask on, maybe nothing. `incarnation` is the asker's. `wait`:
+    /// when to ask again, if more may be had then.
     Lent { incarnation: Incarnation, serial: u64, key: Key, amount: f64, span: Span, wait: Option<Span> },
 }
 
-/// What the dispatcher may use: `amount` until `until` on its own clock, from then on `after`, with no further call.
+/// What the dispatcher may use: `amount` until `until` on its own clock, from then on `after`, with no
+/// further call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
     pub amount: f64,
@@ -202,118 +87,6 @@
     EachStep,
 }
 
-/// Amounts lent to one run of a member: it may hold any one of these, each until its time is over.
-#[derive(Clone, Debug, Default)]
-struct Loan {
-    steps: Vec<(Time, f64)>,
-}
-
-impl Loan {
-    fn most(&self) -> f64 {
-        self.steps.iter().fold(0.0, |most, step| step.1.max(most))
-    }
-
-    fn add(&mut self, until: Time, amount: f64) {
-        self.steps.retain(|step| step.0 > until || step.1 > amount);
-        self.steps.push((until, amount));
-    }
-}
-
-/// The last ask of a member.
-#[derive(Clone, Debug)]
-struct Asker {
-    incarnation: Incarnation,
-    serial: u64,
-    amount: f64,
-    at: Time,
-}
-
-#[derive(Clone, Debug)]
-struct Ask {
-    serial: u64,
-    at: Time,
-    amount: f64,
-}
-
-#[derive(Clone, Debug)]
-struct Held {
-    amount: f64,
-    until: Time,
-    renew: Time,
-}
-
-/// Another member, as one to borrow from.
-#[derive(Clone, Debug, Default)]
-struct Lender {
-    /// Late answers to the last few asks count too.
-    asked: VecDeque<Ask>,
-    /// What the ask that is out may bring; zero when none is.
-    hoped: f64,
-    next: Time,
-    fruitless: u32,
-    held: Option<Held>,
-}
-
-#[derive(Clone, Debug)]
-struct Limit {
-    whole: f64,
-    need: f64,
-    need_at: Time,
-    /// Whether own need made it known, or others' asks.
-    own: bool,
-    /// What of the own share is told to the dispatcher for its own use, and the most that may still be in use.
-    kept: f64,
-    high: f64,
-    /// `high` may fall to this, then.
-    falls: Option<(f64, Time)>,
-    told: Option<Part>,
-    to_tell: bool,
-    taken: bool,
-    lent: BTreeMap<(MemberId, Incarnation), Loan>,
-    askers: BTreeMap<MemberId, Asker>,
-    lenders: BTreeMap<MemberId, Lender>,
-    /// New asks a round, and what of them is left.
-    eager: f64,
-    credit: f64,
-}
-
-impl Limit {
-    fn lent(&self) -> f64 {
-        self.lent.values().map(Loan::most).sum()
-    }
-
-    fn forget(&mut self, now: Time, lease: Span) {
-        self.lent.retain(|_, loan| {
-            loan.steps.retain(|step| now < step.0);
-            !loan.steps.is_empty()
-        });
-        self.askers.retain(|_, asker| now < asker.at + lease + lease);
-        for lender in self.lenders.values_mut() {
-            lender.held = lender.held.take().filter(|held| now < held.until);
-            lender.asked.retain(|ask| now < ask.at + lease);
-        }
-        if now >= self.need_at + NEED_HOLDS {
-            self.need = 0.0;
-        }
-    }
-
-    /// What one asker gets of `total` when all are given alike, but none more than it asked for.
-    fn fair(&self, total: f64, of: MemberId, since: Time) -> f64 {
-        let recent = self.askers.iter().filter(|(_, asker)| asker.at >= since);
-        let mut asks: Vec<(f64, MemberId)> = recent.map(|(id, asker)| (asker.amount, *id)).collect();
-        asks.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let mut left = total;
-        for (i, (amount, id)) in asks.iter().enumerate() {
-            let given = amount.min(left / (asks.len() - i) as f64);
-            if *id == of {
-                return given;
-            }
-            left -= given;
-        }
-        0.0
-    }
-}
-
 /// The limits as one member sees them.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -463,8 +236,8 @@
         }
         if self.refused.0 > 0 && now >= self.refused.1 {
             let log = format!(
-                "limits: {} messages refused: from processes that aren't listed, with values out of range, or for \
-                 too many cold hosts; compare the members' lists and settings",
+                "limits: {} messages refused (from processes that aren't listed, with values out of range, \
+                 or for too many cold hosts): compare the members' lists and settings",
                 self.refused.0
             );
             self.out.push_back(Effect::Log(log));
@@ -588,8 +361,8 @@
             limit.told = Some(part);
             limit.to_tell = true;
         }
-        // What is out may be lowered first and lent then: only what the dispatcher has surely taken away from its own
-        // use counts, and only when what it began before is over.
+        // What is out may be lowered first and lent then: only what the dispatcher has surely taken away from
+        // its own use counts, and only when what it began before is over.
         if self.without == Some(Guard::LowerFirst) {
             limit.high = limit.kept;
         } else if limit.taken && limit.kept < limit.high && limit.falls.is_none() {
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -75,8 +75,8 @@
 
 type Noted = Rc<RefCell<Vec<(MemberId, Incarnation, Key, Part, Time)>>>;
 
-/// A member and its dispatcher, which takes a part at once, or only at the next round. By mistake it may be two
-/// processes under one name.
+/// A member and its dispatcher, which takes a part at once, or only at the next round. By mistake it may be
+/// two processes under one name.
 struct Member {
     runs: Vec<(Limits, Incarnation)>,
     id: MemberId,
@@ -269,8 +269,8 @@
     }
 }
 
-/// What is stated where the sum can't be 0 over: a second process under one name adds one share, and while some
-/// read another list or whole the sum keeps to the formula of docs/fleet-limits.md.
+/// What is stated where the sum can't be 0 over: a second process under one name adds one share, and while
+/// some read another list or whole the sum keeps to the formula of docs/fleet-limits.md.
 #[test]
 fn what_is_stated_over_the_whole_is_never_passed() {
     let mut highest = [0.0f64; 3];
@@ -307,7 +307,8 @@
     assert!(highest.iter().all(|highest| *highest > 0.95));
 }
 
-/// One of eight with all the demand has 0.95 of the limit 2 s after its first need, keeps it, and gives it back.
+/// One of eight with all the demand has 0.95 of the limit 2 s after its first need, keeps it, and gives it
+/// back.
 #[test]
 fn one_of_eight_may_use_the_limit_and_all_come_to_their_shares() {
     for seed in 0..20 {
@@ -362,8 +363,8 @@
     assert!(set().check(MemberId(3), &listed).is_err());
 }
 
-/// A small case, all of whose orders are played: ticks of two fifths of a lease, messages that come late, twice or
-/// never, restarts, stops, and a lender that needs its share again.
+/// A small case, all of whose orders are played: ticks of two fifths of a lease, messages that come late,
+/// twice or never, restarts, stops, and a lender that needs its share again.
 #[derive(Clone, Debug)]
 struct Case {
     now: Time,
