Limits: where a share is less than one hand-off, members gather whole ones by lot

With 300 members, a whole of 40 and need at all of them, equal shares of 0.13 let nobody do anything. Whoever had no whole one for two leases draws whether to gather one or to lend. The sum holds as before.

--- a/crates/fleet/examples/limits.rs
+++ b/crates/fleet/examples/limits.rs
@@ -40,7 +40,11 @@
 
 impl Fleet {
     fn new(n: usize, seed: u64, lost: f64) -> Fleet {
-        let set = Set { origin: Some(WHOLE), ..Set::default() };
+        Fleet::of(n, seed, lost, WHOLE)
+    }
+
+    fn of(n: usize, seed: u64, lost: f64, whole: f64) -> Fleet {
+        let set = Set { origin: Some(whole), ..Set::default() };
         let members: Vec<MemberId> = (0..n).map(|i| MemberId::of(&format!("d{i}"))).collect();
         let mut network = Network::new(seed, set.round);
         network.link = Link { lost, twice: lost / 4.0, ..Link::default() };
@@ -110,6 +114,9 @@
 }
 
 fn main() {
+    if std::env::args().any(|arg| arg == "below-one") {
+        return below_one();
+    }
     println!("seconds: median (worst) of the seeds; lease 2 s, drain 1 s, round 50 ms, links 1 to 5 ms");
     println!("one has all need | n | lost | to 0.95 | held after, least | its messages/s | mean messages/s");
     for n in [3, 8, 30, 100, 300] {
@@ -172,4 +179,30 @@
         let (_, mean, least) = fleet.messages(10.0);
         println!("| {n} | {} | {least:.3} | {mean:.1} |", shown(&mut time));
     }
+    below_one();
+}
+
+fn below_one() {
+    println!("shares below one hand-off, 120 s | n | whole | want | whole ones in use | longest without | messages/s");
+    for (n, whole, wanting) in
+        [(30, 4.0, 1), (30, 4.0, 2), (30, 4.0, 30), (300, 40.0, 20), (300, 40.0, 80), (300, 40.0, 300)]
+    {
+        let mut fleet = Fleet::of(n, 1, 0.0, whole);
+        (0..wanting).for_each(|i| fleet.need(i, if wanting == 1 { 9.0 } else { 1.0 }));
+        fleet.play(60.0);
+        fleet.network.sent = BTreeMap::new();
+        let most = whole.min(if wanting == 1 { 9.0 } else { wanting as f64 });
+        let (mut used, mut without, mut longest) = (0.0, vec![0.0f64; wanting], 0.0f64);
+        for _ in 0..1200 {
+            fleet.play(0.1);
+            for (i, without) in without.iter_mut().enumerate() {
+                let whole_ones = (fleet.used(i) * WHOLE + 1e-9).floor();
+                used += whole_ones / most / 1200.0;
+                *without = if whole_ones > 0.0 { 0.0 } else { *without + 0.1 };
+                longest = longest.max(*without);
+            }
+        }
+        let sent = fleet.network.sent.values().sum::<u64>() as f64 / 120.0 / n as f64;
+        println!("| {n} | {whole} | {wanting} | {used:.2} | {longest:.0} | {sent:.1} |");
+    }
 }
--- a/crates/fleet/src/limits/limit.rs
+++ b/crates/fleet/src/limits/limit.rs
@@ -78,6 +78,12 @@
     pub lent: BTreeMap<(MemberId, Incarnation), Loan>,
     pub askers: BTreeMap<MemberId, Asker>,
     pub lenders: BTreeMap<MemberId, Lender>,
+    /// Where a share is less than one hand-off: by lot a member gathers one, or does without, until then.
+    pub turn: Option<(bool, Time)>,
+    /// The part of the others that want too, by their answers.
+    pub rivals: f64,
+    /// When it last had a whole one, or no need, or drew.
+    pub had: Time,
     /// New asks a round, and what of them is left.
     pub eager: f64,
     pub credit: f64,
@@ -88,6 +94,20 @@
         self.lent.values().map(Loan::most).sum()
     }
 
+    pub fn has(&self) -> f64 {
+        let held = self.lenders.values().filter_map(|lender| lender.held.as_ref());
+        self.kept + held.map(|held| held.amount).sum::<f64>()
+    }
+
+    /// The need as the lot has it.
+    pub fn wanted(&self, grain: f64) -> f64 {
+        match self.turn {
+            None => self.need,
+            Some((true, _)) => grain * 1.001,
+            Some((false, _)) => 0.0,
+        }
+    }
+
     pub fn forget(&mut self, now: Time, lease: Span) {
         self.lent.retain(|_, loan| {
             loan.steps.retain(|step| now < step.0);
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -38,7 +38,15 @@
     Ask { incarnation: Incarnation, serial: u64, key: Key, amount: f64, span: Span },
     /// The answer: so much for the span from the ask on, maybe nothing. `incarnation` is the asker's. `wait`:
     /// when to ask again, if more may be had then.
-    Lent { incarnation: Incarnation, serial: u64, key: Key, amount: f64, span: Span, wait: Option<Span> },
+    Lent {
+        incarnation: Incarnation,
+        serial: u64,
+        key: Key,
+        amount: f64,
+        span: Span,
+        wait: Option<Span>,
+        needs: bool,
+    },
 }
 
 /// What the dispatcher may use: `amount` until `until` on its own clock, from then on `after`, with no
@@ -210,10 +218,13 @@
             Said::Ask { incarnation, serial, key, amount, span } => {
                 self.asked(now, from, incarnation, Ask { serial, at: now, amount }, key, span);
             }
-            Said::Lent { incarnation, serial, key, amount, span, wait } => {
+            Said::Lent { incarnation, serial, key, amount, span, wait, needs } => {
                 if incarnation != self.incarnation {
                     return;
                 }
+                if let Some(limit) = self.limits.get_mut(&key) {
+                    limit.rivals += (f64::from(u8::from(needs)) - limit.rivals) * 0.1;
+                }
                 self.lent(now, from, serial, key, amount, span, wait);
             }
         }
@@ -226,6 +237,7 @@
             if let Some(limit) = self.limits.get_mut(&key) {
                 limit.forget(now, lease);
             }
+            self.draw(now, key);
             self.refresh(now, key);
             if !self.stepped_down {
                 self.borrow(now, key);
@@ -310,6 +322,9 @@
             lent: BTreeMap::new(),
             askers: BTreeMap::new(),
             lenders: BTreeMap::new(),
+            turn: None,
+            rivals: 0.0,
+            had: now,
             eager: 4.0,
             credit: 0.0,
         };
@@ -326,19 +341,49 @@
         matches!(key, Key::Cold(_)) && !lends && !borrows && is_whole
     }
 
+    /// Where shares are less than one hand-off and all want, nobody could do anything: whoever had none for two
+    /// leases draws whether to gather one or to lend, so that about as many gather as there are whole ones.
+    fn draw(&mut self, now: Time, key: Key) {
+        let grain = self.set.grain(key);
+        let (draw, jitter) = (self.chance.gen_range(0.0..1.0), self.chance.gen_range(0.75..1.25));
+        let lease = self.set.lease;
+        let Some(limit) = self.limits.get_mut(&key) else { return };
+        let share = limit.whole * self.part;
+        if share >= grain || limit.whole < grain || limit.need <= 0.0 {
+            limit.turn = None;
+            limit.had = now;
+            return;
+        }
+        let is_enough = limit.has() >= grain;
+        if is_enough {
+            limit.had = now;
+        }
+        let lacks = now >= limit.had + lease + lease;
+        match limit.turn {
+            None if !lacks => return,
+            Some((gathers, until)) if now < until && !(gathers && lacks) => return,
+            _ => {}
+        }
+        let lot = 0.9 * limit.whole / grain / (1.0 + limit.rivals * self.others.len() as f64);
+        limit.had = now;
+        let is_alone = is_enough && limit.askers.is_empty();
+        limit.turn = (!is_alone).then(|| (draw < lot, now + lease.times(6.0 * jitter)));
+    }
+
     /// What is kept of the own share, and the part that follows.
     fn refresh(&mut self, now: Time, key: Key) {
         let Some(share) = self.limits.get(&key).map(|limit| limit.whole * self.part) else { return };
         let cap = self.cap(now, key, share);
         let drain = if self.without == Some(Guard::Drain) { Span::ZERO } else { self.set.drain(key) };
         let soon = now + self.set.round.times(3.0);
+        let grain = self.set.grain(key);
         let Some(limit) = self.limits.get_mut(&key) else { return };
         if let Some((level, _)) = limit.falls.filter(|falls| now >= falls.1) {
             limit.high = level;
             limit.falls = None;
         }
         let lent = limit.lent();
-        let need = if limit.askers.is_empty() { share } else { (limit.need * HEADROOM).min(share) };
+        let need = if limit.askers.is_empty() { share } else { (limit.wanted(grain) * HEADROOM).min(share) };
         let goal = need.max(share * self.set.floor).min(cap).min((share - lent).max(0.0));
         if goal > limit.kept || goal < limit.kept - share * LEAST || cap == 0.0 {
             limit.kept = goal;
@@ -387,12 +432,14 @@
         }
         limit.askers.insert(from, Asker { incarnation, serial: ask.serial, amount, at: now });
         let share = limit.whole * self.part;
-        let kept = (limit.need * HEADROOM).max(share * self.set.floor);
+        let grain = self.set.grain(key);
+        let kept = (limit.wanted(grain) * HEADROOM).max(share * self.set.floor);
         let total = (share - kept).max(0.0);
         let lent = limit.lent();
         let has = limit.lent.get(&(from, incarnation)).map_or(0.0, Loan::most);
         let free = share - limit.high - (lent - has);
-        let fair = limit.fair(total, from, now - lease);
+        // Parts of one hand-off are no use to many.
+        let fair = if share < grain { amount.min(total) } else { limit.fair(total, from, now - lease) };
         let mut given = fair.min(free);
         let is_full = limit.lent.get(&(from, incarnation)).is_some_and(|loan| loan.steps.len() >= 4);
         if given < share * LEAST || now < whole_from || is_full {
@@ -416,7 +463,8 @@
             ends.min().map(|end| (end - now) + self.set.round)
         };
         let serial = ask.serial;
-        let said = Said::Lent { incarnation, serial, key, amount: given, span, wait };
+        let needs = limit.need >= share;
+        let said = Said::Lent { incarnation, serial, key, amount: given, span, wait, needs };
         self.out.push_back(Effect::Tell { to: from, said });
     }
 
@@ -474,11 +522,11 @@
         let Some(limit) = self.limits.get_mut(&key) else { return };
         let (least, most) = (share * LEAST, share * (1.0 - self.set.floor));
         let own = (share - limit.lent()).max(0.0).min(cap);
-        let held: f64 =
-            limit.lenders.values().filter_map(|lender| lender.held.as_ref()).map(|h| h.amount).sum();
-        let mut short = limit.need - own - held;
+        let held = limit.has() - limit.kept;
+        let wanted = limit.wanted(self.set.grain(key));
+        let mut short = wanted - own - held;
         limit.credit = (limit.credit + limit.eager).min(f64::from(self.set.asks));
-        if limit.need <= 0.0 {
+        if wanted <= 0.0 {
             return;
         }
         let mut asks: Vec<(MemberId, f64)> = Vec::new();
--- a/crates/fleet/src/limits/set.rs
+++ b/crates/fleet/src/limits/set.rs
@@ -119,6 +119,14 @@
         .filter(|whole| whole.is_finite() && *whole > 0.0)
     }
 
+    /// Less than this of it can't be used: hand-offs are whole.
+    pub(super) fn grain(&self, key: Key) -> f64 {
+        match key {
+            Key::Origin | Key::Further => 1.0,
+            Key::Cold(_) => 0.0,
+        }
+    }
+
     /// How long what was begun may be out, on a clock that may run fast.
     pub(super) fn drain(&self, key: Key) -> Span {
         let drain = if key == Key::Origin { self.drain } else { self.window };
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -12,7 +12,7 @@
 use std::hash::Hasher;
 use std::rc::Rc;
 
-const WHOLE: f64 = 1.0;
+const WHOLE: f64 = 10.0;
 const COLD: Key = Key::Cold(HostId(7));
 const GUARDS: [Guard; 5] =
     [Guard::Start, Guard::FromTheAsk, Guard::LowerFirst, Guard::Drain, Guard::EachStep];
@@ -141,17 +141,22 @@
     /// What a process that is started now reads in its settings.
     listed: Vec<MemberId>,
     whole: f64,
+    /// The whole at first; `most` is in parts of it.
+    unit: f64,
 }
 
 impl Play {
+    /// One in four with shares below one hand-off, which are gathered by lot.
     fn new(seed: u64, n: usize, keys: &[Key], guard: Option<Guard>) -> Play {
+        let whole = if seed % 4 == 3 { 1.0 } else { WHOLE };
         let members: Vec<MemberId> = (0..n).map(|i| MemberId::of(&format!("d{i}"))).collect();
         let mut play = Play {
             network: Network::new(seed, set().round),
             rates: BTreeMap::new(),
             members: members.clone(),
             listed: members.clone(),
-            whole: WHOLE,
+            whole,
+            unit: whole,
             uses: Uses::default(),
             noted: Noted::default(),
             guard,
@@ -193,7 +198,7 @@
         self.starts += 1;
         let (incarnation, seed) = (Incarnation(self.starts), self.network.chance.gen());
         let (listed, guard) = (self.listed.clone(), self.guard);
-        let set = Set { origin: Some(self.whole), ..set() };
+        let set = Set { origin: Some(self.whole), further_per_s: Some(self.whole), ..set() };
         move |now| (Limits::new(set, id, incarnation, &listed, seed, now).without(guard), incarnation)
     }
 
@@ -202,7 +207,7 @@
     }
 
     fn play(&mut self, span: Span) {
-        let Play { network, uses, noted, rates, keys, most, .. } = self;
+        let Play { network, uses, noted, rates, keys, most, unit, .. } = self;
         network.play(span, |network| {
             let changed = !noted.borrow().is_empty();
             for (id, incarnation, key, part, clock) in noted.borrow_mut().drain(..) {
@@ -211,7 +216,8 @@
             }
             if changed {
                 for key in keys.iter() {
-                    *most = most.max(uses.sum(network.now, set().drain, *key));
+                    let unit = if *key == COLD { 1.0 } else { *unit };
+                    *most = most.max(uses.sum(network.now, set().drain, *key) / unit);
                 }
             }
         });
@@ -236,7 +242,8 @@
             0..=3 => {
                 let key = play.keys[chance.gen_range(0..play.keys.len())];
                 let need = [0.0, 0.1, 1.0 / n as f64, 0.6, 1.0, 9.0][chance.gen_range(0..6)];
-                play.need(id, key, need);
+                let unit = if key == COLD { 1.0 } else { play.unit };
+                play.need(id, key, need * unit);
             }
             4 => drop(play.network.cut.insert((id, other))),
             5 => play.network.cut.clear(),
@@ -256,14 +263,14 @@
 #[test]
 fn the_sum_holds_on_seeded_schedules() {
     let most = (0..2000).map(|seed| (schedule(seed, None), seed)).max_by(|a, b| a.0.total_cmp(&b.0)).unwrap();
-    assert!(most.0 <= WHOLE + 1e-9, "seed {}: {} in sum", most.1, most.0);
+    assert!(most.0 <= 1.0 + 1e-9, "seed {}: {} in sum", most.1, most.0);
     assert!(most.0 > 0.95, "the limit is hardly used");
 }
 
 #[test]
 fn each_guard_is_needed() {
     for guard in GUARDS {
-        let found = (0..2000).find(|seed| schedule(*seed, Some(guard)) > WHOLE + 1e-6);
+        let found = (0..2000).find(|seed| schedule(*seed, Some(guard)) > 1.0 + 1e-6);
         println!("{guard:?} out: seed {found:?}");
         assert!(found.is_some(), "{guard:?}");
     }
@@ -283,7 +290,7 @@
             0 => {
                 play.play(Span::millis(2000));
                 play.start_beside(id);
-                WHOLE * (1.0 + 1.0 / n as f64)
+                1.0 + 1.0 / n as f64
             }
             1 => {
                 // One more is listed, and the others go over to the new list at different times.
@@ -291,12 +298,12 @@
                 play.listed.push(new);
                 play.members.push(new);
                 play.start(new);
-                WHOLE * (1.0 + 1.0 / (n as f64 + 1.0))
+                1.0 + 1.0 / (n as f64 + 1.0)
             }
             _ => {
                 play.play(Span::millis(2000));
-                play.whole = 2.0 * WHOLE;
-                2.0 * WHOLE
+                play.whole *= 2.0;
+                2.0
             }
         };
         trouble(&mut play, seed, 20);
@@ -311,7 +318,7 @@
 /// back.
 #[test]
 fn one_of_eight_may_use_the_limit_and_all_come_to_their_shares() {
-    for seed in 0..20 {
+    for seed in (0..20).map(|i| i * 4 + i % 2) {
         let mut play = Play::new(seed, 8, &[Key::Origin], None);
         let members = play.members.clone();
         let part = |play: &Play, id: &MemberId| {
@@ -319,17 +326,17 @@
             play.network.node(*id).unwrap().runs[0].0.part(clock, Key::Origin).at(clock)
         };
         play.play(Span::millis(2000));
-        play.need(members[3], Key::Origin, 9.0);
+        play.need(members[3], Key::Origin, 9.0 * WHOLE);
         play.play(Span::millis(1000));
         for _ in 0..100 {
             play.play(Span::millis(50));
-            assert!(part(&play, &members[3]) > 0.95, "seed {seed}: {}", part(&play, &members[3]));
+            assert!(part(&play, &members[3]) > 0.95 * WHOLE, "seed {seed}: {}", part(&play, &members[3]));
         }
-        members.iter().for_each(|id| play.need(*id, Key::Origin, 9.0));
+        members.iter().for_each(|id| play.need(*id, Key::Origin, 9.0 * WHOLE));
         play.play(Span::millis(3000));
         for id in &members {
             let part = part(&play, id);
-            assert!((0.11..0.14).contains(&part), "seed {seed}: {part}");
+            assert!((0.11..0.14).contains(&(part / WHOLE)), "seed {seed}: {part}");
         }
     }
 }
@@ -348,7 +355,7 @@
         let (incarnation, serial, span) = (Incarnation(i % 2), i, Span(u64::MAX >> (i % 64)));
         let said = [
             Said::Ask { incarnation, serial, key, amount, span },
-            Said::Lent { incarnation, serial, key: Key::Origin, amount, span, wait: Some(span) },
+            Said::Lent { incarnation, serial, key: Key::Origin, amount, span, wait: Some(span), needs: true },
         ];
         for said in said {
             limits.heard(now, MemberId(2 + i % 3), said);
@@ -490,7 +497,7 @@
             }
             Step::Turn(i) => {
                 self.left[3] -= 1;
-                self.members[i].3 = 0.2 - self.members[i].3;
+                self.members[i].3 = 0.2 * WHOLE - self.members[i].3;
             }
         }
         self.most = self.most.max(self.uses.sum(self.now, DRAIN, Key::Origin));
