--- a/crates/fleet/examples/verdicts.rs
+++ b/crates/fleet/examples/verdicts.rs
@@ -1,6 +1,6 @@
 //! Dispatchers of one location, each with its own module and thin traffic, in virtual time: a cache goes bad, and what
 //! each finds out is shared or not (paired: the same visits, answers and fault).
-//! `cargo run --release -p cherrypass-fleet --example verdicts [seeds]`
+//! `cargo run --release -p cherrypass-fleet --example verdicts [seeds [tellers [part]]]`
 use cherrypass::brain::Brain;
 use cherrypass::calls::*;
 use cherrypass::ids::*;
@@ -76,7 +76,12 @@
     /// Failures of a host in a row, the last, and whether it answered then.
     fails: BTreeMap<HostId, (u32, Time, bool)>,
     shut: BTreeSet<HostId>,
-    told: BTreeSet<HostId>,
+    /// What others told, while it holds, and whether it is acted on.
+    told: BTreeMap<HostId, bool>,
+    /// When the last hand-off was sent that a host answered well, when one last failed, and the run of it that the module was told of last.
+    good: BTreeMap<HostId, Time>,
+    bad: BTreeMap<HostId, Time>,
+    since: BTreeMap<HostId, Time>,
 }
 
 #[derive(Default)]
@@ -176,7 +181,10 @@
                 out: BTreeMap::new(),
                 fails: BTreeMap::new(),
                 shut: BTreeSet::new(),
-                told: BTreeSet::new(),
+                told: BTreeMap::new(),
+                good: BTreeMap::new(),
+                bad: BTreeMap::new(),
+                since: BTreeMap::new(),
             };
             let parents = (11..11 + PARENTS).map(HostId);
             let hosts: Vec<_> = caches().chain(parents).chain([ORIGIN]).collect();
@@ -253,6 +261,7 @@
                         let by = UsedBy::Location(LocationId(0));
                         one.verdicts.listed(at, FAULTY, Some(Incarnation(since.0)), by);
                         one.told.remove(&FAULTY);
+                        one.since.insert(FAULTY, since);
                         self.pull(of);
                         self.share(of);
                     }
@@ -288,8 +297,10 @@
         if failed {
             let fails = one.fails.entry(out.host).or_insert((0, now, false));
             *fails = (fails.0 + 1, now, outcome == Outcome::Error);
+            one.bad.insert(out.host, now);
         } else if outcome != Outcome::Cancelled {
             one.fails.remove(&out.host);
+            one.good.insert(out.host, out.at);
         }
         let last = outcome == Outcome::Settled;
         let (took, report, number) = (now - out.at, Report::default(), HandOffNo(number));
@@ -382,6 +393,7 @@
                 one.shut.remove(&host);
                 let (kind, evidence, age) = (Kind::JustStarted, 3, Span::ZERO);
                 if words.get(3) == Some(&"anew") {
+                    one.since.insert(host, now);
                     one.verdicts.found(now, Finding { host, since, kind, evidence, age });
                 }
                 one.verdicts.cleared(now, host);
@@ -413,7 +425,7 @@
     }
 
     fn is_out(&mut self, of: usize, host: HostId, own: bool) {
-        if host == FAULTY && self.is_faulty() {
+        if host == FAULTY && !matches!(self.case.fault, Fault::Links(_)) {
             let since = self.now - (START + FAULT);
             self.seen.out.entry(of).or_insert(since);
         } else if own {
@@ -423,6 +435,28 @@
         }
     }
 
+    /// Stands for the module's own call: a host told to be bad is out, unless an own hand-off went well after the
+    /// evidence that it rests on, and none badly within the hold time.
+    fn believe(&mut self, of: usize, host: HostId, age: Span) {
+        let now = self.now;
+        let one = &mut self.all[of];
+        let good = one.good.get(&host).is_some_and(|at| now <= *at + age);
+        let good = good && one.bad.get(&host).is_none_or(|at| now > *at + Set::default().hold);
+        if !good && one.told.insert(host, true) == Some(false) {
+            self.is_out(of, host, false);
+            self.list(of, host);
+        }
+    }
+
+    fn list(&mut self, of: usize, host: HostId) {
+        let one = &self.all[of];
+        let out = one.told.get(&host) == Some(&true);
+        let phase = if out { Phase::Draining } else { Phase::Ready };
+        let since = one.since.get(&host).copied().unwrap_or(Time(1));
+        let entry = Listing { phase, ..self.listing(host, since) };
+        self.all[of].brain.listed(self.now, &[entry], false);
+    }
+
     fn share(&mut self, of: usize) {
         let now = self.now;
         while let Some(effect) = self.all[of].verdicts.next() {
@@ -439,19 +473,18 @@
                 }
                 Effect::Hearsay { host, kind, age, .. } => {
                     self.seen.oldest = self.seen.oldest.max(age);
+                    let one = &mut self.all[of];
                     if kind == Kind::JustStarted {
-                        let entry = self.listing(host, now);
-                        self.all[of].brain.listed(now, &[entry], false);
-                    } else if kind != Kind::Slow && self.all[of].told.insert(host) {
-                        self.is_out(of, host, false);
-                        let entry = Listing { phase: Phase::Draining, ..self.listing(host, Time(1)) };
-                        self.all[of].brain.listed(now, &[entry], false);
+                        one.since.insert(host, now);
+                        self.list(of, host);
+                    } else if kind != Kind::Slow {
+                        one.told.entry(host).or_insert(false);
+                        self.believe(of, host, age);
                     }
                 }
                 Effect::Withdraw { host } => {
-                    if self.all[of].told.remove(&host) {
-                        let entry = self.listing(host, Time(1));
-                        self.all[of].brain.listed(now, &[entry], false);
+                    if self.all[of].told.remove(&host) == Some(true) {
+                        self.list(of, host);
                     }
                 }
                 Effect::Log(line) => println!("  {line}"),
@@ -474,7 +507,8 @@
 }
 
 fn main() {
-    let seeds: u64 = std::env::args().nth(1).and_then(|word| word.parse().ok()).unwrap_or(10);
+    let word = |place: usize, or: f64| std::env::args().nth(place).and_then(|w| w.parse().ok()).unwrap_or(or);
+    let (seeds, set) = (word(1, 10.0) as u64, (word(2, 2.0) as u8, word(3, 0.34)));
     let faults = [
         Fault::Errors,
         Fault::HalfErrors,
@@ -483,17 +517,17 @@
         Fault::Restarts,
         Fault::Links(1),
         Fault::Links(2),
+        Fault::Links(3),
     ];
     println!("| fault | dispatchers | visits/s each | last out, alone (s) | shared | part | lost, alone | shared | part | hand-offs to it | shared | good out, alone | shared | told | cold over, alone | shared | oldest used (s) |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for fault in faults {
-        for (dispatchers, rate) in [(8, 5.0), (8, 20.0), (30, 5.0), (30, 20.0)] {
+        for (dispatchers, rate) in [(8, 2.0), (8, 5.0), (8, 20.0), (30, 2.0), (30, 5.0), (30, 20.0)] {
             let (mut last, mut lost, mut wasted) = ([0.0; 2], [0; 2], [0; 2]);
             let (mut wrong, mut told, mut over, mut oldest) = ([0; 2], 0, [0; 2], Span::ZERO);
             let mut never = [0; 2];
             for seed in 1..=seeds {
                 for shared in [false, true] {
-                    let set = (2, 0.25);
                     let case = Case { fault, dispatchers, visits_a_second: rate, seed, shared, set };
                     let play = Play::new(case);
                     let weight = play.weight;
@@ -505,16 +539,29 @@
                     lost[place] += seen.lost;
                     wasted[place] += seen.wasted;
                     wrong[place] += seen.wrong_own;
-                    over[place] += pushed_over(&seen, weight);
+                    over[place] += usize::from(pushed_over(&seen, weight) > 0);
                     told += seen.wrong_told;
                     oldest = oldest.max(seen.oldest);
                 }
             }
             let part = |x: [u64; 2]| x[1] as f64 / x[0].max(1) as f64;
+            let outs = if matches!(fault, Fault::Links(_)) {
+                "| | |".to_string()
+            } else {
+                format!(
+                    "{:.1} ({}) | {:.1} ({}) | {:.2}",
+                    last[0],
+                    never[0],
+                    last[1],
+                    never[1],
+                    last[1] / last[0]
+                )
+            };
+            let [wasted, wrong, over] =
+                [wasted, wrong, over.map(|n| n as u64)].map(|[alone, shared]| format!("{alone} | {shared}"));
             println!(
-                "| {fault:?} | {dispatchers} | {rate} | {:.1} ({}) | {:.1} ({}) | {:.2} | {} | {} | {:.2} | {} | {} | {} | {} | {told} | {} | {} | {:.1} |",
-                last[0], never[0], last[1], never[1], last[1] / last[0], lost[0], lost[1], part(lost), wasted[0],
-                wasted[1], wrong[0], wrong[1], over[0], over[1], oldest.as_seconds(),
+                "| {fault:?} | {dispatchers} | {rate} | {outs} | {} | {} | {:.2} | {wasted} | {wrong} | {told} | {over} | {:.1} |",
+                lost[0], lost[1], part(lost), oldest.as_seconds(),
             );
         }
     }
--- a/crates/fleet/src/verdicts/calls.rs
+++ b/crates/fleet/src/verdicts/calls.rs
@@ -101,7 +101,7 @@
 
 impl Default for Set {
     fn default() -> Set {
-        Set { hold: Span::millis(10_000), tellers: 2, part: 0.25 }
+        Set { hold: Span::millis(10_000), tellers: 2, part: 0.34 }
     }
 }
 
--- a/crates/fleet/src/verdicts/mod.rs
+++ b/crates/fleet/src/verdicts/mod.rs
@@ -24,6 +24,8 @@
 const LONGER: f64 = 0.125;
 /// How long after a withdrawal the same host is not told of again, as a part of the hold time.
 const REST: f64 = 0.1;
+/// How long a finding on a host that is only reached through caches waits for one on a cache, likewise.
+const SETTLE: f64 = 0.05;
 /// What one teller's word weighs at most, and the hand-offs that weigh half of it.
 const TRUST: f64 = 0.5;
 const HALF_EVIDENCE: f64 = 4.0;
@@ -89,6 +91,8 @@
     incarnation: Incarnation,
     chance: Pcg64Mcg,
     hosts: BTreeMap<HostId, Host>,
+    /// How many hosts are used alike.
+    sizes: BTreeMap<UsedBy, usize>,
     mine: BTreeMap<(HostId, Matter), Mine>,
     tellers: BTreeMap<MemberId, Teller>,
     /// In the order in which they came to stand, for the guard of half.
@@ -118,6 +122,7 @@
             incarnation,
             chance: Pcg64Mcg::seed_from_u64(seed),
             hosts: BTreeMap::new(),
+            sizes: BTreeMap::new(),
             mine: BTreeMap::new(),
             tellers: BTreeMap::new(),
             in_force: BTreeMap::new(),
@@ -139,24 +144,22 @@
             );
             return;
         }
-        let fresh = Host { since, used_by, untold: now, refuted: now, was_out: Time::default() };
-        let known = self.hosts.entry(host).or_insert(fresh);
-        if (known.since, known.used_by) == (since, used_by) {
-            return self.weigh(now, host);
+        if self.hosts.get(&host).is_none_or(|known| (known.since, known.used_by) != (since, used_by)) {
+            let fresh = Host { since, used_by, untold: now, refuted: now, was_out: Time::default() };
+            self.hosts.insert(host, fresh);
+            // Not withdrawn for others: on the run that their lists name it still holds.
+            self.mine.retain(|key, mine| key.0 != host || mine.since == since);
+            self.hold_to_half();
         }
-        *known = Host { since, used_by, untold: now, refuted: now, was_out: Time::default() };
-        // Not withdrawn for others: on the run that their lists name it still holds.
-        self.mine.retain(|key, mine| key.0 != host || mine.since == since);
         self.weigh(now, host);
-        self.hold_to_half();
     }
 
     /// A host is draining or gone.
     pub fn unlisted(&mut self, now: Time, host: HostId) {
         self.hosts.remove(&host);
         self.mine.retain(|key, _| key.0 != host);
-        self.weigh(now, host);
         self.hold_to_half();
+        self.weigh(now, host);
     }
 
     /// The own module holds this; to be called again as evidence comes, and for as long as it stands. It is told
@@ -170,7 +173,8 @@
             return;
         }
         // Nothing holds up the word that a process is new, for it must come before the withdrawal.
-        let next = if kind.matter() == Matter::New { now } else { now.max(known.untold) };
+        let settle = if known.used_by == UsedBy::All { self.set.hold.times(SETTLE) } else { Span::ZERO };
+        let next = if kind.matter() == Matter::New { now } else { known.untold.max(now + settle) };
         let fresh = Mine { since, kind, evidence, at, next, told: false };
         let mine = self.mine.entry((host, kind.matter())).or_insert(fresh);
         if mine.kind != kind {
@@ -205,7 +209,7 @@
     /// all hosts; what it found before it knew is withdrawn, and after only new evidence counts.
     pub fn own_trouble(&mut self, now: Time, trouble: bool) {
         if trouble && !self.trouble {
-            self.hush(now);
+            self.hush(now, |_| true);
             self.mine.clear();
         }
         if self.trouble && !trouble {
@@ -306,13 +310,17 @@
 
     /// Tells own findings that are due, unless they are too many to be the hosts' fault.
     fn tell(&mut self, now: Time) {
-        let used = |by: UsedBy| self.hosts.values().filter(|h| h.used_by == by).count();
-        let (caches, shared) = (used(UsedBy::Location(self.location)), used(UsedBy::All));
+        let (caches, shared) = (self.users(UsedBy::Location(self.location)), self.users(UsedBy::All));
         let bad =
             self.mine.keys().filter(|key| key.1 == Matter::Bad).filter_map(|key| self.hosts.get(&key.0));
         let [of_caches, of_shared] = bad.fold([0, 0], count);
         if self.trouble || is_too_much([of_caches, of_shared], [caches, shared]) {
-            return self.hush(now);
+            return self.hush(now, |_| true);
+        }
+        // Guards against a bad cache's errors that are laid on the parent behind it: of two that seem bad the nearer
+        // is the cause. Harms a parent that fails while a cache does: each finds that out alone.
+        if of_caches > 0 || self.told_bad(UsedBy::Location(self.location)) > 0 {
+            self.hush(now, |host| host.used_by == UsedBy::All);
         }
         let due: Vec<_> =
             self.mine.iter().filter(|(_, m)| m.next <= now).map(|(key, m)| (*key, *m)).collect();
@@ -326,13 +334,17 @@
         }
     }
 
-    /// Withdraws all that was told and holds it back.
-    fn hush(&mut self, now: Time) {
-        let told = self.mine.iter_mut().filter(|(key, m)| key.1 == Matter::Bad && m.told);
-        let told: Vec<HostId> = told.map(|(key, m)| (key.0, m.told = false).0).collect();
-        told.into_iter().for_each(|host| self.withdraw(now, host));
+    /// Withdraws what was told of some hosts and holds it back.
+    fn hush(&mut self, now: Time, which: impl Fn(&Host) -> bool) {
         let rest = self.set.hold.times(REST);
-        self.mine.values_mut().for_each(|m| m.next = m.next.max(now + rest));
+        let mut told = Vec::new();
+        for (key, mine) in self.mine.iter_mut().filter(|(key, _)| key.1 == Matter::Bad) {
+            if self.hosts.get(&key.0).is_some_and(&which) {
+                told.extend(std::mem::take(&mut mine.told).then_some(key.0));
+                mine.next = mine.next.max(now + rest);
+            }
+        }
+        told.into_iter().for_each(|host| self.withdraw(now, host));
     }
 
     fn withdraw(&mut self, now: Time, host: HostId) {
@@ -376,12 +388,11 @@
     /// indeed: then each dispatcher finds that out alone. True where it counts otherwise than before.
     fn discount(&mut self, now: Time, who: MemberId) -> bool {
         let Some(teller) = self.tellers.get(&who).filter(|t| t.told.len() > 1) else { return false };
-        let used = |by: UsedBy| self.hosts.values().filter(|h| h.used_by == by).count();
         let bad = teller.told.iter().filter(|(key, told)| key.1 == Matter::Bad && now < told.until);
         let bad = bad.filter_map(|(key, told)| Some((self.hosts.get(&key.0)?, told.found?)));
         let bad = bad.filter(|(host, found)| host.since == found.0).map(|(host, _)| host).fold([0, 0], count);
         let caches = UsedBy::Location(teller.location);
-        if !is_too_much(bad, [used(caches), used(UsedBy::All)]) {
+        if !is_too_much(bad, [self.users(caches), self.users(UsedBy::All)]) {
             return false;
         }
         let until = now + self.set.hold;
@@ -435,7 +446,16 @@
         if matter == Matter::Bad && now < known.refuted {
             return None;
         }
+        // A parent behind a bad cache: as in `tell`.
+        let of_all = known.used_by == UsedBy::All && matter == Matter::Bad;
+        if of_all && self.told_bad(UsedBy::Location(self.location)) > 0 {
+            return None;
+        }
+        let is_cache = |host: &HostId| self.hosts.get(host).is_some_and(|h| h.used_by != UsedBy::All);
+        let is_live = |told: &Told| told.found.is_some() && now < told.until;
+        let blurred = |t: &Teller| t.told.iter().any(|(k, told)| is_cache(&k.0) && is_live(told));
         let counts = |t: &&Teller| !t.gone && now >= t.discounted && known.used_by.has(t.location);
+        let counts = |t: &&Teller| counts(t) && !(of_all && blurred(t));
         let said = self.tellers.values().filter(counts).filter_map(|teller| {
             let told = teller.told.get(&(host, matter)).filter(|told| now < told.until)?;
             let (since, kind, evidence) = told.found.filter(|found| found.0 == known.since)?;
@@ -445,31 +465,34 @@
         let mut said: Vec<_> = said.collect();
         said.sort_by_key(|told| std::cmp::Reverse(told.0));
         let here = self.tellers.values().filter(|t| !t.gone && t.location == self.location).count() + 1;
-        let mut enough = usize::from(self.set.tellers).max((here as f64 * self.set.part).ceil() as usize);
-        if matter == Matter::New {
+        let few = usize::from(self.set.tellers);
+        let many = few.max((here as f64 * self.set.part).ceil() as usize);
+        let (kind, enough) = if matter == Matter::New {
             // Guards rule 4: a host that was out and is back is cold, so one word is enough. Elsewhere several
             // locations must say it: one of them may only have lost its way.
             let of_here = said.iter().filter(|told| told.4 == self.location).count();
             let one_place = said.iter().all(|told| Some(told.4) == said.first().map(|first| first.4));
-            if now < known.was_out {
-                enough = 1;
-            } else if of_here < enough && one_place && self.set.tellers > 1 {
+            let was_out = now < known.was_out;
+            if !was_out && of_here < few && one_place && few > 1 {
                 return None;
             }
-        }
-        // Those that hold it to be worse than slow, where they are enough alone.
-        let worse = said.iter().filter(|told| told.2 != Kind::Slow).count();
-        if worse >= enough {
-            said.retain(|told| told.2 != Kind::Slow);
-        }
-        let until = said.get(enough - 1)?.0;
-        let far = said.iter().filter(|told| told.2 == Kind::ShutOut).count();
-        let kind = match matter {
-            Matter::New => Kind::JustStarted,
-            Matter::Bad if worse < enough => Kind::Slow,
-            Matter::Bad if 2 * far > said.len() => Kind::ShutOut,
-            Matter::Bad => Kind::CutOff,
+            (Kind::JustStarted, if was_out { 1 } else { few })
+        } else {
+            // Answers that are errors came over links that carry; silence may be the links' of those who say so.
+            let errors = said.iter().filter(|told| told.2 == Kind::ShutOut).count();
+            let worse = said.iter().filter(|told| told.2 != Kind::Slow).count();
+            let few = if of_all { many } else { few };
+            if errors >= few {
+                said.retain(|told| told.2 == Kind::ShutOut);
+                (Kind::ShutOut, few)
+            } else if worse >= many {
+                said.retain(|told| told.2 != Kind::Slow);
+                (Kind::CutOff, many)
+            } else {
+                (Kind::Slow, many)
+            }
         };
+        let until = said.get(enough - 1)?.0;
         let doubt = said.iter().map(|told| {
             let (fresh, evidence) =
                 ((told.0 - now).as_seconds() / self.set.hold.as_seconds(), f64::from(told.3));
@@ -483,13 +506,15 @@
     /// Never more than half of a location's caches, or of what all use, are held to be bad by what was told.
     fn fits(&self, host: HostId) -> bool {
         let Some(used_by) = self.hosts.get(&host).map(|h| h.used_by) else { return false };
-        2 * (self.told_bad(used_by) + 1) <= self.hosts.values().filter(|h| h.used_by == used_by).count()
+        2 * (self.told_bad(used_by) + 1) <= self.users(used_by)
     }
 
-    /// The same where the list has become shorter: the last that came go first.
+    /// The same where the list has changed: the last that came go first.
     fn hold_to_half(&mut self) {
+        self.sizes.clear();
+        self.hosts.values().for_each(|host| *self.sizes.entry(host.used_by).or_default() += 1);
         for used_by in [UsedBy::Location(self.location), UsedBy::All] {
-            while 2 * self.told_bad(used_by) > self.hosts.values().filter(|h| h.used_by == used_by).count() {
+            while 2 * self.told_bad(used_by) > self.users(used_by) {
                 let bad = self.in_force.iter().filter(|(key, _)| key.1 == Matter::Bad);
                 let bad = bad.filter(|(key, _)| self.hosts.get(&key.0).is_some_and(|h| h.used_by == used_by));
                 let Some(host) = bad.max_by_key(|(_, place)| place.0).map(|(key, _)| key.0) else { break };
@@ -499,6 +524,10 @@
         }
     }
 
+    fn users(&self, used_by: UsedBy) -> usize {
+        self.sizes.get(&used_by).copied().unwrap_or(0)
+    }
+
     fn log(&mut self, now: Time, line: String) {
         if self.logged.is_none_or(|at| now >= at + self.set.hold) {
             self.logged = Some(now);
