--- a/crates/fleet/examples/verdicts.rs
+++ b/crates/fleet/examples/verdicts.rs
@@ -59,11 +59,6 @@
     Listed,
 }
 
-struct Out {
-    host: HostId,
-    at: Time,
-}
-
 struct Dispatcher {
     brain: Brain,
     verdicts: Verdicts,
@@ -72,16 +67,11 @@
     next: u32,
     /// When it arrived, hand-offs so far, and whether one went to the faulty host.
     visits: BTreeMap<VisitId, (Time, u8, bool)>,
-    out: BTreeMap<(VisitId, u8), Out>,
-    /// Failures of a host in a row, the last, and whether it answered then.
-    fails: BTreeMap<HostId, (u32, Time, bool)>,
+    /// When a hand-off went out.
+    out: BTreeMap<(VisitId, u8), Time>,
+    /// What was found of hosts when that was last asked.
     shut: BTreeSet<HostId>,
-    /// What others told, while it holds, and whether it is acted on.
-    told: BTreeMap<HostId, bool>,
-    /// When the last hand-off was sent that a host answered well, when one last failed, and the run of it that the module was told of last.
-    good: BTreeMap<HostId, Time>,
-    bad: BTreeMap<HostId, Time>,
-    since: BTreeMap<HostId, Time>,
+    told: BTreeMap<HostId, (Option<Time>, Time)>,
 }
 
 #[derive(Default)]
@@ -179,12 +169,8 @@
                 next: 0,
                 visits: BTreeMap::new(),
                 out: BTreeMap::new(),
-                fails: BTreeMap::new(),
                 shut: BTreeSet::new(),
                 told: BTreeMap::new(),
-                good: BTreeMap::new(),
-                bad: BTreeMap::new(),
-                since: BTreeMap::new(),
             };
             let parents = (11..11 + PARENTS).map(HostId);
             let hosts: Vec<_> = caches().chain(parents).chain([ORIGIN]).collect();
@@ -240,8 +226,7 @@
                 Event::Woken(of) => {
                     self.put(at + Span(50_000), Event::Woken(of));
                     self.all[of].verdicts.woken(at);
-                    self.stands(of);
-                    self.share(of);
+                    self.find(of);
                 }
                 Event::Arrives(of) => self.arrives(of),
                 Event::Ends { of, visit, number, outcome, note } => {
@@ -260,8 +245,6 @@
                         one.brain.listed(at, &[entry], false);
                         let by = UsedBy::Location(LocationId(0));
                         one.verdicts.listed(at, FAULTY, Some(Incarnation(since.0)), by);
-                        one.told.remove(&FAULTY);
-                        one.since.insert(FAULTY, since);
                         self.pull(of);
                         self.share(of);
                     }
@@ -291,19 +274,9 @@
     fn ends(&mut self, of: usize, visit: VisitId, number: u8, outcome: Outcome, note: Note) {
         let now = self.now;
         let one = &mut self.all[of];
-        let Some(out) = one.out.remove(&(visit, number)) else { return };
-        let failed =
-            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset);
-        if failed {
-            let fails = one.fails.entry(out.host).or_insert((0, now, false));
-            *fails = (fails.0 + 1, now, outcome == Outcome::Error);
-            one.bad.insert(out.host, now);
-        } else if outcome != Outcome::Cancelled {
-            one.fails.remove(&out.host);
-            one.good.insert(out.host, out.at);
-        }
+        let Some(sent) = one.out.remove(&(visit, number)) else { return };
         let last = outcome == Outcome::Settled;
-        let (took, report, number) = (now - out.at, Report::default(), HandOffNo(number));
+        let (took, report, number) = (now - sent, Report::default(), HandOffNo(number));
         one.brain.ended(now, Ended { visit, number, outcome, note, took, report, last });
         if last {
             self.finally(of, visit, true);
@@ -334,9 +307,7 @@
                 Decision::Probe { .. } | Decision::Wake { .. } => {}
             }
         }
-        if self.case.shared {
-            self.share(of);
-        }
+        self.share(of);
     }
 
     fn hand_off(&mut self, of: usize, visit: VisitId, host: HostId, fill: Option<Fill>) {
@@ -350,7 +321,7 @@
         known.2 |= faulty;
         self.seen.wasted += u64::from(faulty);
         self.seen.to_cold.extend(cold.then_some(now));
-        one.out.insert((visit, number), Out { host, at: now });
+        one.out.insert((visit, number), now);
         // The same chances in both plays, by the visit.
         let mut chance = Pcg64Mcg::seed_from_u64(
             self.case.seed ^ (of as u64) << 40 ^ u64::from(visit.0) << 4 ^ u64::from(number),
@@ -379,82 +350,42 @@
 
     fn logged(&mut self, of: usize, line: &str) {
         let words: Vec<&str> = line.split(' ').collect();
-        let ["host", id, what, ..] = words[..] else { return };
-        let Ok(host) = u64::from_str_radix(id, 16).map(HostId) else { return };
-        let (now, since) = (self.now, Some(self.run_listed(host)));
-        let one = &mut self.all[of];
-        match what {
-            "shut" => {
-                one.shut.insert(host);
-                self.is_out(of, host, true);
-                self.found(of, host);
-            }
-            "back" => {
-                one.shut.remove(&host);
-                let (kind, evidence, age) = (Kind::JustStarted, 3, Span::ZERO);
-                if words.get(3) == Some(&"anew") {
-                    one.since.insert(host, now);
-                    one.verdicts.found(now, Finding { host, since, kind, evidence, age });
-                }
-                one.verdicts.cleared(now, host);
-            }
-            _ => {}
-        }
-    }
-
-    fn run_listed(&self, host: HostId) -> Incarnation {
-        let anew =
-            host == FAULTY && self.case.fault == Fault::Restarts && self.now >= START + BACK + LIST_LATE;
-        Incarnation(if anew { (START + BACK).0 } else { 1 })
-    }
-
-    /// What the own module holds is told, and told again while it stands.
-    fn found(&mut self, of: usize, host: HostId) {
-        let since = Some(self.run_listed(host));
-        let one = &mut self.all[of];
-        let (evidence, last, answered) = one.fails.get(&host).copied().unwrap_or((1, self.now, false));
-        let kind = if answered { Kind::ShutOut } else { Kind::CutOff };
-        let age = self.now - last;
-        one.verdicts.found(self.now, Finding { host, since, kind, evidence, age });
-    }
-
-    fn stands(&mut self, of: usize) {
-        for host in self.all[of].shut.clone() {
-            self.found(of, host);
-        }
-    }
-
-    fn is_out(&mut self, of: usize, host: HostId, own: bool) {
+        let ["host", id, "shut", ..] = words[..] else { return };
+        let host = HostId(u64::from_str_radix(id, 16).unwrap_or(0));
         if host == FAULTY && !matches!(self.case.fault, Fault::Links(_)) {
             let since = self.now - (START + FAULT);
             self.seen.out.entry(of).or_insert(since);
-        } else if own {
-            self.seen.wrong_own += u64::from(!self.all[of].bad_link);
-        } else {
-            self.seen.wrong_told += 1;
+        } else if !self.all[of].bad_link {
+            let told = line.contains("told");
+            self.seen.wrong_told += u64::from(told);
+            self.seen.wrong_own += u64::from(!told);
         }
     }
 
-    /// Stands for the module's own call: a host told to be bad is out, unless an own hand-off went well after the
-    /// evidence that it rests on, and none badly within the hold time.
-    fn believe(&mut self, of: usize, host: HostId, age: Span) {
+    /// What the module holds goes to the room, and what others say to the module, as often as the timer comes.
+    fn find(&mut self, of: usize) {
         let now = self.now;
         let one = &mut self.all[of];
-        let good = one.good.get(&host).is_some_and(|at| now <= *at + age);
-        let good = good && one.bad.get(&host).is_none_or(|at| now > *at + Set::default().hold);
-        if !good && one.told.insert(host, true) == Some(false) {
-            self.is_out(of, host, false);
-            self.list(of, host);
+        let mut shut = BTreeSet::new();
+        for found in one.brain.findings(now) {
+            let kind = match found.what {
+                Found::Anew => Kind::JustStarted,
+                Found::Shut { why: Bad::Fails, unreached: false } => Kind::ShutOut,
+                Found::Shut { .. } => Kind::CutOff,
+            };
+            shut.extend((kind != Kind::JustStarted).then_some(found.host));
+            let (host, evidence, age) = (found.host, found.evidence, now - found.at);
+            let since = found.since.map(|at| Incarnation(at.0));
+            one.verdicts.found(now, Finding { host, since, kind, evidence, age });
         }
-    }
-
-    fn list(&mut self, of: usize, host: HostId) {
-        let one = &self.all[of];
-        let out = one.told.get(&host) == Some(&true);
-        let phase = if out { Phase::Draining } else { Phase::Ready };
-        let since = one.since.get(&host).copied().unwrap_or(Time(1));
-        let entry = Listing { phase, ..self.listing(host, since) };
-        self.all[of].brain.listed(self.now, &[entry], false);
+        one.shut.difference(&shut).for_each(|host| one.verdicts.cleared(now, *host));
+        one.shut = shut;
+        let refuted: Vec<HostId> = one.brain.refuted(now).collect();
+        refuted.into_iter().for_each(|host| one.verdicts.refuted(now, host));
+        for (host, (since, until)) in one.told.clone() {
+            one.brain.hearsay(now, host, since, Word::Bad, until);
+        }
+        self.pull(of);
     }
 
     fn share(&mut self, of: usize) {
@@ -471,21 +402,19 @@
                         self.put(now + delay, Event::Comes { to, from: of, said, at: now });
                     }
                 }
-                Effect::Hearsay { host, kind, age, .. } => {
+                Effect::Hearsay { host, since, kind, age, until, .. } => {
                     self.seen.oldest = self.seen.oldest.max(age);
-                    let one = &mut self.all[of];
-                    if kind == Kind::JustStarted {
-                        one.since.insert(host, now);
-                        self.list(of, host);
-                    } else if kind != Kind::Slow {
-                        one.told.entry(host).or_insert(false);
-                        self.believe(of, host, age);
+                    let (one, since) = (&mut self.all[of], since.map(|run| Time(run.0)));
+                    let word = if kind == Kind::JustStarted { Word::Anew } else { Word::Bad };
+                    if word == Word::Bad {
+                        one.told.insert(host, (since, until));
                     }
+                    one.brain.hearsay(now, host, since, word, until);
                 }
                 Effect::Withdraw { host } => {
-                    if self.all[of].told.remove(&host) == Some(true) {
-                        self.list(of, host);
-                    }
+                    let one = &mut self.all[of];
+                    let since = one.told.remove(&host).and_then(|told| told.0);
+                    one.brain.hearsay(now, host, since, Word::Bad, now);
                 }
                 Effect::Log(line) => println!("  {line}"),
             }
