--- a/src/shared.rs
+++ b/src/shared.rs
@@ -8,7 +8,10 @@
 use crate::time::{Span, Time};
 
 /// For so long a good answer of its own is worth more than what others say.
-const OWN_WORD: Span = Span::millis(2_000);
+const OWN_WORD: Span = Span::millis(300);
+/// An answer so long before the evidence was none of it, and what was tried is unreached. An error that came at
+/// once is held against its host a little later.
+const UNANSWERED: Span = Span::millis(300);
 /// An amount past it is none that could be used up.
 const AMOUNT_MOST: f64 = 1e9;
 
@@ -192,7 +195,7 @@
             let anew = host.anew.is_some() && host.anew == host.entry.since;
             let (what, evidence, at) = match host.shut.filter(|shut| shut.why != Bad::Told) {
                 Some(Shut { why, evidence, at, .. }) => {
-                    (Found::Shut { why, unreached: host.broke }, evidence, at)
+                    (Found::Shut { why, unreached: host.broke || host.heard + UNANSWERED < at }, evidence, at)
                 }
                 None if anew && self.cold_budget(now, id).is_some() => {
                     (Found::Anew, TRIALS_TO_OPEN, host.anew?)
