--- a/crates/fleet/examples/verdicts.rs
+++ b/crates/fleet/examples/verdicts.rs
@@ -1,6 +1,6 @@
 //! Dispatchers of one location, each with its own module and thin traffic, in virtual time: a cache goes bad, and what
 //! each finds out is shared or not (paired: the same visits, answers and fault).
-//! `cargo run --release -p cherrypass-fleet --example verdicts [seeds]`
+//! `cargo run --release -p cherrypass-fleet --example verdicts [seeds [tellers [part]]]`
 use cherrypass::brain::Brain;
 use cherrypass::calls::*;
 use cherrypass::ids::*;
@@ -59,11 +59,6 @@
     Listed,
 }
 
-struct Out {
-    host: HostId,
-    at: Time,
-}
-
 struct Dispatcher {
     brain: Brain,
     verdicts: Verdicts,
@@ -72,11 +67,11 @@
     next: u32,
     /// When it arrived, hand-offs so far, and whether one went to the faulty host.
     visits: BTreeMap<VisitId, (Time, u8, bool)>,
-    out: BTreeMap<(VisitId, u8), Out>,
-    /// Failures of a host in a row, the last, and whether it answered then.
-    fails: BTreeMap<HostId, (u32, Time, bool)>,
+    /// When a hand-off went out.
+    out: BTreeMap<(VisitId, u8), Time>,
+    /// What was found of hosts when that was last asked.
     shut: BTreeSet<HostId>,
-    told: BTreeSet<HostId>,
+    told: BTreeMap<HostId, (Option<Time>, Time)>,
 }
 
 #[derive(Default)]
@@ -174,9 +169,8 @@
                 next: 0,
                 visits: BTreeMap::new(),
                 out: BTreeMap::new(),
-                fails: BTreeMap::new(),
                 shut: BTreeSet::new(),
-                told: BTreeSet::new(),
+                told: BTreeMap::new(),
             };
             let parents = (11..11 + PARENTS).map(HostId);
             let hosts: Vec<_> = caches().chain(parents).chain([ORIGIN]).collect();
@@ -232,8 +226,7 @@
                 Event::Woken(of) => {
                     self.put(at + Span(50_000), Event::Woken(of));
                     self.all[of].verdicts.woken(at);
-                    self.stands(of);
-                    self.share(of);
+                    self.find(of);
                 }
                 Event::Arrives(of) => self.arrives(of),
                 Event::Ends { of, visit, number, outcome, note } => {
@@ -252,7 +245,6 @@
                         one.brain.listed(at, &[entry], false);
                         let by = UsedBy::Location(LocationId(0));
                         one.verdicts.listed(at, FAULTY, Some(Incarnation(since.0)), by);
-                        one.told.remove(&FAULTY);
                         self.pull(of);
                         self.share(of);
                     }
@@ -282,17 +274,9 @@
     fn ends(&mut self, of: usize, visit: VisitId, number: u8, outcome: Outcome, note: Note) {
         let now = self.now;
         let one = &mut self.all[of];
-        let Some(out) = one.out.remove(&(visit, number)) else { return };
-        let failed =
-            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset);
-        if failed {
-            let fails = one.fails.entry(out.host).or_insert((0, now, false));
-            *fails = (fails.0 + 1, now, outcome == Outcome::Error);
-        } else if outcome != Outcome::Cancelled {
-            one.fails.remove(&out.host);
-        }
+        let Some(sent) = one.out.remove(&(visit, number)) else { return };
         let last = outcome == Outcome::Settled;
-        let (took, report, number) = (now - out.at, Report::default(), HandOffNo(number));
+        let (took, report, number) = (now - sent, Report::default(), HandOffNo(number));
         one.brain.ended(now, Ended { visit, number, outcome, note, took, report, last });
         if last {
             self.finally(of, visit, true);
@@ -323,9 +307,7 @@
                 Decision::Probe { .. } | Decision::Wake { .. } => {}
             }
         }
-        if self.case.shared {
-            self.share(of);
-        }
+        self.share(of);
     }
 
     fn hand_off(&mut self, of: usize, visit: VisitId, host: HostId, fill: Option<Fill>) {
@@ -339,7 +321,7 @@
         known.2 |= faulty;
         self.seen.wasted += u64::from(faulty);
         self.seen.to_cold.extend(cold.then_some(now));
-        one.out.insert((visit, number), Out { host, at: now });
+        one.out.insert((visit, number), now);
         // The same chances in both plays, by the visit.
         let mut chance = Pcg64Mcg::seed_from_u64(
             self.case.seed ^ (of as u64) << 40 ^ u64::from(visit.0) << 4 ^ u64::from(number),
@@ -368,59 +350,42 @@
 
     fn logged(&mut self, of: usize, line: &str) {
         let words: Vec<&str> = line.split(' ').collect();
-        let ["host", id, what, ..] = words[..] else { return };
-        let Ok(host) = u64::from_str_radix(id, 16).map(HostId) else { return };
-        let (now, since) = (self.now, Some(self.run_listed(host)));
-        let one = &mut self.all[of];
-        match what {
-            "shut" => {
-                one.shut.insert(host);
-                self.is_out(of, host, true);
-                self.found(of, host);
-            }
-            "back" => {
-                one.shut.remove(&host);
-                let (kind, evidence, age) = (Kind::JustStarted, 3, Span::ZERO);
-                if words.get(3) == Some(&"anew") {
-                    one.verdicts.found(now, Finding { host, since, kind, evidence, age });
-                }
-                one.verdicts.cleared(now, host);
-            }
-            _ => {}
+        let ["host", id, "shut", ..] = words[..] else { return };
+        let host = HostId(u64::from_str_radix(id, 16).unwrap_or(0));
+        if host == FAULTY && !matches!(self.case.fault, Fault::Links(_)) {
+            let since = self.now - (START + FAULT);
+            self.seen.out.entry(of).or_insert(since);
+        } else if !self.all[of].bad_link {
+            let told = line.contains("told");
+            self.seen.wrong_told += u64::from(told);
+            self.seen.wrong_own += u64::from(!told);
         }
     }
 
-    fn run_listed(&self, host: HostId) -> Incarnation {
-        let anew =
-            host == FAULTY && self.case.fault == Fault::Restarts && self.now >= START + BACK + LIST_LATE;
-        Incarnation(if anew { (START + BACK).0 } else { 1 })
-    }
-
-    /// What the own module holds is told, and told again while it stands.
-    fn found(&mut self, of: usize, host: HostId) {
-        let since = Some(self.run_listed(host));
+    /// What the module holds goes to the room, and what others say to the module, as often as the timer comes.
+    fn find(&mut self, of: usize) {
+        let now = self.now;
         let one = &mut self.all[of];
-        let (evidence, last, answered) = one.fails.get(&host).copied().unwrap_or((1, self.now, false));
-        let kind = if answered { Kind::ShutOut } else { Kind::CutOff };
-        let age = self.now - last;
-        one.verdicts.found(self.now, Finding { host, since, kind, evidence, age });
-    }
-
-    fn stands(&mut self, of: usize) {
-        for host in self.all[of].shut.clone() {
-            self.found(of, host);
+        let mut shut = BTreeSet::new();
+        for found in one.brain.findings(now) {
+            let kind = match found.what {
+                Found::Anew => Kind::JustStarted,
+                Found::Shut { why: Bad::Fails, unreached: false } => Kind::ShutOut,
+                Found::Shut { .. } => Kind::CutOff,
+            };
+            shut.extend((kind != Kind::JustStarted).then_some(found.host));
+            let (host, evidence, age) = (found.host, found.evidence, now - found.at);
+            let since = found.since.map(|at| Incarnation(at.0));
+            one.verdicts.found(now, Finding { host, since, kind, evidence, age });
         }
-    }
-
-    fn is_out(&mut self, of: usize, host: HostId, own: bool) {
-        if host == FAULTY && self.is_faulty() {
-            let since = self.now - (START + FAULT);
-            self.seen.out.entry(of).or_insert(since);
-        } else if own {
-            self.seen.wrong_own += u64::from(!self.all[of].bad_link);
-        } else {
-            self.seen.wrong_told += 1;
+        one.shut.difference(&shut).for_each(|host| one.verdicts.cleared(now, *host));
+        one.shut = shut;
+        let refuted: Vec<HostId> = one.brain.refuted(now).collect();
+        refuted.into_iter().for_each(|host| one.verdicts.refuted(now, host));
+        for (host, (since, until)) in one.told.clone() {
+            one.brain.hearsay(now, host, since, Word::Bad, until);
         }
+        self.pull(of);
     }
 
     fn share(&mut self, of: usize) {
@@ -437,22 +402,19 @@
                         self.put(now + delay, Event::Comes { to, from: of, said, at: now });
                     }
                 }
-                Effect::Hearsay { host, kind, age, .. } => {
+                Effect::Hearsay { host, since, kind, age, until, .. } => {
                     self.seen.oldest = self.seen.oldest.max(age);
-                    if kind == Kind::JustStarted {
-                        let entry = self.listing(host, now);
-                        self.all[of].brain.listed(now, &[entry], false);
-                    } else if kind != Kind::Slow && self.all[of].told.insert(host) {
-                        self.is_out(of, host, false);
-                        let entry = Listing { phase: Phase::Draining, ..self.listing(host, Time(1)) };
-                        self.all[of].brain.listed(now, &[entry], false);
+                    let (one, since) = (&mut self.all[of], since.map(|run| Time(run.0)));
+                    let word = if kind == Kind::JustStarted { Word::Anew } else { Word::Bad };
+                    if word == Word::Bad {
+                        one.told.insert(host, (since, until));
                     }
+                    one.brain.hearsay(now, host, since, word, until);
                 }
                 Effect::Withdraw { host } => {
-                    if self.all[of].told.remove(&host) {
-                        let entry = self.listing(host, Time(1));
-                        self.all[of].brain.listed(now, &[entry], false);
-                    }
+                    let one = &mut self.all[of];
+                    let since = one.told.remove(&host).and_then(|told| told.0);
+                    one.brain.hearsay(now, host, since, Word::Bad, now);
                 }
                 Effect::Log(line) => println!("  {line}"),
             }
@@ -474,7 +436,8 @@
 }
 
 fn main() {
-    let seeds: u64 = std::env::args().nth(1).and_then(|word| word.parse().ok()).unwrap_or(10);
+    let word = |place: usize, or: f64| std::env::args().nth(place).and_then(|w| w.parse().ok()).unwrap_or(or);
+    let (seeds, set) = (word(1, 10.0) as u64, (word(2, 2.0) as u8, word(3, 0.34)));
     let faults = [
         Fault::Errors,
         Fault::HalfErrors,
@@ -483,17 +446,17 @@
         Fault::Restarts,
         Fault::Links(1),
         Fault::Links(2),
+        Fault::Links(3),
     ];
     println!("| fault | dispatchers | visits/s each | last out, alone (s) | shared | part | lost, alone | shared | part | hand-offs to it | shared | good out, alone | shared | told | cold over, alone | shared | oldest used (s) |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for fault in faults {
-        for (dispatchers, rate) in [(8, 5.0), (8, 20.0), (30, 5.0), (30, 20.0)] {
+        for (dispatchers, rate) in [(8, 2.0), (8, 5.0), (8, 20.0), (30, 2.0), (30, 5.0), (30, 20.0)] {
             let (mut last, mut lost, mut wasted) = ([0.0; 2], [0; 2], [0; 2]);
             let (mut wrong, mut told, mut over, mut oldest) = ([0; 2], 0, [0; 2], Span::ZERO);
             let mut never = [0; 2];
             for seed in 1..=seeds {
                 for shared in [false, true] {
-                    let set = (2, 0.25);
                     let case = Case { fault, dispatchers, visits_a_second: rate, seed, shared, set };
                     let play = Play::new(case);
                     let weight = play.weight;
@@ -505,16 +468,29 @@
                     lost[place] += seen.lost;
                     wasted[place] += seen.wasted;
                     wrong[place] += seen.wrong_own;
-                    over[place] += pushed_over(&seen, weight);
+                    over[place] += usize::from(pushed_over(&seen, weight) > 0);
                     told += seen.wrong_told;
                     oldest = oldest.max(seen.oldest);
                 }
             }
             let part = |x: [u64; 2]| x[1] as f64 / x[0].max(1) as f64;
+            let outs = if matches!(fault, Fault::Links(_)) {
+                "| | |".to_string()
+            } else {
+                format!(
+                    "{:.1} ({}) | {:.1} ({}) | {:.2}",
+                    last[0],
+                    never[0],
+                    last[1],
+                    never[1],
+                    last[1] / last[0]
+                )
+            };
+            let [wasted, wrong, over] =
+                [wasted, wrong, over.map(|n| n as u64)].map(|[alone, shared]| format!("{alone} | {shared}"));
             println!(
-                "| {fault:?} | {dispatchers} | {rate} | {:.1} ({}) | {:.1} ({}) | {:.2} | {} | {} | {:.2} | {} | {} | {} | {} | {told} | {} | {} | {:.1} |",
-                last[0], never[0], last[1], never[1], last[1] / last[0], lost[0], lost[1], part(lost), wasted[0],
-                wasted[1], wrong[0], wrong[1], over[0], over[1], oldest.as_seconds(),
+                "| {fault:?} | {dispatchers} | {rate} | {outs} | {} | {} | {:.2} | {wasted} | {wrong} | {told} | {over} | {:.1} |",
+                lost[0], lost[1], part(lost), oldest.as_seconds(),
             );
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,8 +35,9 @@
 pub(crate) const BAD_WEIGHT: [f64; 2] = [0.12, 0.15];
 const ERRORS_ALIKE: usize = 2;
 pub(crate) const TRIALS_TO_OPEN: u32 = 3;
-// For so long a good answer of its own is worth more than what others say.
-const OWN_WORD: Span = Span::millis(2_000);
+// So long a good answer of its own is worth more than others' word, and says nothing of what ends later.
+const OWN_WORD: Span = Span::millis(300);
+pub(crate) const UNANSWERED: Span = OWN_WORD;
 const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.7;
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -1,6 +1,6 @@
 //! What holds for several dispatchers in sum, and what they tell each other of hosts. With nothing told,
 //! nothing of it is in force, and all is decided as by one that is alone.
-use crate::brain::{Brain, ONWARD_START, TRIALS_TO_OPEN};
+use crate::brain::{Brain, ONWARD_START, TRIALS_TO_OPEN, UNANSWERED};
 use crate::calls::{Bad, Finding, Found, Shared, Wanted, Word};
 use crate::containers::Bucket;
 use crate::ids::HostId;
@@ -187,7 +187,7 @@
             let anew = host.anew.is_some() && host.anew == host.entry.since;
             let (what, evidence, at) = match host.shut.filter(|shut| shut.why != Bad::Told) {
                 Some(Shut { why, evidence, at, .. }) => {
-                    (Found::Shut { why, unreached: host.broke }, evidence, at)
+                    (Found::Shut { why, unreached: host.broke || host.heard + UNANSWERED < at }, evidence, at)
                 }
                 None if anew && self.cold_budget(now, id).is_some() => {
                     (Found::Anew, TRIALS_TO_OPEN, host.anew?)
