--- /dev/null
+++ b/crates/fleet/examples/feed.rs
@@ -0,0 +1,243 @@
+//! Measures the feed in virtual time on the made network: `cargo run --release -p cherrypass-fleet --example feed`.
+//!
+//! `drag [seeds]`: delay of healthy followers with a fifth of all stopped or throttled, against none, with and
+//! without regrouping. `flap`: moves in an hour of a follower that stops and goes on. `size`: messages and bytes
+//! a member from 3 to 300 members.
+#[path = "../tests/feed_bed/mod.rs"]
+mod feed_bed;
+
+use cherrypass::time::Span;
+use cherrypass_fleet::common::MemberId;
+use cherrypass_fleet::feed::Set;
+use cherrypass_fleet::made::Link;
+use feed_bed::{Bed, Fleet};
+use rand::seq::SliceRandom;
+use std::collections::BTreeSet;
+
+const ROUND: Span = Span::millis(50);
+/// Two items of each of five sources a round, to ten followers a member, with what belongs to them: bytes.
+const LOAD: usize = 10 * (10 * (2 * 4 + 200 + 128) + 5 * 128);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Faults {
+    None,
+    Stopped,
+    Throttled,
+    Both,
+}
+
+struct Run {
+    delays: Vec<u32>,
+    moves: u64,
+    slow: usize,
+    wrongly: usize,
+    largest: usize,
+    looseness: Span,
+}
+
+fn drag(seed: u64, faults: Faults, regroup: bool, spare: f64, seconds: u64) -> Run {
+    let budget = (LOAD as f64 * spare) as usize;
+    let mut fleet = Fleet::new(seed, Set { budget, regroup, most_followers: 40, ..Set::default() }, 5, 50);
+    fleet.net.link = Link { lost: 0.01, twice: 0.0, delay: [Span::millis(1), Span::millis(5)] };
+    let mut shuffled = fleet.followers.clone();
+    shuffled.shuffle(&mut fleet.net.chance);
+    let count = if faults == Faults::None { 0 } else { 10 };
+    let bad: BTreeSet<MemberId> = shuffled[..10].iter().copied().collect();
+    for round in 0..seconds * 20 {
+        let sources = fleet.members.clone();
+        for (i, source) in sources.iter().enumerate() {
+            for item in 0..2 {
+                fleet.publish(
+                    *source,
+                    ((round * 2 + item + i as u64) % 100) as u32,
+                    200,
+                    Span::seconds(30.0),
+                );
+            }
+        }
+        if round == 15 * 20 {
+            for id in fleet.net.ids() {
+                let now = fleet.net.now;
+                fleet.net.call(id, |bed, _| bed.measure_from = now);
+            }
+        }
+        if round == 20 * 20 {
+            for (i, id) in bad.iter().take(count).enumerate() {
+                if faults == Faults::Stopped || faults == Faults::Both && i % 2 == 0 {
+                    fleet.net.stop(*id, Span::seconds(1e5));
+                    continue;
+                }
+                let slow = Link { lost: 0.7, twice: 0.0, delay: [Span::millis(100), Span::millis(400)] };
+                for member in &fleet.members {
+                    fleet.net.links.insert((*member, *id), slow);
+                    fleet.net.links.insert((*id, *member), slow);
+                }
+            }
+        }
+        fleet.net.play(ROUND, |_| {});
+    }
+    let healthy: Vec<&Bed> =
+        fleet.followers.iter().filter(|id| !bad.contains(id)).filter_map(|id| fleet.net.node(*id)).collect();
+    let mut delays: Vec<u32> = healthy.iter().flat_map(|bed| bed.delays.iter().copied()).collect();
+    delays.sort_unstable();
+    let feeds = || fleet.members.iter().filter_map(|id| fleet.net.node(*id)).filter_map(|bed| bed.feed());
+    let slow: Vec<MemberId> =
+        feeds().flat_map(|feed| feed.carried()).filter(|one| one.1).map(|one| one.0).collect();
+    Run {
+        delays,
+        moves: feeds().map(|feed| feed.moves()).sum(),
+        slow: slow.len(),
+        wrongly: slow.iter().filter(|id| !bad.contains(id)).count(),
+        largest: fleet
+            .members
+            .iter()
+            .filter_map(|id| fleet.net.node(*id))
+            .map(|bed| bed.largest)
+            .max()
+            .unwrap_or(0),
+        looseness: healthy.iter().map(|bed| bed.looseness).max().unwrap_or_default(),
+    }
+}
+
+fn at(sorted: &[u32], part: f64) -> f64 {
+    let index = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
+    sorted.get(index).map_or(f64::NAN, |value| f64::from(*value) / 1000.0)
+}
+
+fn print_drag(seeds: u64, seconds: u64) {
+    println!("delay of healthy followers, ms of virtual time; {seconds} s a run, faults from 20 s on");
+    for spare in [1.25, 1.5, 2.0] {
+        for faults in [Faults::Stopped, Faults::Throttled, Faults::Both] {
+            for seed in 0..seeds {
+                let none = drag(seed, Faults::None, true, spare, seconds);
+                let name = match faults {
+                    Faults::None => "none",
+                    Faults::Stopped => "stopped",
+                    Faults::Throttled => "throttled",
+                    Faults::Both => "both",
+                };
+                let base = at(&none.delays, 0.99);
+                print!(
+                    "budget {spare} loads, {name}, seed {seed}: none p50 {:.0} p99 {base:.0}",
+                    at(&none.delays, 0.5)
+                );
+                for regroup in [true, false] {
+                    let run = drag(seed, faults, regroup, spare, seconds);
+                    let p99 = at(&run.delays, 0.99);
+                    print!(
+                        "; {} p50 {:.0} p99 {p99:.0} ({:.2}) p99.9 {:.0} slow {} wrongly {} moves {}",
+                        if regroup { "regrouped" } else { "not" },
+                        at(&run.delays, 0.5),
+                        p99 / base,
+                        at(&run.delays, 0.999),
+                        run.slow,
+                        run.wrongly,
+                        run.moves
+                    );
+                    if regroup {
+                        print!(
+                            " held {} B, ages looser by {:.0} ms",
+                            run.largest,
+                            run.looseness.as_seconds() * 1e3
+                        );
+                    }
+                }
+                println!();
+            }
+        }
+    }
+}
+
+/// One of ten followers stops for `still` and goes on for `goes`, again and again, for an hour.
+fn print_flap() {
+    for (still, goes) in
+        [(0.5, 2.0), (1.5, 3.0), (3.0, 3.0), (3.0, 15.0), (3.0, 30.0), (3.0, 60.0), (3.0, 400.0)]
+    {
+        let mut fleet = Fleet::new(1, Set::default(), 3, 10);
+        let id = fleet.followers[0];
+        let (mut changes, mut fence, mut slow_for, mut ticks) = (0, None, 0, 0);
+        let (mut began, mut turns) = (fleet.net.now + Span::seconds(goes), 0);
+        for tick in 0..3600 * 5 {
+            if tick % 5 == 0 {
+                for source in fleet.members.clone() {
+                    fleet.publish(source, tick % 50, 100, Span::seconds(30.0));
+                }
+            }
+            if fleet.net.now >= began {
+                fleet.net.stop(id, Span::seconds(still));
+                began = fleet.net.now + Span::seconds(still + goes);
+                turns += 1;
+            }
+            fleet.net.play(Span::millis(200), |_| {});
+            let feeds = fleet.members.iter().filter_map(|member| fleet.net.node(*member)?.feed());
+            let carried = feeds.flat_map(|feed| feed.carried().map(|one| (one, feed.about())));
+            let slow = carried.filter(|((carried, slow), _)| *carried == id && *slow).count();
+            slow_for += usize::from(slow > 0);
+            ticks += 1;
+            let now = fleet.net.node(id).and_then(Bed::follower).map(|follower| follower.fence().carrier);
+            if now != fence {
+                changes += usize::from(fence.is_some());
+                fence = now;
+            }
+        }
+        let part = slow_for as f64 / f64::from(ticks);
+        println!(
+            "stops {still} s, goes {goes} s: {turns} stops, {changes} moves in an hour, slow {part:.2} of it"
+        );
+    }
+}
+
+fn print_size() {
+    for (members, followers) in [(3, 30), (10, 100), (30, 300), (100, 300), (300, 300)] {
+        for every in [0_u32, 20] {
+            let mut fleet = Fleet::new(1, Set::default(), members, followers);
+            fleet.net.link.lost = 0.01;
+            fleet.net.play(Span::seconds(15.0), |_| {});
+            fleet.net.sent.clear();
+            let sources = fleet.members.clone();
+            for tick in 0..20_u32 {
+                for (i, source) in sources.iter().enumerate() {
+                    if every > 0 && (i as u32 + tick).is_multiple_of(every) {
+                        fleet.publish(*source, tick, 200, Span::seconds(10.0));
+                    }
+                }
+                fleet.net.play(Span::seconds(1.0), |_| {});
+            }
+            let by = |ids: &[MemberId]| -> u64 { ids.iter().filter_map(|id| fleet.net.sent.get(id)).sum() };
+            let a_second = by(&fleet.members) as f64 / members as f64 / 20.0;
+            let of_followers = by(&fleet.followers) as f64 / followers as f64 / 20.0;
+            let mut delays: Vec<u32> = fleet
+                .net
+                .ids()
+                .iter()
+                .filter_map(|id| fleet.net.node(*id))
+                .flat_map(|bed| bed.delays.clone())
+                .collect();
+            delays.sort_unstable();
+            println!(
+                "{members} members, {followers} followers, each source {}: {a_second:.1} messages/s a member, \
+                 {of_followers:.1} a follower; delay p50 {:.0} p99 {:.0} p99.9 {:.0} ms",
+                if every > 0 { "one item in 20 s" } else { "silent" },
+                at(&delays, 0.5),
+                at(&delays, 0.99),
+                at(&delays, 0.999),
+            );
+        }
+    }
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number =
+        |at: usize, otherwise| arguments.get(at).and_then(|text| text.parse().ok()).unwrap_or(otherwise);
+    match arguments.first().map(String::as_str) {
+        Some("drag") => print_drag(number(1, 2), number(2, 180)),
+        Some("flap") => print_flap(),
+        Some("size") => print_size(),
+        _ => {
+            print_drag(1, 180);
+            print_flap();
+            print_size();
+        }
+    }
+}
--- a/crates/fleet/src/feed/carry.rs
+++ b/crates/fleet/src/feed/carry.rs
@@ -1,6 +1,6 @@
 //! The followers a member carries: what goes to each and when, who is slow, and who goes elsewhere.
 use super::log::Log;
-use super::{About, Echo, Effect, Fence, Have, Said, Set, Stamp};
+use super::{About, Class, Echo, Effect, Fence, Have, Said, Set, Stamp};
 use crate::common::{Incarnation, MemberId};
 use cherrypass::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -20,7 +20,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Proposal {
     fence: Fence,
-    slow: bool,
     first: Time,
     told: Time,
 }
@@ -41,9 +40,7 @@
     told: Time,
     /// Times in a row nothing came back in time.
     silent: u32,
-    slow: bool,
-    /// How often it was slow: its way back takes longer each time.
-    relapses: u8,
+    class: Class,
     /// Since when it lags, and since when it doesn't.
     lags: Option<Time>,
     keeps_up: Option<Time>,
@@ -56,7 +53,7 @@
 }
 
 impl Carried {
-    fn new(now: Time, fence: Fence, have: &[Have], slow: bool, relapses: u8) -> Carried {
+    fn new(now: Time, fence: Fence, have: &[Have], class: Class) -> Carried {
         let place = |have: &Have| {
             let place =
                 Place { incarnation: have.incarnation, acked: have.number, sent: have.number, frame: 0 };
@@ -73,8 +70,7 @@
             heard: now,
             told: Time(0),
             silent: 0,
-            slow,
-            relapses,
+            class,
             lags: None,
             keeps_up: None,
             proposal: None,
@@ -101,7 +97,7 @@
     /// When what went out counts as lost.
     fn resend_after(&self, set: &Set) -> Span {
         let usual = set.resend.max(self.round_trip.map_or(Span::ZERO, |span| span.times(2.0)));
-        let times = if self.slow { 1 << self.silent.min(3) } else { 1 };
+        let times = if self.class.slow { 1 << self.silent.min(3) } else { 1 };
         Span(usual.0 * times)
     }
 
@@ -147,9 +143,9 @@
             self.rewind(u64::MAX);
         }
         let flying: usize = self.flying.iter().map(|(_, bytes, _)| bytes).sum();
-        let window = if self.slow { set.slow_window } else { set.window };
+        let window = if self.class.slow { set.slow_window } else { set.window };
         // One that was silent is asked with little.
-        let window = if self.slow && self.silent > 0 { 1 } else { window };
+        let window = if self.class.slow && self.silent > 0 { 1 } else { window };
         if flying >= window || self.stamp.is_none() && !self.flying.is_empty() {
             return None;
         }
@@ -183,7 +179,7 @@
         self.frame += 1;
         self.told = now;
         let echo = self.stamp.map(|(stamp, at)| Echo { stamp, held: now - at });
-        Said::Carry { fence: self.fence, frame: self.frame, echo, segments }
+        Said::Carry { fence: self.fence, frame: self.frame, echo, class: self.class, segments }
     }
 }
 
@@ -233,7 +229,7 @@
     }
 
     pub fn about(&self, set: &Set) -> About {
-        let slow = self.carried.values().filter(|one| one.slow).count();
+        let slow = self.carried.values().filter(|one| one.class.slow).count();
         let places = self.carried.len() < set.most_followers;
         let room = set.budget as f64 - self.usual - slow as f64 * f64::from(self.need());
         let room = if places { room.max(0.0) as u32 } else { 0 };
@@ -242,12 +238,12 @@
 
     /// What one follower takes of a round's budget, bytes.
     fn need(&self) -> u32 {
-        let count = self.carried.values().filter(|one| !one.slow).count();
+        let count = self.carried.values().filter(|one| !one.class.slow).count();
         (self.usual / count.max(1) as f64) as u32 + 1
     }
 
     pub fn carried(&self) -> impl Iterator<Item = (MemberId, bool)> + '_ {
-        self.carried.iter().map(|(id, one)| (*id, one.slow))
+        self.carried.iter().map(|(id, one)| (*id, one.class.slow))
     }
 
     /// Followers' places and frames in flight.
@@ -266,7 +262,7 @@
         out: &mut VecDeque<Effect>,
     ) {
         match said {
-            Said::Ask { fence, stamp, have } if fence.carrier == self.own => {
+            Said::Ask { fence, stamp, class, have } if fence.carrier == self.own => {
                 if have.len() > set.most_sources {
                     return;
                 }
@@ -278,8 +274,7 @@
                     out.push_back(Effect::Tell { to: from, said: Said::Refuse { fence } });
                     return;
                 }
-                let (slow, relapses) = known.map_or((false, 0), |known| (known.slow, known.relapses));
-                let mut carried = Carried::new(now, fence, &have, slow, relapses);
+                let mut carried = Carried::new(now, fence, &have, class);
                 carried.stamp = Some((stamp, now));
                 self.carried.insert(from, carried);
             }
@@ -307,7 +302,7 @@
         out: &mut VecDeque<Effect>,
     ) {
         match said {
-            Said::Take { follower, fence, stamp, have, slow, relapses } if fence.carrier == self.own => {
+            Said::Take { follower, fence, stamp, have, class } if fence.carrier == self.own => {
                 if have.len() > set.most_sources {
                     return;
                 }
@@ -317,7 +312,7 @@
                     Some(known) if known >= fence => Said::Taken { follower, fence },
                     None if !room => Said::Full { follower, fence },
                     _ => {
-                        let mut carried = Carried::new(now, fence, &have, slow, relapses);
+                        let mut carried = Carried::new(now, fence, &have, class);
                         // How long the other held it is left out: the bound only gets looser.
                         carried.stamp = stamp.map(|stamp| (stamp, now));
                         carried.moved = Some(now);
@@ -368,7 +363,7 @@
                 .carried
                 .range(turn..)
                 .chain(self.carried.range(..turn))
-                .filter(|(_, one)| one.slow == slow)
+                .filter(|(_, one)| one.class.slow == slow)
                 .map(|(id, _)| *id)
                 .collect();
             for id in ids {
@@ -396,7 +391,7 @@
         let lags: BTreeMap<MemberId, Span> =
             self.carried.iter().map(|(id, one)| (*id, one.lag(now, logs))).collect();
         let mut group: Vec<Span> =
-            self.carried.iter().filter(|(_, one)| !one.slow).map(|(id, _)| lags[id]).collect();
+            self.carried.iter().filter(|(_, one)| !one.class.slow).map(|(id, _)| lags[id]).collect();
         group.sort();
         let own = lower_median(&group);
         self.lag = own.unwrap_or(Span::ZERO) + others.behind;
@@ -425,6 +420,7 @@
         if cause {
             shown = shown.max(own.unwrap_or(Span::ZERO));
         }
+        let mut found = false;
         for (id, one) in &mut self.carried {
             let lag = lags[id];
             if lag > limit(shown) && now >= self.quiet_until {
@@ -440,7 +436,7 @@
             }
             let lags_for = one.lags.map_or(Span::ZERO, |since| now - since);
             let keeps_for = one.keeps_up.map_or(Span::ZERO, |since| now - since);
-            let back_after = Span(set.back_after.0 << one.relapses.min(16)).min(set.back_most);
+            let back_after = Span(set.back_after.0 << one.class.relapses.min(16)).min(set.back_most);
             // A group of one or two shows nothing: the others' word since then must.
             let vouched = || {
                 group.len() >= 3
@@ -449,20 +445,25 @@
                         count >= enough && fleet.is_some_and(|fleet| lag > limit(fleet))
                     })
             };
-            if !one.slow && !cause && lags_for >= set.slow_after && vouched() {
-                one.slow = true;
+            if !one.class.slow && !cause && lags_for >= set.slow_after && vouched() {
+                one.class.slow = true;
                 one.proposal = None;
-            } else if one.slow && keeps_for >= back_after {
-                one.slow = false;
+                found = true;
+            } else if one.class.slow && keeps_for >= back_after {
+                one.class.slow = false;
                 one.leaves = true;
-                one.relapses = one.relapses.saturating_add(1);
+                one.class.relapses = one.class.relapses.saturating_add(1);
                 one.proposal = None;
                 one.keeps_up = None;
-            } else if !one.slow && one.relapses > 0 && keeps_for >= Span(set.back_most.0 * 2) {
-                one.relapses -= 1;
+            } else if !one.class.slow && one.class.relapses > 0 && keeps_for >= Span(set.back_most.0 * 2) {
+                one.class.relapses -= 1;
                 one.keeps_up = None;
             }
         }
+        if found {
+            // The others may have lagged because of these alone.
+            self.carried.values_mut().filter(|one| !one.class.slow).for_each(|one| one.lags = None);
+        }
         self.all_lag = self.all_lag.filter(|since| {
             let waits = now - *since < set.cause_after;
             let (count, since_then) = told(*since);
@@ -500,7 +501,7 @@
             if begun >= set.moves_a_round || rests && !(one.leaves && one.proposed.is_none()) {
                 continue;
             }
-            let target = if one.slow {
+            let target = if one.class.slow {
                 // The slow ones gather where most of them are, as long as there is room.
                 let most = fits()
                     .max_by_key(|(id, about, _)| (about.slow, *id))
@@ -524,9 +525,9 @@
             let Some((to, ..)) = target else { continue };
             one.told_number += 1;
             let fence = Fence { number: one.told_number, carrier: *to, ..one.fence };
-            one.proposal = Some(Proposal { fence, slow: one.slow, first: now, told: now });
+            one.proposal = Some(Proposal { fence, first: now, told: now });
             one.proposed = Some(now);
-            own.slow = own.slow.saturating_sub(u16::from(one.slow));
+            own.slow = own.slow.saturating_sub(u16::from(one.class.slow));
             begun += 1;
             out.push_back(take(*id, one));
         }
@@ -539,15 +540,13 @@
         incarnation: place.incarnation,
         number: place.acked,
     };
-    let (fence, slow) =
-        one.proposal.map_or((one.fence, one.slow), |proposal| (proposal.fence, proposal.slow));
+    let fence = one.proposal.map_or(one.fence, |proposal| proposal.fence);
     let said = Said::Take {
         follower,
         fence,
         stamp: one.stamp.map(|stamp| stamp.0),
         have: one.places.iter().map(have).collect(),
-        slow,
-        relapses: one.relapses,
+        class: one.class,
     };
     Effect::Tell { to: fence.carrier, said }
 }
--- a/crates/fleet/src/feed/follower.rs
+++ b/crates/fleet/src/feed/follower.rs
@@ -1,8 +1,8 @@
 //! One who only listens.
 use super::log::Found;
-use super::{Effect, Fence, Have, Said, Segment, Set, Stamp};
+use super::{Class, Effect, Fence, Have, Said, Segment, Set, Stamp};
 use crate::common::{Incarnation, MemberId};
-use cherrypass::containers::rendezvous;
+use cherrypass::containers::{rendezvous, Mean};
 use cherrypass::ids::HostId;
 use cherrypass::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,6 +28,8 @@
     /// Whether the carrier of the fence has been heard under it; when last, and its last frame.
     carried: bool,
     heard: Time,
+    gap: Mean,
+    class: Class,
     frame: u64,
     asked: Time,
     acked: Time,
@@ -56,7 +58,9 @@
             next_asked: 0,
             fence: Fence { incarnation, number: 0, carrier: first },
             carried: false,
-            heard: Time(0),
+            heard: now,
+            gap: Mean::default(),
+            class: Class::default(),
             frame: 0,
             asked: Time(0),
             acked: now,
@@ -87,7 +91,8 @@
             self.heard = self.heard.max(now);
         }
         self.woken = now;
-        let silent = now - self.heard > self.set.orphan_after;
+        let usual = Span::seconds(self.gap.value * self.set.orphan_gaps).min(self.set.orphan_most);
+        let silent = now - self.heard > usual.max(self.set.orphan_after);
         if (!self.carried || silent) && now - self.asked >= self.set.ask_every {
             self.ask(now);
         }
@@ -112,7 +117,7 @@
         let have = self.positions.values().copied().collect();
         self.out.push_back(Effect::Tell {
             to: carrier,
-            said: Said::Ask { fence: self.fence, stamp: self.stamp(now), have },
+            said: Said::Ask { fence: self.fence, stamp: self.stamp(now), class: self.class, have },
         });
     }
 
@@ -131,7 +136,7 @@
             return;
         }
         match said {
-            Said::Carry { fence, frame, echo, segments } => {
+            Said::Carry { fence, frame, echo, class, segments } => {
                 if fence.carrier != from || !self.is_newest(fence) {
                     let said = Said::Released { fence: self.fence };
                     self.out.push_back(Effect::Tell { to: from, said });
@@ -142,7 +147,9 @@
                 }
                 self.carried = true;
                 self.next_asked = 0;
+                self.gap.push((now - self.heard).as_seconds().min(self.set.orphan_most.as_seconds()), 0.1);
                 self.heard = now;
+                self.class = class;
                 self.frame = self.frame.max(frame);
                 self.came |= !segments.is_empty();
                 let Some(transit) = echo.and_then(|echo| echo.transit(now, self.fence.incarnation)) else {
--- a/crates/fleet/src/feed/mod.rs
+++ b/crates/fleet/src/feed/mod.rs
@@ -67,8 +67,11 @@
     pub propose_for: Span,
     pub stay: Span,
     pub moves_a_round: usize,
-    /// A follower without a word from its carrier for so long asks another, one each `ask_every`.
+    /// A follower without a word from its carrier for so long asks another, one each `ask_every`; where words come
+    /// seldom, for `orphan_gaps` times their usual distance, at most `orphan_most`.
     pub orphan_after: Span,
+    pub orphan_gaps: f64,
+    pub orphan_most: Span,
     pub ask_every: Span,
     /// A follower without a word for so long isn't carried any more.
     pub gone_after: Span,
@@ -109,6 +112,8 @@
             stay: Span::seconds(30.0),
             moves_a_round: 4,
             orphan_after: Span::seconds(2.0),
+            orphan_gaps: 6.0,
+            orphan_most: Span::seconds(15.0),
             ask_every: Span::millis(500),
             gone_after: Span::seconds(30.0),
             regroup: true,
@@ -164,6 +169,14 @@
     pub carrier: MemberId,
 }
 
+/// What a follower is taken for; it goes along with it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Class {
+    pub slow: bool,
+    /// How often it was slow of late: its way back takes longer each time.
+    pub relapses: u8,
+}
+
 /// A member's word on itself as a carrier.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct About {
@@ -201,8 +214,7 @@
         fence: Fence,
         stamp: Option<Stamp>,
         have: Vec<Have>,
-        slow: bool,
-        relapses: u8,
+        class: Class,
     },
     Taken {
         follower: MemberId,
@@ -216,6 +228,7 @@
     Ask {
         fence: Fence,
         stamp: Stamp,
+        class: Class,
         have: Vec<Have>,
     },
     /// Everything up to the frame has come that will come; the places of the sources that frames told of.
@@ -233,6 +246,7 @@
         fence: Fence,
         frame: u64,
         echo: Option<Echo>,
+        class: Class,
         segments: Vec<Segment>,
     },
     Moved {
--- a/crates/fleet/tests/feed_bed/mod.rs
+++ b/crates/fleet/tests/feed_bed/mod.rs
@@ -1,4 +1,6 @@
 //! Members and followers of a feed on the made network, each watched by a checker of what it hands over.
+use cherrypass::containers::rendezvous;
+use cherrypass::ids::HostId;
 use cherrypass::time::{Span, Time};
 use cherrypass_fleet::common::{Incarnation, MemberId};
 use cherrypass_fleet::feed::{Effect, Feed, Follower, Said, Set};
@@ -180,15 +182,19 @@
         let name = |kind: &str, count: usize| -> Vec<MemberId> {
             (0..count).map(|i| MemberId::of(&format!("{kind}{i}"))).collect()
         };
-        let mut fleet = Fleet {
-            net,
-            set,
-            members: name("member", members),
-            followers: name("follower", followers),
-            ledger: Ledger::default(),
-            runs: 0,
-            measure_from: Time(0),
+        let members = name("member", members);
+        // Small fleets begin with even groups.
+        let home = |id: MemberId| {
+            let value = |member: &MemberId| rendezvous(id.0, HostId(member.0), 1.0);
+            members.iter().copied().max_by(|a, b| value(a).total_cmp(&value(b)))
         };
+        let even = |i: usize| {
+            let names = (0..).map(|k| MemberId::of(&format!("follower{i}-{k}")));
+            names.take(100).find(|id| members.len() > 10 || home(*id) == Some(members[i % members.len()]))
+        };
+        let followers = (0..followers).filter_map(even).collect();
+        let mut fleet =
+            Fleet { net, set, members, followers, ledger: Ledger::default(), runs: 0, measure_from: Time(0) };
         for id in fleet.members.clone().into_iter().chain(fleet.followers.clone()) {
             fleet.start(id);
         }
