--- a/crates/fleet/src/feed/carry.rs
+++ b/crates/fleet/src/feed/carry.rs
@@ -5,16 +5,39 @@
 use cherrypass::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Frames on the way to one follower.
+const MOST_FLYING: usize = 64;
+
 pub(super) type Logs = BTreeMap<MemberId, Log>;
 
 /// Where a follower stands in a source's numbers.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Place {
     incarnation: Incarnation,
     acked: u64,
     sent: u64,
-    /// The frame that last had something of it.
-    frame: u64,
+    /// What isn't acknowledged: up to which number, by which frame.
+    frames: VecDeque<(u64, u64)>,
+}
+
+impl Place {
+    fn new(incarnation: Incarnation, number: u64) -> Place {
+        Place { incarnation, acked: number, sent: number, frames: VecDeque::new() }
+    }
+
+    fn acked(&mut self, number: u64) {
+        self.acked = self.acked.max(number);
+        self.sent = self.sent.max(self.acked);
+        while self.frames.front().is_some_and(|(up_to, _)| *up_to <= self.acked) {
+            self.frames.pop_front();
+        }
+    }
+
+    /// All goes out again that isn't acknowledged.
+    fn rewind(&mut self) {
+        self.sent = self.acked;
+        self.frames.clear();
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -54,11 +77,7 @@
 
 impl Carried {
     fn new(now: Time, fence: Fence, have: &[Have], class: Class) -> Carried {
-        let place = |have: &Have| {
-            let place =
-                Place { incarnation: have.incarnation, acked: have.number, sent: have.number, frame: 0 };
-            (have.source, place)
-        };
+        let place = |have: &Have| (have.source, Place::new(have.incarnation, have.number));
         Carried {
             fence,
             told_number: fence.number,
@@ -80,17 +99,18 @@
         }
     }
 
-    fn place(&self, source: MemberId, log: &Log) -> Option<Place> {
+    /// Up to where it was sent a source's items, and acknowledged them.
+    fn place(&self, source: MemberId, log: &Log) -> Option<(u64, u64)> {
         match self.places.get(&source) {
             Some(place) if place.incarnation > log.incarnation => None,
-            Some(place) if place.incarnation == log.incarnation => Some(*place),
-            _ => Some(Place { incarnation: log.incarnation, ..Place::default() }),
+            Some(place) if place.incarnation == log.incarnation => Some((place.sent, place.acked)),
+            _ => Some((0, 0)),
         }
     }
 
     /// How long the oldest item it hasn't acknowledged has waited here.
     fn lag(&self, now: Time, logs: &Logs) -> Span {
-        let waits = |(source, log): (&MemberId, &Log)| log.waits_since(self.place(*source, log)?.acked);
+        let waits = |(source, log): (&MemberId, &Log)| log.waits_since(self.place(*source, log)?.1);
         logs.iter().filter_map(waits).min().map_or(Span::ZERO, |since| now - since)
     }
 
@@ -101,12 +121,6 @@
         Span(usual.0 * times)
     }
 
-    fn rewind(&mut self, up_to_frame: u64) {
-        for place in self.places.values_mut().filter(|place| place.frame <= up_to_frame) {
-            place.sent = place.acked;
-        }
-    }
-
     fn acked(&mut self, now: Time, frame: u64, stamp: Stamp, have: &[Have]) {
         self.heard = now;
         self.silent = 0;
@@ -127,12 +141,15 @@
             // Only sources that frames told of have a place.
             let Some(place) = self.places.get_mut(&have.source) else { continue };
             if place.incarnation == have.incarnation {
-                place.acked = place.acked.max(have.number);
-                place.sent = place.sent.max(place.acked);
+                place.acked(have.number);
             }
         }
         // What a frame up to this one carried has come by now, or not at all.
-        self.rewind(frame);
+        for place in self.places.values_mut() {
+            if place.frames.front().is_some_and(|(_, carried_by)| *carried_by <= frame) {
+                place.rewind();
+            }
+        }
     }
 
     /// The next frame of what it lacks, and its bytes.
@@ -140,13 +157,16 @@
         if self.flying.front().is_some_and(|(_, _, at)| now - *at > self.resend_after(set)) {
             self.silent = self.silent.saturating_add(1);
             self.flying.clear();
-            self.rewind(u64::MAX);
+            self.places.values_mut().for_each(Place::rewind);
         }
         let flying: usize = self.flying.iter().map(|(_, bytes, _)| bytes).sum();
         let window = if self.class.slow { set.slow_window } else { set.window };
         // One that was silent is asked with little.
         let window = if self.class.slow && self.silent > 0 { 1 } else { window };
-        if flying >= window || self.stamp.is_none() && !self.flying.is_empty() {
+        if flying >= window
+            || self.flying.len() >= MOST_FLYING
+            || self.stamp.is_none() && !self.flying.is_empty()
+        {
             return None;
         }
         let (mut bytes, mut segments) = (0, Vec::new());
@@ -154,16 +174,19 @@
             if segments.len() >= set.most_segments || bytes >= set.frame_bytes {
                 break;
             }
-            let Some(mut place) = self.place(*source, log) else { continue };
+            let Some((sent, _)) = self.place(*source, log) else { continue };
             let room = set.frame_bytes - bytes;
-            let Some((segment, cost)) = log.segment(now, *source, place.sent, room) else { continue };
+            let Some((segment, cost)) = log.segment(now, *source, sent, room) else { continue };
             // The first item goes in whatever its size: a frame that has something already takes no big one more.
             if bytes > 0 && cost > room {
                 continue;
             }
+            let place = self.places.entry(*source).or_default();
+            if place.incarnation != log.incarnation {
+                *place = Place::new(log.incarnation, 0);
+            }
             place.sent = segment.up_to;
-            place.frame = self.frame + 1;
-            self.places.insert(*source, place);
+            place.frames.push_back((segment.up_to, self.frame + 1));
             bytes += cost;
             segments.push(segment);
         }
