--- a/crates/fleet/src/feed/carry.rs
+++ b/crates/fleet/src/feed/carry.rs
@@ -532,7 +532,9 @@
                 }
                 continue;
             }
-            let rests = one.moved.is_some_and(|at| now - at < set.stay)
+            // Room comes and goes; a slow one gains little by following it.
+            let stay = Span(set.stay.0 * if one.class.slow { 10 } else { 1 });
+            let rests = one.moved.is_some_and(|at| now - at < stay)
                 || one.proposed.is_some_and(|at| now - at < set.propose_for);
             // Few at a time, so that what the others tell of their room keeps up with what they get.
             if begun >= set.moves_a_round || rests && !(one.leaves && one.proposed.is_none()) {
--- a/crates/fleet/src/feed/mod.rs
+++ b/crates/fleet/src/feed/mod.rs
@@ -63,7 +63,8 @@
     pub back_most: Span,
     /// All of a member's followers lag against the others' for so long: they go.
     pub cause_after: Span,
-    /// A move is proposed again until it has been answered, for so long; a follower that came by one stays so long.
+    /// A move is proposed again until it has been answered, for so long; a follower that came by one stays so
+    /// long, a slow one ten times.
     pub propose_for: Span,
     pub stay: Span,
     pub moves_a_round: usize,
