--- a/crates/fleet/src/feed/carry.rs
+++ b/crates/fleet/src/feed/carry.rs
@@ -1,31 +1,53 @@
 //! The followers a member carries: what goes to each and when, who is slow, and who goes elsewhere.
 use super::log::Log;
-use super::{About, Echo, Effect, Fence, Have, Said, Set, Stamp};
+use super::{About, Class, Echo, Effect, Fence, Have, Said, Set, Stamp};
 use crate::common::{Incarnation, MemberId};
 use cherrypass::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Frames on the way to one follower.
+const MOST_FLYING: usize = 64;
+
 pub(super) type Logs = BTreeMap<MemberId, Log>;
 
 /// Where a follower stands in a source's numbers.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Place {
     incarnation: Incarnation,
     acked: u64,
     sent: u64,
-    /// The frame that last had something of it.
-    frame: u64,
+    /// What isn't acknowledged: up to which number, by which frame.
+    frames: VecDeque<(u64, u64)>,
+}
+
+impl Place {
+    fn new(incarnation: Incarnation, number: u64) -> Place {
+        Place { incarnation, acked: number, sent: number, frames: VecDeque::new() }
+    }
+
+    fn acked(&mut self, number: u64) {
+        self.acked = self.acked.max(number);
+        self.sent = self.sent.max(self.acked);
+        while self.frames.front().is_some_and(|(up_to, _)| *up_to <= self.acked) {
+            self.frames.pop_front();
+        }
+    }
+
+    /// All goes out again that isn't acknowledged.
+    fn rewind(&mut self) {
+        self.sent = self.acked;
+        self.frames.clear();
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Proposal {
     fence: Fence,
-    slow: bool,
     first: Time,
     told: Time,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Carried {
     fence: Fence,
     /// The highest number of a fence told to anyone.
@@ -41,9 +63,7 @@
     told: Time,
     /// Times in a row nothing came back in time.
     silent: u32,
-    slow: bool,
-    /// How often it was slow: its way back takes longer each time.
-    relapses: u8,
+    class: Class,
     /// Since when it lags, and since when it doesn't.
     lags: Option<Time>,
     keeps_up: Option<Time>,
@@ -56,12 +76,8 @@
 }
 
 impl Carried {
-    fn new(now: Time, fence: Fence, have: &[Have], slow: bool, relapses: u8) -> Carried {
-        let place = |have: &Have| {
-            let place =
-                Place { incarnation: have.incarnation, acked: have.number, sent: have.number, frame: 0 };
-            (have.source, place)
-        };
+    fn new(now: Time, fence: Fence, have: &[Have], class: Class) -> Carried {
+        let place = |have: &Have| (have.source, Place::new(have.incarnation, have.number));
         Carried {
             fence,
             told_number: fence.number,
@@ -73,8 +89,7 @@
             heard: now,
             told: Time(0),
             silent: 0,
-            slow,
-            relapses,
+            class,
             lags: None,
             keeps_up: None,
             proposal: None,
@@ -84,33 +99,28 @@
         }
     }
 
-    fn place(&self, source: MemberId, log: &Log) -> Option<Place> {
+    /// Up to where it was sent a source's items, and acknowledged them.
+    fn place(&self, source: MemberId, log: &Log) -> Option<(u64, u64)> {
         match self.places.get(&source) {
             Some(place) if place.incarnation > log.incarnation => None,
-            Some(place) if place.incarnation == log.incarnation => Some(*place),
-            _ => Some(Place { incarnation: log.incarnation, ..Place::default() }),
+            Some(place) if place.incarnation == log.incarnation => Some((place.sent, place.acked)),
+            _ => Some((0, 0)),
         }
     }
 
     /// How long the oldest item it hasn't acknowledged has waited here.
     fn lag(&self, now: Time, logs: &Logs) -> Span {
-        let waits = |(source, log): (&MemberId, &Log)| log.waits_since(self.place(*source, log)?.acked);
+        let waits = |(source, log): (&MemberId, &Log)| log.waits_since(self.place(*source, log)?.1);
         logs.iter().filter_map(waits).min().map_or(Span::ZERO, |since| now - since)
     }
 
     /// When what went out counts as lost.
     fn resend_after(&self, set: &Set) -> Span {
         let usual = set.resend.max(self.round_trip.map_or(Span::ZERO, |span| span.times(2.0)));
-        let times = if self.slow { 1 << self.silent.min(3) } else { 1 };
+        let times = if self.class.slow { 1 << self.silent.min(3) } else { 1 };
         Span(usual.0 * times)
     }
 
-    fn rewind(&mut self, up_to_frame: u64) {
-        for place in self.places.values_mut().filter(|place| place.frame <= up_to_frame) {
-            place.sent = place.acked;
-        }
-    }
-
     fn acked(&mut self, now: Time, frame: u64, stamp: Stamp, have: &[Have]) {
         self.heard = now;
         self.silent = 0;
@@ -131,12 +141,24 @@
             // Only sources that frames told of have a place.
             let Some(place) = self.places.get_mut(&have.source) else { continue };
             if place.incarnation == have.incarnation {
-                place.acked = place.acked.max(have.number);
-                place.sent = place.sent.max(place.acked);
+                place.acked(have.number);
             }
         }
         // What a frame up to this one carried has come by now, or not at all.
-        self.rewind(frame);
+        for place in self.places.values_mut() {
+            if place.frames.front().is_some_and(|(_, carried_by)| *carried_by <= frame) {
+                place.rewind();
+            }
+        }
+    }
+
+    /// Begins a move.
+    fn offer(&mut self, now: Time, own: MemberId, to: MemberId) -> Effect {
+        self.told_number += 1;
+        let fence = Fence { number: self.told_number, carrier: to, ..self.fence };
+        self.proposal = Some(Proposal { fence, first: now, told: now });
+        self.proposed = Some(now);
+        take(own, self)
     }
 
     /// The next frame of what it lacks, and its bytes.
@@ -144,13 +166,16 @@
         if self.flying.front().is_some_and(|(_, _, at)| now - *at > self.resend_after(set)) {
             self.silent = self.silent.saturating_add(1);
             self.flying.clear();
-            self.rewind(u64::MAX);
+            self.places.values_mut().for_each(Place::rewind);
         }
         let flying: usize = self.flying.iter().map(|(_, bytes, _)| bytes).sum();
-        let window = if self.slow { set.slow_window } else { set.window };
+        let window = if self.class.slow { set.slow_window } else { set.window };
         // One that was silent is asked with little.
-        let window = if self.slow && self.silent > 0 { 1 } else { window };
-        if flying >= window || self.stamp.is_none() && !self.flying.is_empty() {
+        let window = if self.class.slow && self.silent > 0 { 1 } else { window };
+        if flying >= window
+            || self.flying.len() >= MOST_FLYING
+            || self.stamp.is_none() && !self.flying.is_empty()
+        {
             return None;
         }
         let (mut bytes, mut segments) = (0, Vec::new());
@@ -158,16 +183,19 @@
             if segments.len() >= set.most_segments || bytes >= set.frame_bytes {
                 break;
             }
-            let Some(mut place) = self.place(*source, log) else { continue };
+            let Some((sent, _)) = self.place(*source, log) else { continue };
             let room = set.frame_bytes - bytes;
-            let Some((segment, cost)) = log.segment(now, *source, place.sent, room) else { continue };
+            let Some((segment, cost)) = log.segment(now, *source, sent, room) else { continue };
             // The first item goes in whatever its size: a frame that has something already takes no big one more.
             if bytes > 0 && cost > room {
                 continue;
             }
+            let place = self.places.entry(*source).or_default();
+            if place.incarnation != log.incarnation {
+                *place = Place::new(log.incarnation, 0);
+            }
             place.sent = segment.up_to;
-            place.frame = self.frame + 1;
-            self.places.insert(*source, place);
+            place.frames.push_back((segment.up_to, self.frame + 1));
             bytes += cost;
             segments.push(segment);
         }
@@ -183,7 +211,7 @@
         self.frame += 1;
         self.told = now;
         let echo = self.stamp.map(|(stamp, at)| Echo { stamp, held: now - at });
-        Said::Carry { fence: self.fence, frame: self.frame, echo, segments }
+        Said::Carry { fence: self.fence, frame: self.frame, echo, class: self.class, segments }
     }
 }
 
@@ -201,7 +229,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Carrier {
     own: MemberId,
     carried: BTreeMap<MemberId, Carried>,
@@ -233,7 +261,7 @@
     }
 
     pub fn about(&self, set: &Set) -> About {
-        let slow = self.carried.values().filter(|one| one.slow).count();
+        let slow = self.carried.values().filter(|one| one.class.slow).count();
         let places = self.carried.len() < set.most_followers;
         let room = set.budget as f64 - self.usual - slow as f64 * f64::from(self.need());
         let room = if places { room.max(0.0) as u32 } else { 0 };
@@ -242,12 +270,12 @@
 
     /// What one follower takes of a round's budget, bytes.
     fn need(&self) -> u32 {
-        let count = self.carried.values().filter(|one| !one.slow).count();
+        let count = self.carried.values().filter(|one| !one.class.slow).count();
         (self.usual / count.max(1) as f64) as u32 + 1
     }
 
     pub fn carried(&self) -> impl Iterator<Item = (MemberId, bool)> + '_ {
-        self.carried.iter().map(|(id, one)| (*id, one.slow))
+        self.carried.iter().map(|(id, one)| (*id, one.class.slow))
     }
 
     /// Followers' places and frames in flight.
@@ -266,7 +294,7 @@
         out: &mut VecDeque<Effect>,
     ) {
         match said {
-            Said::Ask { fence, stamp, have } if fence.carrier == self.own => {
+            Said::Ask { fence, stamp, class, have } if fence.carrier == self.own => {
                 if have.len() > set.most_sources {
                     return;
                 }
@@ -278,9 +306,9 @@
                     out.push_back(Effect::Tell { to: from, said: Said::Refuse { fence } });
                     return;
                 }
-                let (slow, relapses) = known.map_or((false, 0), |known| (known.slow, known.relapses));
-                let mut carried = Carried::new(now, fence, &have, slow, relapses);
+                let mut carried = Carried::new(now, fence, &have, class);
                 carried.stamp = Some((stamp, now));
+                carried.moved = class.slow.then_some(now);
                 self.carried.insert(from, carried);
             }
             Said::Ack { fence, frame, stamp, have } => {
@@ -307,7 +335,7 @@
         out: &mut VecDeque<Effect>,
     ) {
         match said {
-            Said::Take { follower, fence, stamp, have, slow, relapses } if fence.carrier == self.own => {
+            Said::Take { follower, fence, stamp, have, class } if fence.carrier == self.own => {
                 if have.len() > set.most_sources {
                     return;
                 }
@@ -317,7 +345,7 @@
                     Some(known) if known >= fence => Said::Taken { follower, fence },
                     None if !room => Said::Full { follower, fence },
                     _ => {
-                        let mut carried = Carried::new(now, fence, &have, slow, relapses);
+                        let mut carried = Carried::new(now, fence, &have, class);
                         // How long the other held it is left out: the bound only gets looser.
                         carried.stamp = stamp.map(|stamp| (stamp, now));
                         carried.moved = Some(now);
@@ -368,7 +396,7 @@
                 .carried
                 .range(turn..)
                 .chain(self.carried.range(..turn))
-                .filter(|(_, one)| one.slow == slow)
+                .filter(|(_, one)| one.class.slow == slow)
                 .map(|(id, _)| *id)
                 .collect();
             for id in ids {
@@ -392,11 +420,15 @@
         }
     }
 
+    pub fn give(&mut self, now: Time, follower: MemberId, to: MemberId) -> Option<Effect> {
+        self.carried.get_mut(&follower).map(|one| one.offer(now, follower, to))
+    }
+
     fn group(&mut self, now: Time, logs: &Logs, others: &Others, set: &Set) {
         let lags: BTreeMap<MemberId, Span> =
             self.carried.iter().map(|(id, one)| (*id, one.lag(now, logs))).collect();
         let mut group: Vec<Span> =
-            self.carried.iter().filter(|(_, one)| !one.slow).map(|(id, _)| lags[id]).collect();
+            self.carried.iter().filter(|(_, one)| !one.class.slow).map(|(id, _)| lags[id]).collect();
         group.sort();
         let own = lower_median(&group);
         self.lag = own.unwrap_or(Span::ZERO) + others.behind;
@@ -425,6 +457,7 @@
         if cause {
             shown = shown.max(own.unwrap_or(Span::ZERO));
         }
+        let mut found = false;
         for (id, one) in &mut self.carried {
             let lag = lags[id];
             if lag > limit(shown) && now >= self.quiet_until {
@@ -440,7 +473,7 @@
             }
             let lags_for = one.lags.map_or(Span::ZERO, |since| now - since);
             let keeps_for = one.keeps_up.map_or(Span::ZERO, |since| now - since);
-            let back_after = Span(set.back_after.0 << one.relapses.min(16)).min(set.back_most);
+            let back_after = Span(set.back_after.0 << one.class.relapses.min(16)).min(set.back_most);
             // A group of one or two shows nothing: the others' word since then must.
             let vouched = || {
                 group.len() >= 3
@@ -449,20 +482,25 @@
                         count >= enough && fleet.is_some_and(|fleet| lag > limit(fleet))
                     })
             };
-            if !one.slow && !cause && lags_for >= set.slow_after && vouched() {
-                one.slow = true;
+            if !one.class.slow && !cause && lags_for >= set.slow_after && vouched() {
+                one.class.slow = true;
                 one.proposal = None;
-            } else if one.slow && keeps_for >= back_after {
-                one.slow = false;
+                found = true;
+            } else if one.class.slow && keeps_for >= back_after {
+                one.class.slow = false;
                 one.leaves = true;
-                one.relapses = one.relapses.saturating_add(1);
+                one.class.relapses = one.class.relapses.saturating_add(1);
                 one.proposal = None;
                 one.keeps_up = None;
-            } else if !one.slow && one.relapses > 0 && keeps_for >= Span(set.back_most.0 * 2) {
-                one.relapses -= 1;
+            } else if !one.class.slow && one.class.relapses > 0 && keeps_for >= Span(set.back_most.0 * 2) {
+                one.class.relapses -= 1;
                 one.keeps_up = None;
             }
         }
+        if found {
+            // The others may have lagged because of these alone.
+            self.carried.values_mut().filter(|one| !one.class.slow).for_each(|one| one.lags = None);
+        }
         self.all_lag = self.all_lag.filter(|since| {
             let waits = now - *since < set.cause_after;
             let (count, since_then) = told(*since);
@@ -494,13 +532,15 @@
                 }
                 continue;
             }
-            let rests = one.moved.is_some_and(|at| now - at < set.stay)
+            // Room comes and goes; a slow one gains little by following it.
+            let stay = Span(set.stay.0 * if one.class.slow { 10 } else { 1 });
+            let rests = one.moved.is_some_and(|at| now - at < stay)
                 || one.proposed.is_some_and(|at| now - at < set.propose_for);
             // Few at a time, so that what the others tell of their room keeps up with what they get.
             if begun >= set.moves_a_round || rests && !(one.leaves && one.proposed.is_none()) {
                 continue;
             }
-            let target = if one.slow {
+            let target = if one.class.slow {
                 // The slow ones gather where most of them are, as long as there is room.
                 let most = fits()
                     .max_by_key(|(id, about, _)| (about.slow, *id))
@@ -522,13 +562,9 @@
                 None
             };
             let Some((to, ..)) = target else { continue };
-            one.told_number += 1;
-            let fence = Fence { number: one.told_number, carrier: *to, ..one.fence };
-            one.proposal = Some(Proposal { fence, slow: one.slow, first: now, told: now });
-            one.proposed = Some(now);
-            own.slow = own.slow.saturating_sub(u16::from(one.slow));
+            out.push_back(one.offer(now, *id, *to));
+            own.slow = own.slow.saturating_sub(u16::from(one.class.slow));
             begun += 1;
-            out.push_back(take(*id, one));
         }
     }
 }
@@ -539,15 +575,13 @@
         incarnation: place.incarnation,
         number: place.acked,
     };
-    let (fence, slow) =
-        one.proposal.map_or((one.fence, one.slow), |proposal| (proposal.fence, proposal.slow));
+    let fence = one.proposal.map_or(one.fence, |proposal| proposal.fence);
     let said = Said::Take {
         follower,
         fence,
         stamp: one.stamp.map(|stamp| stamp.0),
         have: one.places.iter().map(have).collect(),
-        slow,
-        relapses: one.relapses,
+        class: one.class,
     };
     Effect::Tell { to: fence.carrier, said }
 }
--- a/crates/fleet/src/feed/follower.rs
+++ b/crates/fleet/src/feed/follower.rs
@@ -1,8 +1,8 @@
 //! One who only listens.
 use super::log::Found;
-use super::{Effect, Fence, Have, Said, Segment, Set, Stamp};
+use super::{Class, Effect, Fence, Have, Said, Segment, Set, Stamp};
 use crate::common::{Incarnation, MemberId};
-use cherrypass::containers::rendezvous;
+use cherrypass::containers::{rendezvous, Mean};
 use cherrypass::ids::HostId;
 use cherrypass::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -18,6 +18,7 @@
     order
 }
 
+#[derive(Clone, Debug)]
 pub struct Follower {
     set: Set,
     positions: BTreeMap<MemberId, Have>,
@@ -28,6 +29,8 @@
     /// Whether the carrier of the fence has been heard under it; when last, and its last frame.
     carried: bool,
     heard: Time,
+    gap: Mean,
+    class: Class,
     frame: u64,
     asked: Time,
     acked: Time,
@@ -56,7 +59,9 @@
             next_asked: 0,
             fence: Fence { incarnation, number: 0, carrier: first },
             carried: false,
-            heard: Time(0),
+            heard: now,
+            gap: Mean::default(),
+            class: Class::default(),
             frame: 0,
             asked: Time(0),
             acked: now,
@@ -87,7 +92,8 @@
             self.heard = self.heard.max(now);
         }
         self.woken = now;
-        let silent = now - self.heard > self.set.orphan_after;
+        let usual = Span::seconds(self.gap.value * self.set.orphan_gaps).min(self.set.orphan_most);
+        let silent = now - self.heard > usual.max(self.set.orphan_after);
         if (!self.carried || silent) && now - self.asked >= self.set.ask_every {
             self.ask(now);
         }
@@ -105,14 +111,19 @@
         if self.order.is_empty() {
             return;
         }
-        let carrier = self.order[self.next_asked % self.order.len()];
-        self.next_asked += 1;
+        let mut carrier = self.order[self.next_asked % self.order.len()];
+        if self.carried && self.class.slow {
+            // One whose own link is the trouble better stays among the slow ones.
+            carrier = self.fence.carrier;
+        } else {
+            self.next_asked += 1;
+        }
         self.adopt(Fence { number: self.fence.number + 1, carrier, ..self.fence });
         self.asked = now;
         let have = self.positions.values().copied().collect();
         self.out.push_back(Effect::Tell {
             to: carrier,
-            said: Said::Ask { fence: self.fence, stamp: self.stamp(now), have },
+            said: Said::Ask { fence: self.fence, stamp: self.stamp(now), class: self.class, have },
         });
     }
 
@@ -131,7 +142,7 @@
             return;
         }
         match said {
-            Said::Carry { fence, frame, echo, segments } => {
+            Said::Carry { fence, frame, echo, class, segments } => {
                 if fence.carrier != from || !self.is_newest(fence) {
                     let said = Said::Released { fence: self.fence };
                     self.out.push_back(Effect::Tell { to: from, said });
@@ -142,7 +153,9 @@
                 }
                 self.carried = true;
                 self.next_asked = 0;
+                self.gap.push((now - self.heard).as_seconds().min(self.set.orphan_most.as_seconds()), 0.1);
                 self.heard = now;
+                self.class = class;
                 self.frame = self.frame.max(frame);
                 self.came |= !segments.is_empty();
                 let Some(transit) = echo.and_then(|echo| echo.transit(now, self.fence.incarnation)) else {
--- a/crates/fleet/src/feed/mod.rs
+++ b/crates/fleet/src/feed/mod.rs
@@ -63,12 +63,16 @@
     pub back_most: Span,
     /// All of a member's followers lag against the others' for so long: they go.
     pub cause_after: Span,
-    /// A move is proposed again until it has been answered, for so long; a follower that came by one stays so long.
+    /// A move is proposed again until it has been answered, for so long; a follower that came by one stays so
+    /// long, a slow one ten times.
     pub propose_for: Span,
     pub stay: Span,
     pub moves_a_round: usize,
-    /// A follower without a word from its carrier for so long asks another, one each `ask_every`.
+    /// A follower without a word from its carrier for so long asks another, one each `ask_every`; where words come
+    /// seldom, for `orphan_gaps` times their usual distance, at most `orphan_most`.
     pub orphan_after: Span,
+    pub orphan_gaps: f64,
+    pub orphan_most: Span,
     pub ask_every: Span,
     /// A follower without a word for so long isn't carried any more.
     pub gone_after: Span,
@@ -109,6 +113,8 @@
             stay: Span::seconds(30.0),
             moves_a_round: 4,
             orphan_after: Span::seconds(2.0),
+            orphan_gaps: 6.0,
+            orphan_most: Span::seconds(15.0),
             ask_every: Span::millis(500),
             gone_after: Span::seconds(30.0),
             regroup: true,
@@ -164,6 +170,14 @@
     pub carrier: MemberId,
 }
 
+/// What a follower is taken for; it goes along with it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Class {
+    pub slow: bool,
+    /// How often it was slow of late: its way back takes longer each time.
+    pub relapses: u8,
+}
+
 /// A member's word on itself as a carrier.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct About {
@@ -201,8 +215,7 @@
         fence: Fence,
         stamp: Option<Stamp>,
         have: Vec<Have>,
-        slow: bool,
-        relapses: u8,
+        class: Class,
     },
     Taken {
         follower: MemberId,
@@ -216,6 +229,7 @@
     Ask {
         fence: Fence,
         stamp: Stamp,
+        class: Class,
         have: Vec<Have>,
     },
     /// Everything up to the frame has come that will come; the places of the sources that frames told of.
@@ -233,6 +247,7 @@
         fence: Fence,
         frame: u64,
         echo: Option<Echo>,
+        class: Class,
         segments: Vec<Segment>,
     },
     Moved {
@@ -288,7 +303,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Peer {
     dead: bool,
     /// Its clock as it last told it, and when that came.
@@ -303,7 +318,7 @@
 }
 
 /// A source's number that someone has and this member hasn't.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Missing {
     incarnation: Incarnation,
     number: u64,
@@ -315,6 +330,7 @@
 }
 
 /// A member's side.
+#[derive(Clone, Debug)]
 pub struct Feed {
     set: Set,
     own: MemberId,
@@ -414,6 +430,15 @@
         }
     }
 
+    /// Proposes a follower to another member, as before a planned stop; it goes on being carried until that one has
+    /// taken it.
+    pub fn give(&mut self, now: Time, follower: MemberId, to: MemberId) {
+        if self.peers.contains_key(&to) {
+            let offer = self.carrier.give(now, follower, to);
+            self.out.extend(offer);
+        }
+    }
+
     /// The followers carried, and whether they count as slow.
     pub fn carried(&self) -> impl Iterator<Item = (MemberId, bool)> + '_ {
         self.carrier.carried()
