--- /dev/null
+++ b/crates/fleet/examples/rollout.rs
@@ -0,0 +1,290 @@
+//! How soon harmful versions halt, and how often harmless ones do, in virtual time on the made network:
+//! `cargo run --release --example rollout [runs] [seed]`. Figures are made: traffic that is uneven, swings and bursts
+//! together, visits of one second that share their fate, hosts that fail for a whole location.
+use cherrypass::ids::LocationId;
+use cherrypass::time::{Span, Time};
+use cherrypass_fleet::common::{Incarnation, MemberId};
+use cherrypass_fleet::made::{Network, Node};
+use cherrypass_fleet::rollout::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a version does to its dispatchers' visits.
+#[derive(Clone, Copy, Debug, Default)]
+struct Harm {
+    late: f64,
+    turned_back: f64,
+    written_off: f64,
+    hand_offs: f64,
+    /// A second and dispatcher.
+    shut_out: f64,
+}
+
+const HARMS: [(&str, Harm); 9] = [
+    ("harmless", Harm { late: 0.0, turned_back: 0.0, written_off: 0.0, hand_offs: 0.0, shut_out: 0.0 }),
+    (
+        "limit at a tenth",
+        Harm { late: 0.02, turned_back: 0.25, written_off: 0.0, hand_offs: 0.0, shut_out: 0.0 },
+    ),
+    (
+        "verdicts trusted",
+        Harm { late: 0.03, turned_back: 0.02, written_off: 0.0, hand_offs: 0.1, shut_out: 0.1 },
+    ),
+    ("first error", Harm { late: 0.02, turned_back: 0.08, written_off: 0.01, hand_offs: 0.0, shut_out: 0.2 }),
+    (
+        "turned back +5%",
+        Harm { late: 0.0, turned_back: 0.05, written_off: 0.0, hand_offs: 0.0, shut_out: 0.0 },
+    ),
+    (
+        "turned back +3%",
+        Harm { late: 0.0, turned_back: 0.03, written_off: 0.0, hand_offs: 0.0, shut_out: 0.0 },
+    ),
+    ("late +5%", Harm { late: 0.05, turned_back: 0.0, written_off: 0.0, hand_offs: 0.0, shut_out: 0.0 }),
+    ("hand-offs +0.2", Harm { late: 0.0, turned_back: 0.0, written_off: 0.0, hand_offs: 0.2, shut_out: 0.0 }),
+    (
+        "late +1% (borne)",
+        Harm { late: 0.01, turned_back: 0.0, written_off: 0.0, hand_offs: 0.0, shut_out: 0.0 },
+    ),
+];
+
+/// A slow random course about 0, of deviation 1.
+#[derive(Clone, Copy, Default)]
+struct Course(f64);
+
+impl Course {
+    fn step(&mut self, chance: &mut Pcg64Mcg, seconds: f64) -> f64 {
+        let keep = (-1.0 / seconds).exp();
+        self.0 = self.0 * keep + normal(chance) * (1.0 - keep * keep).sqrt();
+        self.0
+    }
+}
+
+fn normal(chance: &mut Pcg64Mcg) -> f64 {
+    let (a, b): (f64, f64) = (chance.gen_range(1e-12..1.0), chance.gen_range(0.0..1.0));
+    (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()
+}
+
+fn draw(chance: &mut Pcg64Mcg, mean: f64) -> u64 {
+    if mean > 30.0 {
+        return (mean + mean.sqrt() * normal(chance)).max(0.0).round() as u64;
+    }
+    let (mut left, mut n) = ((-mean).exp(), 0);
+    let mut u: f64 = chance.gen_range(0.0..1.0);
+    while u > left && n < 200 {
+        u -= left;
+        n += 1;
+        left *= mean / n as f64;
+    }
+    n
+}
+
+struct World {
+    chance: Pcg64Mcg,
+    second: f64,
+    common: [Course; 2],
+    locations: BTreeMap<LocationId, (Course, Course, f64)>,
+    members: BTreeMap<MemberId, (f64, f64, Course)>,
+    fails: f64,
+}
+
+impl World {
+    fn new(seed: u64, listed: &[(MemberId, LocationId)], fails: f64) -> World {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let members = listed
+            .iter()
+            .map(|(id, _)| {
+                let rate = 40.0 * (0.6 * normal(&mut chance)).exp();
+                (*id, (rate, (0.3 * normal(&mut chance)).exp(), Course::default()))
+            })
+            .collect();
+        let second = chance.gen_range(0.0..3600.0);
+        World { chance, second, common: Default::default(), locations: BTreeMap::new(), members, fails }
+    }
+
+    /// One second of all dispatchers; `has` is the version's harm where it is in force.
+    fn second(
+        &mut self,
+        listed: &[(MemberId, LocationId)],
+        has: impl Fn(MemberId) -> Harm,
+    ) -> Vec<(MemberId, Figures)> {
+        self.second += 1.0;
+        let chance = &mut self.chance;
+        // A day pressed into an hour.
+        let swing = 1.0 + 0.4 * (self.second * std::f64::consts::TAU / 3600.0).sin();
+        let burst =
+            (0.25 * self.common[0].step(chance, 30.0) + 0.15 * self.common[1].step(chance, 5.0)).exp();
+        for (_, location) in listed {
+            self.locations.entry(*location).or_default();
+        }
+        for (slow, quick, failed) in self.locations.values_mut() {
+            slow.step(chance, 60.0);
+            quick.step(chance, 8.0);
+            *failed = (*failed - 1.0).max(0.0);
+            if chance.gen_bool(self.fails) {
+                *failed = 20.0;
+            }
+        }
+        let mut out = Vec::new();
+        for (id, location) in listed {
+            let (slow, quick, failed) = self.locations[location];
+            let Some((rate, worse, own)) = self.members.get_mut(id) else { continue };
+            let load = swing * burst * (0.08 * slow.0 + 0.05 * quick.0 + 0.1 * own.step(chance, 15.0)).exp();
+            let visits = draw(chance, *rate * load);
+            let harm = has(*id);
+            let fails = if failed > 0.0 { 1.0 } else { 0.0 };
+            let mut share = |base: f64, power: f64, more: f64| {
+                // Visits of a second share their fate.
+                let p = base * *worse * load.powf(power) * (0.6 * normal(chance) - 0.18).exp() + more;
+                draw(chance, visits as f64 * p.min(1.0)).min(visits)
+            };
+            let turned_back = share(0.01, 2.0, harm.turned_back);
+            let written_off = share(0.003, 1.0, harm.written_off);
+            let late = share(0.02, 1.5, harm.late + 0.02 * fails);
+            let again = share(0.08, 1.0, harm.hand_offs + 0.1 * fails);
+            let bad = (turned_back + written_off + late).min(visits);
+            // Each dispatcher finds a failed host out in the first five seconds or so.
+            let found = if failed > 15.0 { 0.2 } else { 0.0 };
+            let shut_out = draw(chance, 0.004 + found + harm.shut_out);
+            let (in_time, hand_offs) = (visits - bad, visits - turned_back + again);
+            out.push((*id, Figures { visits, in_time, turned_back, written_off, hand_offs, shut_out }));
+        }
+        out
+    }
+}
+
+struct Member {
+    rollout: Rollout,
+    in_force: u64,
+    logs: Vec<String>,
+}
+
+impl Node for Member {
+    type Said = Said;
+    fn heard(&mut self, now: Time, from: MemberId, said: Said) {
+        self.rollout.heard(now, from, said);
+    }
+    fn woken(&mut self, now: Time) {
+        self.rollout.woken(now);
+    }
+    fn next(&mut self, now: Time) -> Option<(MemberId, Said)> {
+        loop {
+            match self.rollout.next()? {
+                Effect::Tell { to, said } => return Some((to, said)),
+                Effect::Keep { ticket, .. } => self.rollout.kept(now, ticket, true),
+                Effect::InForce { number, .. } => self.in_force = number,
+                Effect::Log(line) => self.logs.push(line),
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Outcome {
+    stage: u16,
+    full: bool,
+    seconds: u64,
+    /// Of all visits since the start, those that saw the version.
+    share: f64,
+    why: String,
+    /// Bytes told a member and second, and the most windows' worth.
+    told: u64,
+}
+
+fn run(seed: u64, members: u64, locations: u64, harm: Harm, fails: f64, hold: f64) -> Outcome {
+    let listed: Vec<(MemberId, LocationId)> =
+        (0..members).map(|i| (MemberId(i + 1), LocationId((i % locations) as u8))).collect();
+    let mut net: Network<Member> = Network::new(seed, Span::millis(250));
+    for (id, location) in listed.clone() {
+        let rate = net.chance.gen_range(0.995..1.005);
+        let (seed, listed) = (seed ^ id.0 << 32, listed.clone());
+        net.start(id, rate, |now| {
+            let rollout =
+                Rollout::new(Set::default(), id, location, Incarnation(1), &listed, vec![], seed, now);
+            Member { rollout, in_force: 0, logs: Vec::new() }
+        });
+    }
+    let mut world = World::new(seed ^ 0x5eed, &listed, fails);
+    let (mut saw, mut all, mut out) = (0, 0, Outcome::default());
+    for second in 0..7200_u64 {
+        if second == 240 {
+            let order = (0..locations).map(|l| LocationId(l as u8)).collect();
+            let hold = Span::seconds(hold);
+            let plan = Plan { order, first: 250, hold, visits: 1000, after_halt: AfterHalt::Back };
+            let version = Version { number: 1, text: "{}".to_owned(), plan };
+            let started = net.call(MemberId(1), |m, now| m.rollout.order(now, Order::Start(version)));
+            assert!(matches!(started, Some(Ok(()))), "{started:?}");
+        }
+        net.play(Span::seconds(1.0), |_| {});
+        let with: BTreeSet<MemberId> =
+            net.ids().into_iter().filter(|id| net.node(*id).is_some_and(|m| m.in_force == 1)).collect();
+        let has = |id: MemberId| with.contains(&id);
+        let figures = world.second(&listed, |id| if has(id) { harm } else { Harm::default() });
+        for (id, figures) in figures {
+            if second >= 240 {
+                all += figures.visits;
+                saw += if has(id) { figures.visits } else { 0 };
+            }
+            net.call(id, |member, now| member.rollout.counted(now, figures));
+        }
+        let status = net.node(MemberId(1)).map(|m| m.rollout.status());
+        let Some(status) = status.filter(|status| status.step.at > 0) else { continue };
+        out.stage = status.step.stage;
+        out.seconds = second - 240;
+        if status.step.phase != Phase::Rolling {
+            out.full = status.step.phase == Phase::Full;
+            break;
+        }
+    }
+    out.share = saw as f64 / all as f64;
+    out.told = net.sent.values().sum::<u64>();
+    let halts = |id: &MemberId| net.node(*id)?.logs.iter().find(|line| line.contains("halted:")).cloned();
+    out.why = net.ids().iter().find_map(halts).unwrap_or_default();
+    out
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1).filter_map(|arg| arg.parse::<u64>().ok());
+    let (runs, first) = (args.next().unwrap_or(200), args.next().unwrap_or(1));
+    for (members, locations) in [(24, 4), (9, 3), (3, 3)] {
+        for (day, fails) in [("hosts don't fail", 0.0), ("a host fails a location and 20 min", 1.0 / 1200.0)]
+        {
+            println!("{members} dispatchers in {locations} locations; {day}; holds of 120 s");
+            for (name, harm) in HARMS {
+                let is_harmless = name == "harmless";
+                let runs = if is_harmless { runs } else { (runs / 5).max(1) };
+                let next = std::sync::atomic::AtomicU64::new(first);
+                let outcomes: Vec<Outcome> = std::thread::scope(|scope| {
+                    let work = || {
+                        let mut outcomes = Vec::new();
+                        loop {
+                            let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                            if seed >= first + runs {
+                                return outcomes;
+                            }
+                            outcomes.push(run(seed, members, locations, harm, fails, 120.0));
+                        }
+                    };
+                    let threads: Vec<_> = (0..4).map(|_| scope.spawn(work)).collect();
+                    threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
+                });
+                let halted: Vec<&Outcome> = outcomes.iter().filter(|o| !o.full).collect();
+                let early = halted.iter().filter(|o| o.stage <= 1).count();
+                let first_stage = halted.iter().filter(|o| o.stage == 0).count();
+                let mut seconds: Vec<u64> = halted.iter().map(|o| o.seconds).collect();
+                let mut shares: Vec<f64> = halted.iter().map(|o| o.share).collect();
+                seconds.sort_unstable();
+                shares.sort_by(f64::total_cmp);
+                print!("  {name:18} halted {:3} of {runs}, in the first location {early}, its first part {first_stage}", halted.len());
+                if let (Some(most), Some(share)) = (seconds.last(), shares.last()) {
+                    let (middle, half) = (seconds[seconds.len() / 2], shares[shares.len() / 2]);
+                    print!("; s to the halt {middle} (most {most}); share that saw it {half:.4} (most {share:.4})");
+                }
+                println!();
+                if is_harmless {
+                    halted.iter().for_each(|o| println!("    stage {}: {}", o.stage, o.why));
+                }
+            }
+        }
+    }
+}
--- a/crates/fleet/src/rollout/steps.rs
+++ b/crates/fleet/src/rollout/steps.rs
@@ -288,7 +288,8 @@
         let due = match step.phase {
             Phase::Full => step.version,
             Phase::Back => step.base,
-            Phase::Rolling | Phase::Halted if old == step.version => old,
+            // What still waits for the disk has not been taken.
+            Phase::Rolling | Phase::Halted if self.active == step.version => self.active,
             // Guards against spreading it under a halt: who knows of one doesn't take the version newly.
             Phase::Rolling if mine && !self.halts(&step) => step.version,
             Phase::Rolling | Phase::Halted => step.base,
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -98,7 +98,7 @@
             self.rollout.kept(now, ticket, well);
             self.drain();
         }
-        if self.wakes % 5 == 0 {
+        if self.wakes.is_multiple_of(5) {
             self.rollout.counted(now, self.figures);
         }
         self.rollout.woken(now);
@@ -290,7 +290,7 @@
     p.play(14.0);
     let any = |p: &mut Play| MemberId(p.net.chance.gen_range(1..=members));
     let liar = any(&mut p);
-    if seed % 2 == 0 {
+    if seed.is_multiple_of(2) {
         p.disks[&liar].borrow_mut().lies = true;
     }
     let slowest = Span::millis([5, 50, 800][(seed % 3) as usize]);
@@ -336,7 +336,7 @@
                 let after_halt = if number % 2 == 0 { AfterHalt::Back } else { AfterHalt::Stay };
                 let _ = p.order(one, Order::Start(version(number, &p.listed, after_halt)));
             }
-            20 if seed % 3 == 0 => {
+            20 if seed.is_multiple_of(3) => {
                 let _ = p.order(one, Order::Back);
             }
             _ => {}
