--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -13,7 +13,7 @@
 
 const DIGEST: usize = 4;
 
-/// What a message says of itself. Form 1 is this with a location of 0 and no digest.
+/// What a message says of itself. Form 1 tells no location and has no digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Envelope<'a> {
     /// The newest form that the sender reads.
@@ -60,6 +60,10 @@
 pub enum Refused {
     #[error("it is longer than any message; is something else sending to this port?")]
     TooLong,
+    #[error(
+        "a message of this process is longer than the link carries and was not sent; tell the maintainers"
+    )]
+    OwnTooLong,
     #[error("it makes no sense; is something else sending to this port?")]
     Nonsense,
     #[error("it changed on its way; look at the link")]
@@ -87,6 +91,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Refused::TooLong => "link-too-long",
+            Refused::OwnTooLong => "link-own-too-long",
             Refused::Nonsense => "link-nonsense",
             Refused::Changed => "link-changed",
             Refused::Form(_) => "link-form",
@@ -133,10 +138,9 @@
             Envelope { reads, fleet, from, incarnation, location: None, kind, payload }
         }
         Some(2) => {
-            let (body, digest) =
-                bytes.split_at_checked(bytes.len() - DIGEST.min(bytes.len())).unwrap_or_default();
+            let (body, digest) = bytes.split_last_chunk::<DIGEST>().ok_or(Refused::Nonsense)?;
             let found: Two = postcard::from_bytes(body).map_err(|_| Refused::Nonsense)?;
-            if digest != crc32c::crc32c(body).to_le_bytes() {
+            if *digest != crc32c::crc32c(body).to_le_bytes() {
                 return Err(Refused::Changed);
             }
             let Two { reads, fleet, from, incarnation, location, kind, payload, .. } = found;
--- a/crates/peers/src/run.rs
+++ b/crates/peers/src/run.rs
@@ -13,6 +13,7 @@
 use cherrypass_fleet::feed::{self, Follower};
 use cherrypass_fleet::house::{Effect, Fleet, Message, Void};
 use cherrypass_fleet::limits::{Key, Part};
+use cherrypass_fleet::members::Standing;
 use cherrypass_fleet::verdicts::Finding;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use serde::de::DeserializeOwned;
@@ -58,12 +59,14 @@
     pub incarnation: Incarnation,
     /// The newest form it has shown that it reads.
     pub reads: u8,
+    /// What the operators were told of it last.
+    is_there: bool,
 }
 
 impl Peer {
     pub fn new(name: &str, address: SocketAddr, location: LocationId) -> Peer {
         let (incarnation, reads) = (Incarnation::default(), link::OLDEST);
-        Peer { name: name.to_owned(), address, location, incarnation, reads }
+        Peer { name: name.to_owned(), address, location, incarnation, reads, is_there: false }
     }
 }
 
@@ -159,6 +162,14 @@
     format!("{:x}", host.0)
 }
 
+fn gone(standing: Standing) -> &'static str {
+    if standing == Standing::Left {
+        "has left"
+    } else {
+        "does not answer anyone any more; look at its process and its network"
+    }
+}
+
 fn run_of(since: Option<Time>) -> Option<Incarnation> {
     since.map(|since| Incarnation(since.0))
 }
@@ -377,7 +388,15 @@
             }
             Effect::Changed { who, standing, incarnation } => {
                 let name = self.name(who);
-                (self.log)(&format!("fleet: {name} is {standing:?}").to_lowercase());
+                // A suspicion that was refuted is no line: with many members there is always one.
+                let is_there = matches!(standing, Standing::Alive | Standing::Suspect);
+                let peer = self.peers.get_mut(&who);
+                if peer.is_some_and(|peer| std::mem::replace(&mut peer.is_there, is_there) != is_there) {
+                    (self.log)(&format!(
+                        "fleet: {name} {}",
+                        if is_there { "is there" } else { gone(standing) }
+                    ));
+                }
                 let standing = format!("{standing:?}").to_lowercase();
                 let values = json!({ "who": name, "standing": standing, "sinc": incarnation.0 });
                 self.events.note(now, "member", |_| values);
@@ -460,7 +479,7 @@
         match link::encode(link::form_for(self.form, peer.reads), &envelope) {
             // What can't be sent is lost, as on the way; rooms tell it again.
             Some(bytes) => drop(self.socket.send_to(&bytes, peer.address)),
-            None => self.refuse(now, Refused::TooLong, Who::Listed(self.me)),
+            None => self.refuse(now, Refused::OwnTooLong, Who::Listed(self.me)),
         }
     }
 
