--- a/crates/peers/examples/idle.rs
+++ b/crates/peers/examples/idle.rs
@@ -1,4 +1,5 @@
-//! What nine members of a fleet cost while nothing happens: threads, memory and core time of each, in one process on loopback.
+//! What members of a fleet cost while nothing happens: threads, memory and core time of each, in one process on
+//! loopback. Arguments: how many (9), for how many seconds (30), and `all` for event log and control listener too.
 use cherrypass::ids::LocationId;
 use cherrypass_fleet::{house, limits, rollout, verdicts};
 use cherrypass_peers::{Member, Peers, Set};
@@ -21,6 +22,8 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let most: u32 = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(9);
     let seconds = std::env::args().nth(2).and_then(|n| n.parse().ok()).unwrap_or(30);
+    let all_on = std::env::args().nth(3).is_some_and(|arg| arg == "all");
+    let events = std::env::temp_dir().join(format!("cherrypass-idle-{}.jsonl", std::process::id()));
     let free = (0..most).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
     let at = free.iter().map(UdpSocket::local_addr).collect::<Result<Vec<SocketAddr>, _>>()?;
     drop(free);
@@ -34,6 +37,10 @@
     for (i, at) in at.iter().enumerate() {
         let mut set = Set::of("shop", &name(i), *at);
         set.members = members.clone();
+        if all_on {
+            set.events = Some(events.clone());
+            set.control = Some(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?);
+        }
         let limits = limits::Set {
             origin: Some(40.0),
             further_per_s: Some(20.0),
@@ -60,5 +67,6 @@
         each(0),
         used * 100.0
     );
+    let _ = std::fs::remove_file(&events);
     Ok(())
 }
