Dispatcher: nothing of a shared limit before the fleet has told some

The fleet's room gives nothing at a start until all that an earlier run may have lent or used up is over; the floor that was taken before its first word came was more.

--- a/crates/dispatcher/src/sharing.rs
+++ b/crates/dispatcher/src/sharing.rs
@@ -107,7 +107,7 @@
     settings: Settings,
     limits: Option<operator::Limits>,
     verdicts: bool,
-    /// The part of a limit that is this member's whatever the others do.
+    /// The part of the whole that is this member's whatever the others do.
     floor: f64,
     parts: BTreeMap<Key, Part>,
     told: BTreeMap<HostId, Told>,
@@ -178,19 +178,17 @@
         self.next.saturating_duration_since(Instant::now())
     }
 
-    /// Before anything is served: until the fleet has told more, no more than what nobody else can have.
-    /// Guards against a start whose share is lent still.
+    /// Before anything is served: nothing of a limit until the fleet has told more, which it does at its
+    /// start. Guards against a start whose share an earlier run has lent, or used up, still.
     pub fn begin(&mut self, brain: &mut Brain) {
         let Some(limits) = &self.limits else { return };
         let wholes = [(Key::Origin, limits.origin), (Key::Further, limits.further_per_s)];
-        for (key, whole) in wholes.into_iter().filter_map(|(key, whole)| Some((key, whole?))) {
-            self.at_least(brain, key, whole);
-        }
+        let shared = wholes.into_iter().filter(|(_, whole)| whole.is_some());
+        shared.for_each(|(key, _)| self.until_told(brain, key, 0.0));
     }
 
-    fn at_least(&mut self, brain: &mut Brain, key: Key, whole: f64) {
-        let (amount, until) = (self.floor * whole, Instant::now());
-        self.parts.entry(key).or_insert(Part { amount, until, after: amount });
+    fn until_told(&mut self, brain: &mut Brain, key: Key, amount: f64) {
+        self.parts.entry(key).or_insert(Part { amount, until: Instant::now(), after: amount });
         self.allot(brain, key);
     }
 
@@ -260,12 +258,13 @@
         }
     }
 
-    /// A cold host of which the fleet has not told a part yet.
+    /// A cold host of which the fleet has not told a part yet: what nobody else can have, for it may know too
+    /// many to tell of this one.
     fn new_cold(&mut self, brain: &mut Brain, host: HostId) {
         let key = Key::Cold(host);
         let shares = self.limits.as_ref().is_some_and(|limits| limits.cold);
         if shares && !self.parts.contains_key(&key) {
-            self.at_least(brain, key, 1.0);
+            self.until_told(brain, key, self.floor);
         }
     }
 
@@ -464,13 +463,12 @@
     #[test]
     fn parts_hold_by_instants_and_needs_are_told() {
         let (mut brain, mut sharing, told) = start();
-        // Before anything is told: a floor of 0.1 x 40 / 2.
-        assert_eq!(visits(&mut brain, 0, 5, 1).len(), 2);
+        assert_eq!(visits(&mut brain, 0, 5, 1).len(), 0, "nothing is told yet");
         let until = Instant::now() + Duration::from_millis(60);
         let part = |key, number, amount, after| FromFleet::Part { key, number, amount, until, after };
         sharing.take(&mut brain, part(Key::Origin, 3, 6.0, 0.0));
         sharing.take(&mut brain, part(Key::Cold(HostId(77)), 4, 1.0, 1.0));
-        assert_eq!(visits(&mut brain, 10, 9, 1).len(), 4);
+        assert_eq!(visits(&mut brain, 10, 9, 1).len(), 6);
         sharing.round(&mut brain);
         let all: Vec<ToFleet> = told.try_iter().collect();
         assert!(all.contains(&ToFleet::Taken { key: Key::Origin, number: 3 }));
