Rules that are rolled out reach the dispatcher: wholes of limits, and whether others' word counts

A document in the operators' file's form, checked against the file's section by types that know every key; each dispatcher's part changes in proportion. One that can't be taken leaves a line and the old one in force, and the fleet is told.

--- a/crates/dispatcher/src/sharing.rs
+++ b/crates/dispatcher/src/sharing.rs
@@ -12,6 +12,7 @@
 use cherrypass::time::{Span, Time};
 use cherrypass_fleet::{house, limits, members, rollout, verdicts};
 use cherrypass_operator::fleet::{self as operator, Fleet};
+use cherrypass_operator::rules::{self, Rules};
 use cherrypass_peers as peers;
 use cherrypass_peers::{Figures, Finding, FromFleet, Key, Kind, Peers, ToFleet, UsedBy};
 use cherrypass_store::store::Store;
@@ -105,8 +106,8 @@
     /// Leaves the fleet in order when it is dropped.
     _peers: Option<Peers>,
     settings: Settings,
-    limits: Option<operator::Limits>,
-    verdicts: bool,
+    fleet: Fleet,
+    rules: Rules,
     /// The part of the whole that is this member's whatever the others do.
     floor: f64,
     parts: BTreeMap<Key, Part>,
@@ -158,8 +159,8 @@
             tell,
             _peers: None,
             settings: settings.clone(),
-            limits: fleet.limits.clone(),
-            verdicts: fleet.verdicts.is_some(),
+            fleet: fleet.clone(),
+            rules: Rules::default(),
             floor: floor / fleet.members.len().max(1) as f64,
             parts: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -181,7 +182,7 @@
     /// Before anything is served: nothing of a limit until the fleet has told more, which it does at its
     /// start. Guards against a start whose share an earlier run has lent, or used up, still.
     pub fn begin(&mut self, brain: &mut Brain) {
-        let Some(limits) = &self.limits else { return };
+        let Some(limits) = &self.fleet.limits else { return };
         let wholes = [(Key::Origin, limits.origin), (Key::Further, limits.further_per_s)];
         let shared = wholes.into_iter().filter(|(_, whole)| whole.is_some());
         shared.for_each(|(key, _)| self.until_told(brain, key, 0.0));
@@ -194,7 +195,36 @@
 
     fn allot(&self, brain: &mut Brain, key: Key) {
         if let Some(Part { amount, until, after }) = self.parts.get(&key) {
-            brain.allotted(shared(key), *amount, at(*until), *after);
+            let scale = self.scale(key);
+            brain.allotted(shared(key), scale * amount, at(*until), scale * after);
+        }
+    }
+
+    /// A whole by the rules in force over that by the file, which the fleet shares out.
+    fn scale(&self, key: Key) -> f64 {
+        let (Some(file), rules) = (&self.fleet.limits, &self.rules.fleet.limits) else { return 1.0 };
+        let (new, old) = match key {
+            Key::Origin => (rules.origin, file.origin),
+            Key::Further => (rules.further_per_s, file.further_per_s),
+            Key::Cold(_) => (None, None),
+        };
+        new.zip(old).map_or(1.0, |(new, old)| new / old)
+    }
+
+    /// Other rules are in force from now on.
+    fn rule(&mut self, brain: &mut Brain, rules: Rules) {
+        self.rules = rules;
+        self.parts.keys().copied().collect::<Vec<_>>().into_iter().for_each(|key| self.allot(brain, key));
+        if !self.rules.fleet.verdicts.heed {
+            let hosts: Vec<HostId> = self.told.keys().copied().collect();
+            hosts.into_iter().for_each(|host| self.withdraw(brain, host));
+        }
+    }
+
+    fn withdraw(&mut self, brain: &mut Brain, host: HostId) {
+        if let Some(told) = self.told.remove(&host) {
+            let now = clock::now();
+            brain.hearsay(now, host, told.since, Word::Bad, now);
         }
     }
 
@@ -209,29 +239,28 @@
                 self.allot(brain, key);
                 (self.tell)(ToFleet::Taken { key, number });
             }
+            FromFleet::Hearsay { kind: Kind::Slow, .. } => {}
+            FromFleet::Hearsay { .. } if !self.rules.fleet.verdicts.heed => {}
             FromFleet::Hearsay { host, since, kind: Kind::JustStarted, until, .. } => {
                 // Once for a start: the list's next word on it stands, whatever is told of the time before.
                 if self.new.insert(host, since) != Some(since) {
                     brain.hearsay(clock::now(), host, since, Word::Anew, at(until));
                 }
             }
-            FromFleet::Hearsay { kind: Kind::Slow, .. } => {}
             FromFleet::Hearsay { host, since, until, .. } => {
                 let refuted = self.told.get(&host).is_some_and(|told| told.refuted && told.since == since);
                 self.told.insert(host, Told { since, until, refuted });
                 brain.hearsay(clock::now(), host, since, Word::Bad, at(until));
             }
-            FromFleet::Withdraw { host } => {
-                if let Some(told) = self.told.remove(&host) {
-                    let now = clock::now();
-                    brain.hearsay(now, host, told.since, Word::Bad, now);
+            FromFleet::Withdraw { host } => self.withdraw(brain, host),
+            FromFleet::Rules { number: 0, .. } => self.rule(brain, Rules::default()),
+            FromFleet::Rules { number, text } => match rules::decode(&text, &self.fleet) {
+                Ok(rules) => self.rule(brain, rules),
+                Err(error) => {
+                    tracing::warn!("rules {number} can't be taken ({}): {error}", error.code());
+                    (self.tell)(ToFleet::NotTaken { number, why: error.to_string() });
                 }
-            }
-            FromFleet::Rules { number: 0, .. } => {}
-            FromFleet::Rules { number, .. } => {
-                let why = "this build takes rules from the operators' file alone".to_owned();
-                (self.tell)(ToFleet::NotTaken { number, why });
-            }
+            },
         }
     }
 
@@ -262,7 +291,7 @@
     /// many to tell of this one.
     fn new_cold(&mut self, brain: &mut Brain, host: HostId) {
         let key = Key::Cold(host);
-        let shares = self.limits.as_ref().is_some_and(|limits| limits.cold);
+        let shares = self.fleet.limits.as_ref().is_some_and(|limits| limits.cold);
         if shares && !self.parts.contains_key(&key) {
             self.until_told(brain, key, self.floor);
         }
@@ -278,7 +307,7 @@
         for (host, told) in &self.told {
             brain.hearsay(now, *host, told.since, Word::Bad, at(told.until));
         }
-        if self.verdicts {
+        if self.fleet.verdicts.is_some() {
             self.tell_found(brain, now);
         }
         self.tell_shut(brain);
@@ -329,7 +358,7 @@
     }
 
     fn tell_wanted(&mut self, brain: &mut Brain, now: Time) {
-        let Some(limits) = &self.limits else { return };
+        let Some(limits) = &self.fleet.limits else { return };
         let fixed = [(Key::Origin, limits.origin), (Key::Further, limits.further_per_s)];
         let mut keys: BTreeSet<Key> =
             fixed.into_iter().filter(|(_, whole)| whole.is_some()).map(|(key, _)| key).collect();
@@ -490,6 +519,23 @@
         assert_eq!(visits(&mut brain, 30, 4, 1).len(), 0, "the part is over without a further call");
     }
 
+    #[test]
+    fn rules_change_wholes_and_bad_ones_change_nothing() {
+        let (mut brain, mut sharing, told) = start();
+        let until = Instant::now() + Duration::from_secs(9);
+        let key = Key::Origin;
+        sharing.take(&mut brain, FromFleet::Part { key, number: 1, amount: 8.0, until, after: 0.0 });
+        let mut rules = |number: u64, text: &str| {
+            sharing.take(&mut brain, FromFleet::Rules { number, text: text.into() });
+            let before = brain.wanted(clock::now(), Shared::Origin).used as u32;
+            visits(&mut brain, 100 * number as u32, 9, 1).len() as u32 + before
+        };
+        assert_eq!(rules(1, r#"{"fleet": {"limits": {"origin": 20}}}"#), 4);
+        assert_eq!(rules(2, r#"{"fleet": {"limits": {"origin": 0}}}"#), 4);
+        assert!(told.try_iter().any(|what| matches!(what, ToFleet::NotTaken { number: 2, .. })));
+        assert_eq!(rules(0, ""), 8);
+    }
+
     #[test]
     fn own_findings_are_told_and_never_what_was_only_told() {
         let (mut brain, mut sharing, told) = start();
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The section `fleet`: who else is there, and what holds for all in sum (docs/fleet.md, docs/design.md). What
+//! The section `fleet`: who else is there, and what holds for all in sum (docs/fleet-file.md). What
 //! several keys say together is checked here too.
 use crate::within;
 use cherrypass::time::Span;
@@ -181,7 +181,7 @@
     within(from, 0.0, 1.0)
 }
 
-fn whole<'de, D: Deserializer<'de>>(from: D) -> Result<Option<f64>, D::Error> {
+pub(crate) fn whole<'de, D: Deserializer<'de>>(from: D) -> Result<Option<f64>, D::Error> {
     within(from, 1.0, 1e9).map(Some)
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod fleet;
+pub mod rules;
 
 pub use fleet::Fleet;
 
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -64,6 +64,20 @@
     assert!(said.contains(&format!("{place}: ")) && said.contains(words) && !said.contains('\n'), "{said}");
 }
 
+#[test_case(r#"{"fleet": {"limits": {"origin": 20}, "verdicts": {"heed": false}}}"#, ""; "all that may change")]
+#[test_case("{}", ""; "nothing")]
+#[test_case("", "EOF while parsing"; "no JSON")]
+#[test_case(r#"{"store": {}}"#, "store: unknown field `store`"; "not of the rules")]
+#[test_case(r#"{"fleet": {"limits": {"lease_ms": 1}}}"#, "fleet.limits.lease_ms: unknown field"; "a key that stays")]
+#[test_case(r#"{"fleet": {"limits": {"origin": 0.1}}}"#, "fleet.limits.origin: 0.1 is not within 1 and"; "out of its range")]
+#[test_case(r#"{"fleet": {"limits": {"further_per_s": 9}}}"#, "fleet.limits.further_per_s: the operators' file sets no such limit"; "off in the file")]
+fn rules_are_checked_against_the_file(text: &str, wrong: &str) {
+    let file = read(&fleet("limits: { origin: 40 }")).unwrap().fleet.unwrap();
+    let said =
+        cherrypass_operator::rules::decode(text, &file).map_or_else(|e| e.to_string(), |_| String::new());
+    assert!(said.contains(wrong) && said.is_empty() == wrong.is_empty() && !said.contains('\n'), "{said}");
+}
+
 #[test_case("{ stor: {} }", "stor", "unknown field `stor`"; "an unknown section")]
 #[test_case("{ store: { dir: 'x', siz: 1 } }", "store.siz", "unknown field `siz`"; "an unknown key")]
 #[test_case("{ store: {} }", "store", "missing field `dir`"; "a key that is missing")]
--- a/deploy/operator.jsonnet
+++ b/deploy/operator.jsonnet
@@ -1,4 +1,4 @@
-// The operators' own file (docs/keeping.md, docs/fleet.md). A section that is absent is off; on the platform all of it is, since no
+// The operators' own file (docs/keeping.md, docs/fleet-file.md). A section that is absent is off; on the platform all of it is, since no
 // disk lasts there: `run` in balancer.toml names no operators' file.
 local mb = 1e6;
 {
