--- a/crates/fleet/examples/limits.rs
+++ b/crates/fleet/examples/limits.rs
@@ -183,7 +183,7 @@
 }
 
 fn below_one() {
-    println!("shares below one hand-off, 120 s | n | whole | want | whole ones in use | longest without | messages/s");
+    println!("shares below one, 120 s | n | whole | want | whole ones in use | longest without | messages/s");
     for (n, whole, wanting) in
         [(30, 4.0, 1), (30, 4.0, 2), (30, 4.0, 30), (300, 40.0, 20), (300, 40.0, 80), (300, 40.0, 300)]
     {
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -27,7 +27,7 @@
 const HEADROOM: f64 = 1.1;
 /// An ask not answered by then is lost; a later answer counts all the same.
 const ANSWER_WITHIN: Span = Span::millis(120);
-/// Doubled with each ask that brought nothing, six times at most.
+/// Doubled with each ask that brought nothing, five times at most.
 const BACKOFF: Span = Span::millis(100);
 const WAIT_MOST: Span = Span::millis(4_000);
 
@@ -341,8 +341,9 @@
         matches!(key, Key::Cold(_)) && !lends && !borrows && is_whole
     }
 
-    /// Where shares are less than one hand-off and all want, nobody could do anything: whoever had none for two
-    /// leases draws whether to gather one or to lend, so that about as many gather as there are whole ones.
+    /// Where shares are less than one hand-off and all want, nobody could do anything: whoever had none for
+    /// two leases draws whether to gather one or to lend, so that about as many gather as there are whole
+    /// ones.
     fn draw(&mut self, now: Time, key: Key) {
         let grain = self.set.grain(key);
         let (draw, jitter) = (self.chance.gen_range(0.0..1.0), self.chance.gen_range(0.75..1.25));
@@ -504,11 +505,12 @@
             _ if amount > 0.0 => limit.eager *= 2.0,
             Some(wait) => {
                 limit.eager *= 2.0;
+                lender.fruitless = 0;
                 lender.next = now + wait.max(BACKOFF).min(WAIT_MOST).times(jitter);
             }
             None => {
                 limit.eager *= 0.8;
-                lender.fruitless = (lender.fruitless + 1).min(6);
+                lender.fruitless = (lender.fruitless + 1).min(5);
                 lender.next = now + BACKOFF.times(f64::from(1 << lender.fruitless) * jitter);
             }
         }
@@ -536,7 +538,9 @@
             if lender.hoped > 0.0 && now >= lender.next {
                 lender.hoped = 0.0;
                 if lender.held.is_none() {
-                    lender.fruitless = (lender.fruitless + 1).min(6);
+                    // Lost, or cut off: then soon hardly anybody is asked.
+                    limit.eager = (limit.eager * 0.9).max(0.2);
+                    lender.fruitless = lender.fruitless.max((lender.fruitless + 1).min(3));
                     let jitter = self.chance.gen_range(1.0..1.25);
                     lender.next = now + BACKOFF.times(f64::from(1 << lender.fruitless) * jitter);
                 }
