--- a/crates/fleet/src/verdicts/mod.rs
+++ b/crates/fleet/src/verdicts/mod.rs
@@ -314,7 +314,7 @@
         let bad =
             self.mine.keys().filter(|key| key.1 == Matter::Bad).filter_map(|key| self.hosts.get(&key.0));
         let [of_caches, of_shared] = bad.fold([0, 0], count);
-        if self.trouble || is_too_much([of_caches, of_shared], [caches, shared]) {
+        if is_too_much([of_caches, of_shared], [caches, shared]) {
             return self.hush(now, |_| true);
         }
         // Guards against a bad cache's errors that are laid on the parent behind it: of two that seem bad the nearer
--- a/crates/fleet/tests/verdicts.rs
+++ b/crates/fleet/tests/verdicts.rs
@@ -282,7 +282,7 @@
 #[test]
 fn nothing_told_outlives_its_evidence_its_run_or_its_tellers() {
     let mut judged = 0;
-    for seed in 0..24 {
+    for seed in 0..60 {
         let mut world = World::new(seed);
         let fool = MemberId(world.chance.gen_range(0..8));
         (0..40).for_each(|_| world.step(fool, seed));
@@ -300,5 +300,185 @@
             assert!(told.bad.is_empty(), "seed {seed}: {:?} still stands at {id:?}", told.bad);
         }
     }
-    assert!(judged > 30_000, "only {judged} verdicts were in force");
+    assert!(judged > 80_000, "only {judged} verdicts were in force");
+}
+
+const FAR: Span = Span::millis(5);
+
+/// One dispatcher of eight caches here, eight there and four hosts that all use, beside thirteen others.
+struct Alone {
+    verdicts: Verdicts,
+    now: Time,
+    told: Told,
+    number: u64,
+}
+
+impl Alone {
+    fn new() -> Alone {
+        let now = Time(1_000_000);
+        let mut verdicts = Verdicts::new(Set::default(), MemberId(0), HERE, Incarnation(1), 1, now);
+        hosts().for_each(|host| verdicts.listed(now, host, Some(Incarnation(1)), used_by(host)));
+        (1..14).for_each(|id| verdicts.standing(now, MemberId(id), location(MemberId(id)), true));
+        Alone { verdicts, now, told: Told::default(), number: 0 }
+    }
+
+    fn hears(&mut self, from: u64, host: u64, run: (u64, u64), word: Option<Kind>) {
+        let (since, age) = (Some(Incarnation(run.1)), Span::ZERO);
+        let word = word.map_or(Word::Withdrawn, |kind| Word::Found { since, kind, evidence: 4, age });
+        self.number += 1;
+        let said = Said { incarnation: Incarnation(run.0), number: self.number, host: HostId(host), word };
+        self.verdicts.heard(self.now, MemberId(from), location(MemberId(from)), FAR, said);
+        self.take();
+    }
+
+    /// All those here say so, in order; of seven dispatchers here three are a third.
+    fn all_hear(&mut self, host: u64, kind: Kind) {
+        [2, 4, 6].into_iter().for_each(|from| self.hears(from, host, (1, 1), Some(kind)));
+    }
+
+    fn take(&mut self) -> Vec<Said> {
+        std::iter::from_fn(|| self.verdicts.next()).filter_map(|effect| self.told.take(effect)).collect()
+    }
+
+    fn bad(&mut self) -> Vec<u64> {
+        self.verdicts.woken(self.now);
+        self.take();
+        self.told.bad.keys().map(|host| host.0).collect()
+    }
+}
+
+#[test]
+fn enough_tellers_are_believed_until_they_take_it_back_die_or_start_anew() {
+    for end in 0..5 {
+        let mut one = Alone::new();
+        one.hears(2, 3, (1, 1), Some(Kind::CutOff));
+        one.hears(4, 3, (1, 1), Some(Kind::CutOff));
+        assert_eq!(one.bad(), [0; 0], "two of seven are no third");
+        one.hears(6, 3, (1, 1), Some(Kind::CutOff));
+        assert_eq!(one.bad(), [3]);
+        match end {
+            0 => one.hears(4, 3, (1, 1), None),
+            1 => one.verdicts.standing(one.now, MemberId(4), HERE, false),
+            2 => one.verdicts.came(one.now, MemberId(4), Incarnation(2)),
+            3 => one.verdicts.listed(one.now, HostId(3), Some(Incarnation(2)), used_by(HostId(3))),
+            _ => one.verdicts.refuted(one.now, HostId(3)),
+        }
+        assert_eq!(one.bad(), [0; 0], "by way {end}");
+        // What the older run said, and what was said before, undoes nothing.
+        if end == 2 {
+            one.hears(4, 3, (1, 1), Some(Kind::CutOff));
+        }
+        one.number = 0;
+        one.hears(4, 3, (1, 1), Some(Kind::CutOff));
+        assert_eq!(one.bad(), [0; 0], "by way {end}, an old word");
+    }
+}
+
+#[test]
+fn errors_need_two_and_go_far_and_silence_stays() {
+    let mut one = Alone::new();
+    [2, 4].into_iter().for_each(|from| one.hears(from, 3, (1, 1), Some(Kind::ShutOut)));
+    assert_eq!(one.bad(), [3]);
+    let mut one = Alone::new();
+    [1, 3, 5, 7, 9].into_iter().for_each(|from| one.hears(from, 17, (1, 1), Some(Kind::CutOff)));
+    assert_eq!(one.bad(), [0; 0], "another location's way");
+    [1, 3, 5].into_iter().for_each(|from| one.hears(from, 17, (1, 1), Some(Kind::ShutOut)));
+    assert_eq!(one.bad(), [17], "errors are the same from everywhere");
+    // Nor do those count who hold a cache of theirs to be bad.
+    [1, 3].into_iter().for_each(|from| one.hears(from, 9, (1, 1), Some(Kind::ShutOut)));
+    assert_eq!(one.bad(), [0; 0]);
+    [1, 3].into_iter().for_each(|from| one.hears(from, 9, (1, 1), None));
+    assert_eq!(one.bad(), [17]);
+    // A cache that is bad casts doubt on what lies behind it.
+    one.all_hear(1, Kind::ShutOut);
+    assert_eq!(one.bad(), [1]);
+}
+
+#[test]
+fn a_run_that_is_not_listed_yet_waits_for_the_list() {
+    let mut one = Alone::new();
+    [2, 4].into_iter().for_each(|from| one.hears(from, 3, (1, 2), Some(Kind::ShutOut)));
+    assert_eq!(one.bad(), [0; 0]);
+    one.verdicts.listed(one.now, HostId(3), Some(Incarnation(2)), used_by(HostId(3)));
+    assert_eq!(one.bad(), [3]);
+    one.now = one.now + HOLD;
+    assert_eq!(one.bad(), [0; 0]);
+}
+
+#[test]
+fn a_host_that_was_out_is_new_by_one_word_before_it_is_back() {
+    let mut one = Alone::new();
+    one.hears(2, 5, (1, 1), Some(Kind::JustStarted));
+    assert_eq!(one.told.new, []);
+    one.all_hear(3, Kind::CutOff);
+    one.hears(2, 3, (1, 1), Some(Kind::JustStarted));
+    assert_eq!((&one.told.new[..], one.told.bad.len()), (&[HostId(3)][..], 1));
+    one.hears(2, 3, (1, 1), None);
+    assert_eq!(one.bad(), [0; 0]);
+}
+
+#[test]
+fn tellers_that_find_too_much_or_nonsense_change_nothing() {
+    let mut one = Alone::new();
+    one.all_hear(3, Kind::ShutOut);
+    // 10,000 findings of one: nothing of it is kept past its bound, one line says so, and three others still stand.
+    for host in 0..10_000 {
+        one.hears(8, host, (1, 1), Some(Kind::ShutOut));
+    }
+    assert_eq!((one.bad(), one.told.lines), (vec![3], 1));
+    let said = Said {
+        incarnation: Incarnation(1),
+        number: u64::MAX,
+        host: HostId(4),
+        word: Word::Found { since: None, kind: Kind::ShutOut, evidence: u32::MAX, age: Span(u64::MAX) },
+    };
+    for from in 2..12 {
+        one.verdicts.heard(one.now, MemberId(from), location(MemberId(from)), Span(u64::MAX), said);
+    }
+    assert_eq!(one.bad(), [3]);
+    // Three whose links are bad find four caches bad each; the first is believed until they are found out.
+    let mut one = Alone::new();
+    (0..4).for_each(|host| one.all_hear(host, Kind::CutOff));
+    assert_eq!(one.bad(), [0; 0]);
+}
+
+#[test]
+fn own_findings_are_told_at_once_anew_and_withdrawn_and_not_in_own_trouble() {
+    let mut one = Alone::new();
+    let finding = |host| {
+        let (since, kind) = (Some(Incarnation(1)), Kind::CutOff);
+        Finding { host: HostId(host), since, kind, evidence: 2, age: Span::ZERO }
+    };
+    let withdrawn = |said: &Said| said.word == Word::Withdrawn;
+    one.verdicts.found(one.now, finding(3));
+    assert_eq!(one.take().len(), 1);
+    let mut said = 0;
+    for _ in 0..200 {
+        one.now = one.now + Span::millis(50);
+        one.verdicts.found(one.now, finding(3));
+        one.verdicts.woken(one.now);
+        said += one.take().len();
+    }
+    assert!((4..=5).contains(&said), "told {said} times in the hold time");
+    one.verdicts.cleared(one.now, HostId(3));
+    assert!(one.take().iter().all(withdrawn));
+    one.now = one.now + HOLD;
+    // The fourth of eight caches is one too many: all is taken back.
+    (0..3).for_each(|host| one.verdicts.found(one.now, finding(host)));
+    assert_eq!(one.take().len(), 3);
+    one.verdicts.found(one.now, finding(3));
+    let said = one.take();
+    assert!(said.len() == 3 && said.iter().all(withdrawn), "{said:?}");
+    (0..4).for_each(|host| one.verdicts.cleared(one.now, HostId(host)));
+    one.now = one.now + HOLD;
+    one.verdicts.found(one.now, finding(5));
+    assert_eq!(one.take().len(), 1);
+    one.verdicts.own_trouble(one.now, true);
+    assert!(one.take().iter().all(withdrawn));
+    one.verdicts.found(one.now, finding(6));
+    one.now = one.now + HOLD;
+    one.verdicts.own_trouble(one.now, false);
+    let before = Finding { age: Span::millis(10), ..finding(6) };
+    one.verdicts.found(one.now, before);
+    assert_eq!(one.take(), []);
 }
