--- a/crates/fleet/src/rollout/figures.rs
+++ b/crates/fleet/src/rollout/figures.rs
@@ -179,9 +179,9 @@
 
 /// The means over dispatchers of what is above their own means, window by window. Weights are fixed, so that one
 /// that is not heard for a window doesn't shift the mean; windows of less than half the weight are left out.
-fn course(group: &[&Windows], since: u64, measure: Measure) -> BTreeMap<u64, f64> {
+fn course(group: &[&Windows], since: u64, measure: Measure) -> (f64, BTreeMap<u64, f64>) {
     let mut sums: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
-    let mut all = 0.0;
+    let (mut all, mut means) = (0.0, 0.0);
     for windows in group {
         let before: Vec<&Counted> =
             windows.range(..since).map(|(_, w)| w).filter(|w| w.figures.visits > 0).collect();
@@ -196,6 +196,7 @@
             (visits / before.len() as f64, sum / visits)
         };
         all += weight;
+        means += weight * mean;
         for (place, counted) in windows.iter().filter(|(_, w)| w.figures.visits > 0) {
             let entry = sums.entry(*place).or_default();
             entry.0 += weight * (counted.figures.value(measure) - mean);
@@ -203,7 +204,8 @@
         }
     }
     sums.retain(|_, (_, weight)| *weight >= 0.5 * all);
-    sums.into_iter().map(|(place, (sum, weight))| (place, sum / weight)).collect()
+    let course = sums.into_iter().map(|(place, (sum, weight))| (place, sum / weight)).collect();
+    (if all > 0.0 { means / all } else { 0.0 }, course)
 }
 
 /// Least windows before and since.
@@ -216,9 +218,16 @@
     let mut least = (1.0, Measure::Late, 0.0);
     let mut windows = usize::MAX;
     for measure in MEASURES {
-        let (a, b) = (course(with, since, measure), course(without, since, measure));
+        let ((mean, a), (other_mean, b)) = (course(with, since, measure), course(without, since, measure));
+        // What is common moves shares in proportion to what they are.
+        let scale = match measure {
+            Measure::Late | Measure::TurnedBack | Measure::WrittenOff => {
+                ((mean + 0.001) / (other_mean + 0.001)).clamp(0.25, 4.0)
+            }
+            Measure::HandOffs | Measure::ShutOut => 1.0,
+        };
         let left = |place: &u64, value: &f64| match b.get(place) {
-            Some(other) => Some(value - other),
+            Some(other) => Some(value - scale * other),
             None => without.is_empty().then_some(*value),
         };
         let before: Vec<f64> = a.range(..since).filter_map(|(place, value)| left(place, value)).collect();
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -6,7 +6,7 @@
 use cherrypass_fleet::rollout::*;
 use rand::Rng;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
 
 type Listed = Vec<(MemberId, LocationId)>;
@@ -283,6 +283,52 @@
     }
 }
 
+#[test]
+fn each_trouble_halts_in_the_first_stage() {
+    let troubles: [(&str, fn(&mut Play, MemberId)); 4] = [
+        ("could not be taken", |_, _| {}),
+        ("can't be heard", |p, id| p.kill(id)),
+        ("turned back", |p, id| {
+            let bad =
+                Figures { visits: 50, in_time: 38, turned_back: 11, hand_offs: 60, ..Figures::default() };
+            p.net.call(id, |member, _| member.figures = bad).unwrap();
+        }),
+        ("figures too few", |p, _| {
+            for (id, _) in p.listed.clone() {
+                p.net.call(id, |member, _| member.figures = Figures::default()).unwrap();
+            }
+        }),
+    ];
+    for (why, trouble) in troubles {
+        let mut p = Play::new(7, fleet(8, 2));
+        p.play(20.0);
+        for (id, _) in p.listed.clone().into_iter().filter(|_| why == "could not be taken") {
+            p.net.call(id, |member, _| member.refuses = 3).unwrap();
+        }
+        let mut start = version(3, &p.listed, AfterHalt::Stay);
+        start.plan.hold = Span::seconds(5.0);
+        let listed: BTreeMap<_, _> = p.listed.iter().copied().collect();
+        let with: Vec<MemberId> = listed.keys().copied().filter(|id| start.has(&listed, 0, *id)).collect();
+        p.order(MemberId(1), Order::Start(start)).unwrap();
+        p.play(2.0);
+        with.iter().for_each(|id| trouble(&mut p, *id));
+        p.play(60.0);
+        let last = *p.look.steps.values().next_back().unwrap();
+        assert_eq!((last.stage, last.phase), (0, Phase::Halted), "{why}");
+        let left = p.net.ids()[0].0;
+        let halt = p.member(left).rollout.status().halt.unwrap();
+        assert!(halt.why.contains(why), "{why}: {}", halt.why);
+        for id in p.net.ids().into_iter().filter(|id| !with.contains(id)) {
+            assert!(!p.member(id.0).in_force.contains(&3), "{why}: {id:?} has it");
+        }
+        if why == "could not be taken" {
+            let lines =
+                p.member(with[0].0).logs.iter().filter(|line| line.contains("not taken, 0 stay")).count();
+            assert_eq!((lines, p.member(with[0].0).rollout.status().in_force), (1, 0));
+        }
+    }
+}
+
 /// One schedule of faults and orders, then all is mended and it must come to an end.
 fn schedule(seed: u64) -> Play {
     let (members, locations) = (3 + seed % 5, 1 + (seed / 5 % 3) as u8);
@@ -386,3 +432,239 @@
     println!("ends: {ends:?}");
     assert!(ends.len() == 3 || seeds < 100, "{ends:?}");
 }
+
+/// Every order of events from the moment on in which one or two members begin to promote the second stage: messages (any may
+/// stay out for ever), disks, one halt anywhere, one kill anywhere with the last record there or lost.
+#[derive(Clone)]
+struct World {
+    nodes: Vec<Rc<(Rollout, u64)>>,
+    disks: Vec<Vec<Record>>,
+    out: Vec<Option<(u64, Record)>>,
+    said: Vec<(usize, usize, Said, u64)>,
+    look: Look,
+    halts: u8,
+    kills: u8,
+    exploring: bool,
+}
+
+struct Hash64(fnv::FnvHasher);
+
+impl std::fmt::Write for Hash64 {
+    fn write_str(&mut self, s: &str) -> std::fmt::Result {
+        std::hash::Hasher::write(&mut self.0, s.as_bytes());
+        Ok(())
+    }
+}
+
+fn hash(what: &dyn std::fmt::Debug) -> u64 {
+    let mut hash = Hash64(fnv::FnvHasher::default());
+    std::fmt::Write::write_fmt(&mut hash, format_args!("{what:?}")).unwrap();
+    std::hash::Hasher::finish(&hash.0)
+}
+
+impl World {
+    fn call(&mut self, i: usize, call: impl FnOnce(&mut Rollout)) -> Result<(), String> {
+        let mut rollout = self.nodes[i].0.clone();
+        call(&mut rollout);
+        while let Some(effect) = rollout.next() {
+            match effect {
+                // After the beginning nobody hears of a halt, which is the worst for it.
+                Effect::Tell { said: Said::Hello(_), .. } if self.exploring => {}
+                Effect::Tell { to, said } => {
+                    let hash = hash(&(i, to, &said));
+                    if !self.said.iter().any(|(.., other)| *other == hash) {
+                        self.said.push((i, to.0 as usize - 1, said, hash));
+                    }
+                }
+                Effect::Keep { ticket, record } => self.out[i] = Some((ticket, record)),
+                _ => {}
+            }
+        }
+        self.look.at(MemberId(i as u64 + 1), rollout.state())?;
+        let hash = hash(&rollout);
+        self.nodes[i] = Rc::new((rollout, hash));
+        Ok(())
+    }
+
+    fn key(&self) -> u64 {
+        let mut said: Vec<u64> = self.said.iter().map(|(.., hash)| *hash).collect();
+        said.sort_unstable();
+        let nodes: Vec<u64> = self.nodes.iter().map(|node| node.1).collect();
+        hash(&(
+            nodes,
+            said,
+            self.out.iter().map(|out| out.is_some()).collect::<Vec<_>>(),
+            self.halts,
+            self.kills,
+        ))
+    }
+
+    fn disk(&mut self, now: Time, i: usize) -> Result<(), String> {
+        let Some((ticket, record)) = self.out[i].take() else { return Ok(()) };
+        self.disks[i].push(record);
+        self.call(i, |rollout| rollout.kept(now, ticket, true))
+    }
+
+    /// All that can come next.
+    fn next(&self, now: Time, listed: &Listed) -> Result<Vec<World>, String> {
+        let mut all = Vec::new();
+        for n in 0..self.said.len() {
+            let mut world = self.clone();
+            let (from, to, said, _) = world.said.swap_remove(n);
+            world.call(to, |rollout| rollout.heard(now, MemberId(from as u64 + 1), said))?;
+            all.push(world);
+        }
+        for i in 0..self.nodes.len() {
+            if self.out[i].is_some() {
+                let mut world = self.clone();
+                world.disk(now, i)?;
+                all.push(world);
+            }
+            if self.halts > 0 {
+                let mut world = self.clone();
+                world.halts -= 1;
+                world.call(i, |rollout| drop(rollout.order(now, Order::Halt)))?;
+                all.push(world);
+            }
+            for keeps in [true, false] {
+                if self.kills == 0 {
+                    continue;
+                }
+                let mut world = self.clone();
+                world.kills -= 1;
+                if let Some((_, record)) = world.out[i].take() {
+                    if keeps {
+                        world.disks[i].push(record);
+                    }
+                } else if !keeps {
+                    // A store that lost its last record, though it had synced it.
+                    world.disks[i].pop();
+                }
+                let id = MemberId(i as u64 + 1);
+                let last = world.disks[i].iter().rev().find_map(|record| match record {
+                    Record::State(state) => Some(state.halt.is_some()),
+                    Record::Document(_) => None,
+                });
+                if last != Some(true) {
+                    world.look.halts.retain(|(who, _), _| *who != id);
+                }
+                let kept = world.disks[i].clone();
+                let rollout = Rollout::new(set(), id, listed[i].1, Incarnation(9), listed, kept, 1, now);
+                world.nodes[i] = Rc::new((rollout, 0));
+                world.call(i, |rollout| rollout.woken(now))?;
+                all.push(world);
+            }
+        }
+        Ok(all)
+    }
+}
+
+/// Plays up to the promotion by hand; with two runners, the second doesn't hear the first's hellos.
+fn before_promoting(listed: &Listed, runners: usize) -> (Time, World) {
+    let mut now = Time(1_000_000);
+    let nodes = listed.iter().enumerate().map(|(i, (id, location))| {
+        let rollout = Rollout::new(set(), *id, *location, Incarnation(1), listed, vec![], i as u64, now);
+        Rc::new((rollout, 0))
+    });
+    let n = listed.len();
+    let (disks, out, look) = (vec![vec![]; n], vec![None; n], Look::default());
+    let mut world = World {
+        nodes: nodes.collect(),
+        disks,
+        out,
+        said: vec![],
+        look,
+        halts: 1,
+        kills: 0,
+        exploring: false,
+    };
+    let mut frozen: Vec<usize> = Vec::new();
+    let mut started = false;
+    for tick in 0..2000 {
+        now = now + Span::millis(100);
+        let step = world.nodes[0].0.state().chosen;
+        if tick > 150 && !started && world.nodes[0].0.status().runner == Some(MemberId(1)) {
+            started = true;
+            let order = Order::Start(version(1, listed, AfterHalt::Stay));
+            world.call(0, |rollout| rollout.order(now, order).unwrap()).unwrap();
+        }
+        for i in (0..n).filter(|i| !frozen.contains(i)).collect::<Vec<_>>() {
+            let figures = Figures { visits: 50, in_time: 48, ..Figures::default() };
+            world
+                .call(i, |rollout| (tick % 5 == 0).then(|| rollout.counted(now, figures)).unwrap_or(()))
+                .unwrap();
+            world.call(i, |rollout| rollout.woken(now)).unwrap();
+            let prepares = |(from, _, said, _): &(usize, usize, Said, u64)| {
+                *from == i && matches!(said, Said::Prepare(_))
+            };
+            if step.at == 1 && world.nodes[i].0.status().step.at == 1 && world.said.iter().any(prepares) {
+                frozen.push(i);
+            }
+        }
+        if frozen.len() == runners {
+            return (now, world);
+        }
+        while let Some(n) =
+            world.said.iter().position(|(from, to, ..)| !frozen.contains(to) && !frozen.contains(from))
+        {
+            let (from, to, said, _) = world.said.swap_remove(n);
+            if !(runners == 2
+                && started
+                && step.at == 1
+                && from == 0
+                && to == 1
+                && matches!(said, Said::Hello(_)))
+            {
+                world.call(to, |rollout| rollout.heard(now, MemberId(from as u64 + 1), said)).unwrap();
+            }
+            for i in 0..world.nodes.len() {
+                while world.out[i].is_some() && !frozen.contains(&i) {
+                    world.disk(now, i).unwrap();
+                }
+            }
+        }
+        for i in (0..n).filter(|i| !frozen.contains(i)).collect::<Vec<_>>() {
+            while world.out[i].is_some() {
+                world.disk(now, i).unwrap();
+            }
+        }
+    }
+    panic!("no promotion was begun");
+}
+
+fn explore(runners: usize, kills: u8, most: usize) -> (usize, bool) {
+    let listed = fleet(3, 3);
+    let (now, mut first) = before_promoting(&listed, runners);
+    first.kills = kills;
+    first.exploring = true;
+    first.said.retain(|(.., said, _)| !matches!(said, Said::Hello(_)));
+    let mut seen = HashSet::from([first.key()]);
+    let (mut left, mut promoted) = (vec![first], false);
+    while let Some(world) = left.pop() {
+        promoted |= world.look.steps.values().any(|step| step.stage > 0 && step.promotes());
+        for next in
+            world.next(now, &listed).unwrap_or_else(|why| panic!("{runners} runners, {kills} kills: {why}"))
+        {
+            if seen.insert(next.key()) {
+                left.push(next);
+            }
+        }
+        if seen.len() >= most {
+            break;
+        }
+    }
+    assert!(promoted || !left.is_empty(), "nothing was ever promoted");
+    (seen.len(), left.is_empty())
+}
+
+#[test]
+fn every_order_of_promote_against_halt() {
+    let most = std::env::var("ROLLOUT_STATES").ok().and_then(|most| most.parse().ok()).unwrap_or(4_000);
+    for (runners, kills) in [(1, 0), (1, 1), (2, 0), (2, 1)] {
+        let (states, whole) = explore(runners, kills, most);
+        println!(
+            "{runners} runners, {kills} kills: {states} states, {}",
+            if whole { "all" } else { "not all" }
+        );
+    }
+}
