--- a/crates/fleet/examples/feed.rs
+++ b/crates/fleet/examples/feed.rs
@@ -1,8 +1,9 @@
-//! Measures the feed in virtual time on the made network: `cargo run --release -p cherrypass-fleet --example feed`.
+//! Measures the feed in virtual time on the made network: `cargo run --release -p cherrypass-fleet --example
+//! feed`.
 //!
-//! `drag [from] [to] [seconds]`: delay of healthy followers with a fifth of all stopped or throttled, against none, with and
-//! without regrouping. `flap`: moves in an hour of a follower that stops and goes on. `size`: messages and bytes
-//! a member from 3 to 300 members.
+//! `drag [from] [to] [seconds]`: delay of healthy followers with a fifth of all stopped or throttled, against
+//! none, with and without regrouping. `flap`: moves in an hour of a follower that stops and goes on. `size`:
+//! messages and bytes a member from 3 to 300 members.
 #[path = "../tests/feed_bed/mod.rs"]
 mod feed_bed;
 
@@ -215,8 +216,8 @@
                 .collect();
             delays.sort_unstable();
             println!(
-                "{members} members, {followers} followers, each source {}: {a_second:.1} messages/s a member, \
-                 {of_followers:.1} a follower; delay p50 {:.0} p99 {:.0} p99.9 {:.0} ms",
+                "{members} members, {followers} followers, each source {}: {a_second:.1} messages/s \
+                 a member, {of_followers:.1} a follower; delay p50 {:.0} p99 {:.0} p99.9 {:.0} ms",
                 if every > 0 { "one item in 20 s" } else { "silent" },
                 at(&delays, 0.5),
                 at(&delays, 0.99),
--- a/crates/fleet/src/feed/carry.rs
+++ b/crates/fleet/src/feed/carry.rs
@@ -186,7 +186,8 @@
             let Some((sent, _)) = self.place(*source, log) else { continue };
             let room = set.frame_bytes - bytes;
             let Some((segment, cost)) = log.segment(now, *source, sent, room) else { continue };
-            // The first item goes in whatever its size: a frame that has something already takes no big one more.
+            // The first item goes in whatever its size: a frame that has something already takes no big one
+            // more.
             if bytes > 0 && cost > room {
                 continue;
             }
--- a/crates/fleet/src/feed/follower.rs
+++ b/crates/fleet/src/feed/follower.rs
@@ -159,7 +159,8 @@
                 self.frame = self.frame.max(frame);
                 self.came |= !segments.is_empty();
                 let Some(transit) = echo.and_then(|echo| echo.transit(now, self.fence.incarnation)) else {
-                    // Of an item without a bound on its age nothing can be said: the ack brings a clock value.
+                    // Of an item without a bound on its age nothing can be said: the ack brings a clock
+                    // value.
                     self.came = true;
                     return;
                 };
--- a/crates/fleet/src/feed/log.rs
+++ b/crates/fleet/src/feed/log.rs
@@ -35,8 +35,8 @@
     }
 }
 
-/// Of one source all that still matters of the numbers `after + 1 ..= up_to`. Where items are missing, they were
-/// replaced by later ones of their key, or have run out.
+/// Of one source all that still matters of the numbers `after + 1 ..= up_to`. Where items are missing, they
+/// were replaced by later ones of their key, or have run out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Segment {
     pub source: MemberId,
@@ -176,8 +176,8 @@
         (self.items.len(), self.bytes)
     }
 
-    /// Whether the latest items of all keys fit into half the state with this one; the other half is for those that
-    /// a member still holds which has yet to get their replacements.
+    /// Whether the latest items of all keys fit into half the state with this one; the other half is for
+    /// those that a member still holds which has yet to get their replacements.
     pub fn fits(&self, set: &Set, item: &Item) -> bool {
         let live = self.latest.iter().filter(|(key, _)| **key != item.key);
         let costs = live.filter_map(|(_, number)| self.items.get(number)).map(|kept| kept.item.cost());
@@ -244,8 +244,8 @@
             match most {
                 // By the source's clock it has run out.
                 Some((part, number)) if part >= NEAR_END => self.drop_item(number),
-                // Items replaced by ones that are still to come here can be too many. One that dropped any other
-                // would pass on a state that isn't whole: it takes all anew instead.
+                // Items replaced by ones that are still to come here can be too many. One that dropped any
+                // other would pass on a state that isn't whole: it takes all anew instead.
                 _ => {
                     let (handed, incarnation) = (self.handed, self.incarnation);
                     *self = Log { handed, ..Log::new(incarnation) };
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -276,7 +276,8 @@
     }
 }
 
-/// Every order of deliveries and wakings, a loss and a death, from a proposed move on; `FEED_DEPTH` steps of it.
+/// Every order of deliveries and wakings, a loss and a death, from a proposed move on; `FEED_DEPTH` steps of
+/// it.
 #[test]
 fn a_move_with_a_loss_and_a_death_loses_and_repeats_nothing() {
     let mut worlds = vec![World::new()];
