--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -32,7 +32,7 @@
 const LATE: usize = 64;
 const MOST_READY: usize = 8192;
 const MOST_LINES: usize = 64;
-/// Compares of whole tables in the rounds after a start, a stand-still and own trouble.
+/// Compares of whole tables soon after a start and what else may have left many words unheard.
 const COMPARE_SOON: u32 = 8;
 /// A count above it is void: guards against a word that its subject could not refute any more.
 const MOST_COUNT: u32 = 1 << 30;
@@ -472,9 +472,14 @@
         if i == self.own {
             return self.of_own(now, claim);
         }
+        let before = self.table.claim(i).standing;
         if !self.table.take(i, claim, news) {
             return;
         }
+        if before == Standing::Dead && claim.standing == Standing::Alive {
+            // It may be one of many, as where a split heals.
+            self.compare_soon = COMPARE_SOON;
+        }
         if claim.standing == Standing::Suspect {
             let check = now + self.suspicion_wait().times(0.5);
             self.suspicions.insert(i, Suspicion { since: now, mine: false, check });
@@ -526,7 +531,7 @@
         self.tell(self.table.entries[who].id, Body::Ask { number }, None);
     }
 
-    /// Often after a start, a stand-still and own trouble, else seldom.
+    /// Often after a start, a stand-still, own trouble and one held dead that is back, else seldom.
     fn is_to_compare(&mut self) -> bool {
         let quick = self.compare_soon > 0 && self.rounds.is_multiple_of(2);
         self.compare_soon -= u32::from(quick);
