--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -84,6 +84,51 @@
     }
 }
 
+/// Why settings can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SetError {
+    #[error("a round and the time between two asks must be 10 ms to 60 s: set them within it")]
+    Times,
+    #[error("the least mean time of an answer must be above 0 and not above the most, that at most 10 s")]
+    Gap,
+    #[error("the four phis must rise from above 0 to at most 50: set them in this order")]
+    Phi,
+    #[error("a suspicion's wait must be 1 to 1,000 rounds, and 0 to 1,000 for each doubling: set it within")]
+    Wait,
+    #[error("a stand-still must be at least two of the timer's 50 ms: a lower one takes each wake for one")]
+    Still,
+}
+
+impl SetError {
+    pub fn code(&self) -> &'static str {
+        match self {
+            SetError::Times => "members-times",
+            SetError::Gap => "members-gap",
+            SetError::Phi => "members-phi",
+            SetError::Wait => "members-wait",
+            SetError::Still => "members-still",
+        }
+    }
+}
+
+impl Set {
+    /// Settings of an operators' file pass it before they are taken.
+    pub fn check(&self) -> Result<(), SetError> {
+        let timely = |span: Span| (Span::millis(10)..=Span::millis(60_000)).contains(&span);
+        let [base, doubling] = self.wait;
+        let [first, .., last] = self.phi;
+        let rules = [
+            (timely(self.round) && timely(self.again), SetError::Times),
+            (Span::ZERO < self.gap[0] && self.gap[0] <= self.gap[1], SetError::Gap),
+            (self.gap[1] <= Span::millis(10_000), SetError::Gap),
+            (first > 0.0 && last <= 50.0 && self.phi.windows(2).all(|two| two[0] < two[1]), SetError::Phi),
+            ((1.0..=1e3).contains(&base) && (0.0..=1e3).contains(&doubling), SetError::Wait),
+            (self.still >= Span::millis(100), SetError::Still),
+        ];
+        rules.into_iter().find(|(kept, _)| !kept).map_or(Ok(()), |(_, error)| Err(error))
+    }
+}
+
 /// What goes between members.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Said {
