Members: two in trouble answer each other no more without end; an older twin is always told

Two halves of four, each holding the other dead and itself in trouble, sent 1,000 messages a second each (virtual time); news is no longer answered with news. An older process under a listed name was told of the newer one only while that was still news.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -345,7 +345,7 @@
         if !self.came(now, from, said.own.incarnation) {
             // An older process under a listed name learns so of the newer one.
             if i != self.own && said.own.incarnation < self.table.claim(i).incarnation {
-                self.tell(from, Body::News, None);
+                self.tell(from, Body::News, Some(i));
             }
             return;
         }
@@ -359,7 +359,8 @@
         if self.stepped_down {
             return;
         }
-        let mut told = false;
+        // Guards against two that answer each other without end, as where both find their own links in trouble.
+        let mut told = said.body == Body::News;
         match said.body {
             Body::Ask { number } => {
                 self.tell(from, Body::Answer { number }, None);
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -131,6 +131,27 @@
     }
 }
 
+/// Each holds the other dead and itself in trouble, so that neither is told what to refute.
+#[test]
+fn two_in_trouble_do_not_answer_each_other_without_end() {
+    let mut fleet = Fleet::new(1, 4);
+    let ids = fleet.ids();
+    fleet.run(Span::millis(5_000));
+    let pairs = |a: &[MemberId], b: &[MemberId]| -> Vec<_> {
+        a.iter().flat_map(|a| b.iter().flat_map(move |b| [(*a, *b), (*b, *a)])).collect()
+    };
+    fleet.net.cut.extend(pairs(&ids[..2], &ids[2..]));
+    fleet.run(Span::millis(10_000));
+    fleet.net.cut.extend(pairs(&ids, &ids));
+    fleet.run(Span::millis(10_000));
+    assert!(ids.iter().all(|id| fleet.net.node(*id).unwrap().members.is_own_trouble()));
+    pairs(&ids[..2], &ids[2..]).iter().for_each(|pair| assert!(fleet.net.cut.remove(pair)));
+    fleet.net.sent.clear();
+    fleet.run(Span::millis(5_000));
+    let most = fleet.net.sent.values().max().copied().unwrap_or(0);
+    assert!(most < 500, "{most} messages in 5 s");
+}
+
 const LISTED: [MemberId; 4] = [MemberId(10), MemberId(20), MemberId(30), MemberId(40)];
 
 fn member(own: MemberId, incarnation: u64, ids: &[MemberId]) -> Members {
@@ -220,9 +241,13 @@
     let (mut older, mut newer) = (member(own, 100, &LISTED), member(own, 200, &LISTED));
     let mut third = member(by, 60, &LISTED);
     assert!(third.came(now, own, Incarnation(200)));
+    for number in 0..100 {
+        third.heard(now, LISTED[2], Said { own: alive(80, 0), body: Body::Ask { number }, words: vec![] });
+    }
+    effects(&mut third);
     assert!(!third.came(now, own, Incarnation(100)), "a message of the older is void");
-    third.heard(now, own, news(alive(100, 9), vec![(LISTED[2], alive(80, 0))]));
-    assert_eq!(third.standing(LISTED[2]), Some(Standing::Unheard), "so are its words");
+    third.heard(now, own, news(alive(100, 9), vec![(LISTED[3], alive(80, 0))]));
+    assert_eq!(third.standing(LISTED[3]), Some(Standing::Unheard), "so are its words");
     assert_eq!(third.incarnation(own), Some(Incarnation(200)));
     for effect in effects(&mut third) {
         if let Effect::Tell { to, said } = effect {
