--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -32,7 +32,7 @@
 const LATE: usize = 64;
 const MOST_READY: usize = 8192;
 const MOST_LINES: usize = 64;
-/// Compares of whole tables in the rounds after a start, a stand-still and own trouble.
+/// Compares of whole tables soon after a start and what else may have left many words unheard.
 const COMPARE_SOON: u32 = 8;
 /// A count above it is void: guards against a word that its subject could not refute any more.
 const MOST_COUNT: u32 = 1 << 30;
@@ -84,6 +84,51 @@
     }
 }
 
+/// Why settings can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SetError {
+    #[error("a round and the time between two asks must be 10 ms to 60 s: set them within it")]
+    Times,
+    #[error("the least mean time of an answer must be above 0 and not above the most, that at most 10 s")]
+    Gap,
+    #[error("the four phis must rise from above 0 to at most 50: set them in this order")]
+    Phi,
+    #[error("a suspicion's wait must be 1 to 1,000 rounds, and 0 to 1,000 for each doubling: set it within")]
+    Wait,
+    #[error("a stand-still must be at least two of the timer's 50 ms: a lower one takes each wake for one")]
+    Still,
+}
+
+impl SetError {
+    pub fn code(&self) -> &'static str {
+        match self {
+            SetError::Times => "members-times",
+            SetError::Gap => "members-gap",
+            SetError::Phi => "members-phi",
+            SetError::Wait => "members-wait",
+            SetError::Still => "members-still",
+        }
+    }
+}
+
+impl Set {
+    /// Settings of an operators' file pass it before they are taken.
+    pub fn check(&self) -> Result<(), SetError> {
+        let timely = |span: Span| (Span::millis(10)..=Span::millis(60_000)).contains(&span);
+        let [base, doubling] = self.wait;
+        let [first, .., last] = self.phi;
+        let rules = [
+            (timely(self.round) && timely(self.again), SetError::Times),
+            (Span::ZERO < self.gap[0] && self.gap[0] <= self.gap[1], SetError::Gap),
+            (self.gap[1] <= Span::millis(10_000), SetError::Gap),
+            (first > 0.0 && last <= 50.0 && self.phi.windows(2).all(|two| two[0] < two[1]), SetError::Phi),
+            ((1.0..=1e3).contains(&base) && (0.0..=1e3).contains(&doubling), SetError::Wait),
+            (self.still >= Span::millis(100), SetError::Still),
+        ];
+        rules.into_iter().find(|(kept, _)| !kept).map_or(Ok(()), |(_, error)| Err(error))
+    }
+}
+
 /// What goes between members.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Said {
@@ -300,7 +345,7 @@
         if !self.came(now, from, said.own.incarnation) {
             // An older process under a listed name learns so of the newer one.
             if i != self.own && said.own.incarnation < self.table.claim(i).incarnation {
-                self.tell(from, Body::News, None);
+                self.tell(from, Body::News, Some(i));
             }
             return;
         }
@@ -314,7 +359,8 @@
         if self.stepped_down {
             return;
         }
-        let mut told = false;
+        // Guards against two that answer each other without end, as where both find their own links in trouble.
+        let mut told = said.body == Body::News;
         match said.body {
             Body::Ask { number } => {
                 self.tell(from, Body::Answer { number }, None);
@@ -472,9 +518,14 @@
         if i == self.own {
             return self.of_own(now, claim);
         }
+        let before = self.table.claim(i).standing;
         if !self.table.take(i, claim, news) {
             return;
         }
+        if before == Standing::Dead && claim.standing == Standing::Alive {
+            // It may be one of many, as where a split heals.
+            self.compare_soon = COMPARE_SOON;
+        }
         if claim.standing == Standing::Suspect {
             let check = now + self.suspicion_wait().times(0.5);
             self.suspicions.insert(i, Suspicion { since: now, mine: false, check });
@@ -526,7 +577,7 @@
         self.tell(self.table.entries[who].id, Body::Ask { number }, None);
     }
 
-    /// Often after a start, a stand-still and own trouble, else seldom.
+    /// Often after a start, a stand-still, own trouble and one held dead that is back, else seldom.
     fn is_to_compare(&mut self) -> bool {
         let quick = self.compare_soon > 0 && self.rounds.is_multiple_of(2);
         self.compare_soon -= u32::from(quick);
