--- a/crates/fleet/src/rollout/runner.rs
+++ b/crates/fleet/src/rollout/runner.rs
@@ -240,9 +240,8 @@
         if self.state.starts >= 2 {
             return self.halt(now, format!("dispatcher {:016x} with it was started again twice", self.own.0));
         }
-        if let Finding::Worse { measure, by, p } = self.look(step, &version) {
-            let (name, stage) = (measure.name(), step.stage);
-            return self.halt(now, format!("stage {stage}: {name} worse by {by:.3} (p {p:.1e})"));
+        if self.halt_if_worse(now, step, &version, false) {
+            return;
         }
         let hold = self.learned + version.plan.hold;
         if now < hold {
@@ -251,6 +250,9 @@
         let visits = self.stage_visits;
         let well = self.well || step.resumed == Some(step.stage);
         if without.is_none() && visits >= version.plan.visits && well {
+            if self.halt_if_worse(now, step, &version, true) {
+                return;
+            }
             self.wanted = Some((Change::Promote(step), now));
             return;
         }
@@ -264,9 +266,16 @@
         }
     }
 
-    /// A look at the figures when there are half as many windows again as at the last one. The k-th look of a stage
+    fn halt_if_worse(&mut self, now: Time, step: Step, version: &Version, is_last: bool) -> bool {
+        let Finding::Worse { measure, by, p } = self.look(step, version, is_last) else { return false };
+        let (name, stage) = (measure.name(), step.stage);
+        self.halt(now, format!("stage {stage}: {name} worse by {by:.3} (p {p:.1e})"));
+        true
+    }
+
+    /// A look at the figures before a stage ends, and when there are half as many windows again as at the last one. The k-th look of a stage
     /// spends 1/k(k+1) of the stage's part of the rate of false alarms, so that all looks together spend that part.
-    fn look(&mut self, step: Step, version: &Version) -> Finding {
+    fn look(&mut self, step: Step, version: &Version, is_last: bool) -> Finding {
         let since = self.place(self.learned);
         let had = |id: &MemberId| step.stage > 0 && version.has(&self.listed, step.stage - 1, *id);
         let has = |id: &MemberId| version.has(&self.listed, step.stage, *id);
@@ -313,7 +322,7 @@
         let (with, without) = (part(&new, true), part(against, false));
         let windows = with.iter().map(|w| w.range(first..).count()).max().unwrap_or(0);
         let last = with.iter().filter_map(|w| w.last_key_value()).map(|(place, _)| *place).max().unwrap_or(0);
-        if windows < figures::SINCE || last < self.next_look {
+        if windows < figures::SINCE || (last < self.next_look && !is_last) {
             return Finding::Few;
         }
         let k = f64::from(self.looks + 1);
