Faultbed: disks that lie and clocks at another rate, by process

The dispatcher's feature faults, off unless asked for, opens the store over a disk that obeys orders, and `cherrypass version` says so. A scenario with such faults is refused in one line by a program without it, so that none passes because nothing was broken.

--- a/crates/dispatcher/src/keeping.rs
+++ b/crates/dispatcher/src/keeping.rs
@@ -39,12 +39,24 @@
     Options { segment_bytes: segment_kb * 1024, seed, ..Options::default() }
 }
 
+#[cfg(not(feature = "faults"))]
+fn open(dir: &Path, options: Options, budget: Whole) -> Result<Store, Error> {
+    Store::open(dir, options, Arc::new(clock::now), Some(budget))
+}
+
+/// Over a disk that lies where the environment orders it.
+#[cfg(feature = "faults")]
+fn open(dir: &Path, options: Options, budget: Whole) -> Result<Store, Error> {
+    let disk = cherrypass_peers::disk::over(cherrypass_store::disk::Folder::lock(dir)?);
+    Store::on(disk, options, Arc::new(clock::now), Some(budget))
+}
+
 impl Kept {
     /// Opens the store; where that fails a line says why, and what goes without it is for the settings to say.
     pub fn open(set: operator::Store) -> Kept {
         let (bytes_a_second, time_share) = (set.background.bytes_per_s, set.background.core_share);
         let budget = Whole { bytes_a_second, time_share, ..BUDGET };
-        let store = match Store::open(&set.dir, options(set.segment_kb), Arc::new(clock::now), Some(budget)) {
+        let store = match open(&set.dir, options(set.segment_kb), budget) {
             Ok(store) => {
                 let stats = store.stats();
                 let (records, bytes) = (stats.records, stats.log_bytes / 1024);
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -77,7 +77,8 @@
         Command::Config(ConfigCommand::Show { operator }) => show(&operator),
         Command::Store(command) => store_commands::run(command),
         Command::Version => {
-            println!("cherrypass {}", env!("CARGO_PKG_VERSION"));
+            let faults = if cfg!(feature = "faults") { " with faults" } else { "" };
+            println!("cherrypass {}{faults}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
     }
--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -5,7 +5,10 @@
 //! `for 10` (seconds), faults `at 3 for 2 cut d1 d2`, `at 3 for 2 cut d1 > d2`, `lose 0.2 d1 d2` (of all links: `all`), `repeat 0.2 ...`,
 //! `delay 50 200 ...` (ms, least and most), `throttle 20 ...` (datagrams a second), `stall ...` (held, then all at once),
 //! `stop d1`, `kill d1`, `restart d1 [new]` (killed and started; `new`: with an empty store), `fail c1 0.7`, `hang c1`,
-//! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`, and what is held:
+//! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`,
+//! `disk d1 lose` (what is acknowledged from then on is gone at the kill; `error`, `full`, `flip`, `stall 2000` in ms),
+//! `rollout d1 start { number: 2, rules: { … }, plan: { … } }` (asked for at d1; `halt`, `resume`, `back`), and lines
+//! `clock d1 0.99` (its rate); disks and clocks want a program built with its feature `faults`. What is held:
 //! `hold rules`, `hold sum origin 12`, `hold sum further 20`, `hold sum cold 1`, `hold age 10000` (ms), `hold feed`, `hold used origin 0.95`,
 //! `hold agreed`, `hold versions`.
 use winnow::ascii::{alpha1, alphanumeric1, float, space0, space1, till_line_ending};
@@ -60,6 +63,10 @@
     Load(String, f64),
     Drain(String),
     Purge,
+    /// An order to its disk, as `cherrypass_peers::disk` takes it.
+    Disk(String, String),
+    /// At whom, what, and the document of a start.
+    Rollout(String, String, Option<String>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -94,6 +101,8 @@
     pub work: f64,
     pub fleet: Option<String>,
     pub store: bool,
+    /// Whose clock goes at which rate.
+    pub clocks: Vec<(String, f64)>,
     /// Seconds.
     pub lasts: f64,
     pub faults: Vec<Planned>,
@@ -119,6 +128,7 @@
     Work(f64),
     Fleet(String),
     Store,
+    Clock(String, f64),
     For(f64),
     Fault(Planned),
     Hold(Hold),
@@ -198,10 +208,28 @@
         "load" => Fault::Load(one(input)?, number(input)?),
         "drain" => Fault::Drain(one(input)?),
         "purge" => Fault::Purge,
+        "disk" => Fault::Disk(one(input)?, disk(input)?),
+        "rollout" => {
+            let (who, order) = (one(input)?, one(input)?);
+            let document = if order == "start" { Some(braces(input)?) } else { None };
+            match &order[..] {
+                "start" | "halt" | "resume" | "back" => Fault::Rollout(who, order, document),
+                _ => return unknown(input, begun, "a known order"),
+            }
+        }
         _ => return unknown(input, begun, "a known fault"),
     })
 }
 
+fn disk(input: &mut &str) -> Parsed<String> {
+    let word = preceded(space1, alt(("lose", "error", "full", "flip", "stall")));
+    let word = cut_err(word.context(expected("a disk's order"))).parse_next(input)?;
+    Ok(match word {
+        "stall" => format!("stall {}", number(input)?.round()),
+        _ => word.to_owned(),
+    })
+}
+
 fn planned(input: &mut &str) -> Parsed<Planned> {
     let at = number(input)?;
     let lasts = opt(preceded((space1, "for"), number)).parse_next(input)?;
@@ -248,6 +276,10 @@
         "work" => Line::Work(number(input)?),
         "fleet" => Line::Fleet(braces(input)?),
         "store" => Line::Store,
+        "clock" => {
+            let rate = preceded(space0, float).verify(|rate: &f64| (0.5..=2.0).contains(rate));
+            Line::Clock(one(input)?, cut_err(rate.context(expected("0.5 to 2"))).parse_next(input)?)
+        }
         "for" => Line::For(number(input)?),
         "at" => Line::Fault(planned(input)?),
         "hold" => Line::Hold(hold(input)?),
@@ -282,12 +314,23 @@
                 vec![a]
             }
             Load(a, _) if a == "all" => vec![],
-            Load(a, _) | Restart { who: a, .. } => vec![a],
+            Load(a, _) | Restart { who: a, .. } | Disk(a, _) | Rollout(a, ..) => vec![a],
             Purge => vec![],
         }
     }
 }
 
+impl Scenario {
+    /// Whether it wants a program that was built for faults of disks and clocks.
+    pub fn wants_faults(&self) -> bool {
+        !self.clocks.is_empty() || self.faults.iter().any(|one| matches!(one.fault, Fault::Disk(..)))
+    }
+
+    pub fn has_orders(&self) -> bool {
+        self.faults.iter().any(|one| matches!(one.fault, Fault::Rollout(..)))
+    }
+}
+
 pub fn read(text: &str) -> Result<Scenario, Error> {
     let mut found = Scenario { objects: 200, work: 10.0, ..Scenario::default() };
     for (number, text) in text.lines().enumerate() {
@@ -317,6 +360,12 @@
             Some(Line::Work(ms)) => found.work = ms,
             Some(Line::Fleet(keys)) => found.fleet = Some(keys),
             Some(Line::Store) => found.store = true,
+            Some(Line::Clock(who, rate)) => {
+                if !found.dispatchers.iter().any(|(own, _)| *own == who) {
+                    return Err(Error::Unknown { line: number + 1, name: who });
+                }
+                found.clocks.push((who, rate));
+            }
             Some(Line::For(seconds)) => found.lasts = seconds,
             Some(Line::Fault(planned)) => {
                 if let Some(name) = planned.fault.names().into_iter().find(|name| !known(name, &found)) {
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -6,7 +6,7 @@
 use crate::links::{Link, Way};
 use crate::notation::{Between, Fault, Planned, Scenario, Sort};
 use crate::notes::{events, now, Event, Note, Noted, Notes};
-use crate::processes::{Files, Process};
+use crate::processes::{has_faults, Files, Process};
 use nix::sys::signal::Signal;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -21,6 +21,12 @@
     Io(String, io::Error),
     #[error("{0} did not start: {1}; its log says why")]
     NotStarted(String, String),
+    #[error(
+        "{0} obeys no faults of disks and clocks: cargo build -p cherrypass-dispatcher --features faults"
+    )]
+    NoFaults(String),
+    #[error("rollout {0}: {1}")]
+    Order(String, String),
 }
 
 fn doing(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
@@ -57,6 +63,8 @@
     process: Option<Process>,
     load: Load,
     kept: PathBuf,
+    /// What its disk is ordered now, and the file that says so.
+    orders: (Vec<String>, PathBuf),
     away_since: Option<u64>,
     rate: f64,
 }
@@ -89,6 +97,10 @@
 }
 
 pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
+    let program = || stage.program.display().to_string();
+    if scenario.wants_faults() && !has_faults(stage.program).map_err(doing(program()))? {
+        return Err(Error::NoFaults(program()));
+    }
     let notes = Notes::default();
     let log = ChangeLog::start(notes.clone()).map_err(doing("the change log"))?;
     let mut zones = vec!["hub".to_owned()];
@@ -149,10 +161,17 @@
             let address = free_port(false).map_err(doing("a port"))?;
             let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
             let operator = self.operator(name, &fleet);
+            let mut environment = Vec::new();
+            if scenario.wants_faults() {
+                environment.push(("CHERRYPASS_DISK_ORDERS", at(".disk").display().to_string()));
+                let rate = scenario.clocks.iter().find(|(who, _)| who == name).map(|(_, rate)| rate);
+                environment.extend(rate.map(|rate| ("CHERRYPASS_CLOCK_RATE", rate.to_string())));
+            }
             let files = Files {
                 config: at(".json"),
                 operator: operator.is_some().then(|| at(".jsonnet")),
                 log: at(".log"),
+                environment,
             };
             std::fs::write(&files.config, self.config(place, name, address))
                 .map_err(doing("a configuration"))?;
@@ -168,7 +187,8 @@
                 Load::start((name.clone(), address), 0.0, mix, seed, self.notes.clone(), numbers.clone());
             let process = Process::start(self.stage.program, &files).map_err(doing("starting a process"))?;
             let (process, kept, away_since) = (Some(process), at("-kept"), None);
-            let known = Dispatcher { files, address, process, load, kept, away_since, rate };
+            let orders = (Vec::new(), at(".disk"));
+            let known = Dispatcher { files, address, process, load, kept, orders, away_since, rate };
             self.dispatchers.insert(name.clone(), known);
         }
         for name in names {
@@ -375,6 +395,14 @@
                     });
                 }
             }
+            Fault::Disk(name, order) => {
+                let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+                let (orders, file) = &mut known.orders;
+                orders.retain(|known| known != order);
+                orders.extend(Some(order.clone()).filter(|_| begins));
+                std::fs::write(file, orders.join("\n")).map_err(doing("orders of a disk"))?;
+            }
+            Fault::Rollout(..) => {}
             Fault::Fail(name, _)
             | Fault::Hang(name)
             | Fault::Slow(name, _)
--- a/crates/faultbed/src/processes.rs
+++ b/crates/faultbed/src/processes.rs
@@ -18,6 +18,14 @@
     pub operator: Option<PathBuf>,
     /// Its standard error, added to.
     pub log: PathBuf,
+    /// What its environment has besides.
+    pub environment: Vec<(&'static str, String)>,
+}
+
+/// Whether the program obeys orders to its disk and clock.
+pub fn has_faults(program: &Path) -> io::Result<bool> {
+    let said = Command::new(program).arg("version").stdin(Stdio::null()).output()?;
+    Ok(String::from_utf8_lossy(&said.stdout).trim_end().ends_with(" with faults"))
 }
 
 impl Process {
@@ -28,6 +36,7 @@
         if let Some(operator) = &files.operator {
             command.arg("--operator").arg(operator);
         }
+        command.envs(files.environment.iter().cloned());
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         Ok(Process { child })
     }
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -13,6 +13,8 @@
 #[test_case("at 1 kill d9", "line 4: there is no d9"; "an unknown process")]
 #[test_case("load d1 5 per second", "line 4, column 11"; "more than fits")]
 #[test_case("fleet { limits: { origin: 3 }", "line 4"; "braces that don't match")]
+#[test_case("at 1 disk d1 burn", "line 4, column 14"; "an unknown order to a disk")]
+#[test_case("clock d1 3", "line 4, column 9"; "a clock out of bounds")]
 #[test_case("caches c1 transfers 5", "line 4"; "caches without a location")]
 fn a_mistake_has_its_place(line: &str, place: &str) {
     let said = read(&format!("{HEAD}{line}\n")).unwrap_err().to_string();
@@ -133,6 +135,15 @@
     assert_eq!(judge::versions(&events(&lines.join("\n"))).is_empty(), well);
 }
 
+#[test]
+fn a_program_that_obeys_no_faults_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = Stage { program: "/bin/true".as_ref(), folder: folder.path(), seed: 1 };
+    let scenario = read(&format!("{HEAD}at 1 disk d1 full\n")).unwrap();
+    let said = play(&scenario, stage).err().unwrap().to_string();
+    assert!(said.contains("obeys no faults"), "{said}");
+}
+
 /// Plays with the program that stands beside the tests; the workspace's tests build it.
 #[test_case(include_str!("../scenarios/hosts.bed"); "hosts")]
 fn holds(text: &str) {
