--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod mailbox;
 pub mod msgpack;
 pub mod resp;
+pub mod rollout_commands;
 pub mod router;
 pub mod serve;
 pub mod sharing;
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -2,7 +2,7 @@
 use cherrypass_dispatcher::config::{Config, Error};
 use cherrypass_dispatcher::keeping::Kept;
 use cherrypass_dispatcher::serve::Dispatcher;
-use cherrypass_dispatcher::{logger, sharing, signals, store_commands};
+use cherrypass_dispatcher::{logger, rollout_commands, sharing, signals, store_commands};
 use cherrypass_operator as operator;
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -44,6 +44,8 @@
     /// Look into and keep a store of what must last
     #[command(subcommand)]
     Store(store_commands::Command),
+    /// New rules for the whole fleet, in stages
+    Rollout(rollout_commands::Rollout),
     /// Print the version
     Version,
 }
@@ -76,6 +78,7 @@
         Command::Check { files } => check(files),
         Command::Config(ConfigCommand::Show { operator }) => show(&operator),
         Command::Store(command) => store_commands::run(command),
+        Command::Rollout(rollout) => rollout_commands::run(rollout),
         Command::Version => {
             let faults = if cfg!(feature = "faults") { " with faults" } else { "" };
             println!("cherrypass {}{faults}", env!("CARGO_PKG_VERSION"));
--- a/crates/dispatcher/src/sharing.rs
+++ b/crates/dispatcher/src/sharing.rs
@@ -80,7 +80,10 @@
             tellers: told.tellers as u8,
             part: told.part,
         }),
-        rollout: fleet.rollout.as_ref().map(|_| rollout::Set::default()),
+        rollout: fleet
+            .rollout
+            .as_ref()
+            .map(|told| rollout::Set { window: told.window, ..rollout::Set::default() }),
         ..house::Set::default()
     };
     set.check()?;
@@ -215,6 +218,11 @@
     fn rule(&mut self, brain: &mut Brain, rules: Rules) {
         self.rules = rules;
         self.parts.keys().copied().collect::<Vec<_>>().into_iter().for_each(|key| self.allot(brain, key));
+        if let Some(file) = &self.fleet.verdicts {
+            let rules = &self.rules.fleet.verdicts;
+            let tellers = rules.tellers.unwrap_or(file.tellers) as u8;
+            (self.tell)(ToFleet::Weighed { tellers, part: rules.part.unwrap_or(file.part) });
+        }
         if !self.rules.fleet.verdicts.heed {
             let hosts: Vec<HostId> = self.told.keys().copied().collect();
             hosts.into_iter().for_each(|host| self.withdraw(brain, host));
--- a/crates/fleet/src/house.rs
+++ b/crates/fleet/src/house.rs
@@ -270,6 +270,12 @@
         }
     }
 
+    pub fn weighed(&mut self, now: Time, tellers: u8, part: f64) {
+        if let Some(verdicts) = &mut self.verdicts {
+            verdicts.weighed(now, tellers, part);
+        }
+    }
+
     pub fn refuted(&mut self, now: Time, host: HostId) {
         if let Some(verdicts) = &mut self.verdicts {
             verdicts.refuted(now, host);
--- a/crates/fleet/src/verdicts/mod.rs
+++ b/crates/fleet/src/verdicts/mod.rs
@@ -197,6 +197,16 @@
         self.tell(now);
     }
 
+    /// How many must say the same from now on, and which part of the own location's dispatchers.
+    pub fn weighed(&mut self, now: Time, tellers: u8, part: f64) {
+        if tellers == 0 || !(0.0..=1.0).contains(&part) {
+            return;
+        }
+        (self.set.tellers, self.set.part) = (tellers, part);
+        let hosts: Vec<HostId> = self.hosts.keys().copied().collect();
+        hosts.into_iter().for_each(|host| self.weigh(now, host));
+    }
+
     /// Own hand-offs to a host went well after it was told to be bad: for the hold time nothing told of it counts.
     pub fn refuted(&mut self, now: Time, host: HostId) {
         if let Some(known) = self.hosts.get_mut(&host) {
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -117,6 +117,23 @@
     pub visits: u32,
     #[serde(default)]
     pub after_halt: AfterHalt,
+    /// Over so long visits are counted before dispatchers are compared; all must have the same.
+    #[serde(rename = "window_ms", deserialize_with = "millis::<_, 1_000, 60_000>", default = "window")]
+    pub window: Span,
+}
+
+impl Default for Rollout {
+    fn default() -> Rollout {
+        let (order, after_halt) = (Vec::new(), AfterHalt::default());
+        Rollout {
+            order,
+            first: quarter(),
+            hold: a_minute(),
+            visits: thousand(),
+            after_halt,
+            window: window(),
+        }
+    }
 }
 
 /// What becomes of rules that were halted where they are in force already.
@@ -129,6 +146,10 @@
     Back,
 }
 
+fn window() -> Span {
+    Span::millis(5_000)
+}
+
 fn every() -> Span {
     Span::millis(50)
 }
@@ -169,7 +190,9 @@
     count::<D, LEAST, MOST>(from).map(|found| Span::millis(u64::from(found)))
 }
 
-fn count<'de, D: Deserializer<'de>, const LEAST: u32, const MOST: u32>(from: D) -> Result<u32, D::Error> {
+pub(crate) fn count<'de, D: Deserializer<'de>, const LEAST: u32, const MOST: u32>(
+    from: D,
+) -> Result<u32, D::Error> {
     let found = within(from, f64::from(LEAST), f64::from(MOST))?;
     if found.fract() != 0.0 {
         return Err(serde::de::Error::custom(format!("{found} is not a whole number")));
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -64,7 +64,8 @@
     assert!(said.contains(&format!("{place}: ")) && said.contains(words) && !said.contains('\n'), "{said}");
 }
 
-#[test_case(r#"{"fleet": {"limits": {"origin": 20}, "verdicts": {"heed": false}}}"#, ""; "all that may change")]
+#[test_case(r#"{"fleet": {"limits": {"origin": 20}, "verdicts": {"heed": false, "tellers": 1, "part": 0}}}"#, ""; "all that may change")]
+#[test_case(r#"{"fleet": {"verdicts": {"tellers": 0}}}"#, "fleet.verdicts.tellers: 0 is not within 1 and 64"; "nobody tells by rules")]
 #[test_case("{}", ""; "nothing")]
 #[test_case("", "EOF while parsing"; "no JSON")]
 #[test_case(r#"{"store": {}}"#, "store: unknown field `store`"; "not of the rules")]
@@ -72,7 +73,7 @@
 #[test_case(r#"{"fleet": {"limits": {"origin": 0.1}}}"#, "fleet.limits.origin: 0.1 is not within 1 and"; "out of its range")]
 #[test_case(r#"{"fleet": {"limits": {"further_per_s": 9}}}"#, "fleet.limits.further_per_s: the operators' file sets no such limit"; "off in the file")]
 fn rules_are_checked_against_the_file(text: &str, wrong: &str) {
-    let file = read(&fleet("limits: { origin: 40 }")).unwrap().fleet.unwrap();
+    let file = read(&fleet("limits: { origin: 40 }, verdicts: {}")).unwrap().fleet.unwrap();
     let said =
         cherrypass_operator::rules::decode(text, &file).map_or_else(|e| e.to_string(), |_| String::new());
     assert!(said.contains(wrong) && said.is_empty() == wrong.is_empty() && !said.contains('\n'), "{said}");
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -92,6 +92,11 @@
     Unlisted(HostId),
     Counted(Figures),
     /// `FromFleet::Rules` of this number can't be taken; the old ones stay in force.
+    /// How many must say the same of a host, and which part of the location's dispatchers, by the rules in force.
+    Weighed {
+        tellers: u8,
+        part: f64,
+    },
     NotTaken {
         number: u64,
         why: String,
--- a/crates/peers/src/run.rs
+++ b/crates/peers/src/run.rs
@@ -307,6 +307,7 @@
                 fleet.found(now, Finding { host, since: run_of(since), kind, evidence, age });
             }
             ToFleet::Cleared(host) => fleet.cleared(now, host),
+            ToFleet::Weighed { tellers, part } => fleet.weighed(now, tellers, part),
             ToFleet::Refuted(host) => fleet.refuted(now, host),
             ToFleet::Listed { host, since, used_by } => fleet.listed(now, host, run_of(since), used_by),
             ToFleet::Unlisted(host) => fleet.unlisted(now, host),
