Faultbed: rollouts on real processes, and what is to come of them

A rollout fault runs the command itself against a member; what each process tells of the rollout at the end is judged with the event logs (taken, end, halted, never). Each verdict is shown to fail on a made-up history.

--- a/crates/faultbed/src/judge.rs
+++ b/crates/faultbed/src/judge.rs
@@ -2,6 +2,7 @@
 use crate::notation::{Hold, Scenario};
 use crate::notes::{Event, Note, Noted, Word};
 use crate::play::Played;
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// On sockets every time limit is so much longer, in microseconds.
@@ -28,6 +29,12 @@
             Hold::Feed => feed(&played.events),
             Hold::Agreed => agreed(scenario, played),
             Hold::Versions => versions(&played.events),
+            Hold::Taken(count) => taken(&played.orders, *count),
+            Hold::End(number) => ended(scenario, &played.away, played.span.1, &played.standings, *number),
+            Hold::Halted(number, location) => {
+                halted(scenario, &played.events, &played.standings, *number, location)
+            }
+            Hold::Never(number) => never(&played.events, *number),
         });
     }
     broken
@@ -305,6 +312,124 @@
     broken
 }
 
+pub fn taken(orders: &[(String, bool)], count: u64) -> Vec<String> {
+    let found = orders.iter().filter(|(_, taken)| *taken).count() as u64;
+    let said = || orders.iter().map(|(said, _)| &said[..]).collect::<Vec<_>>().join("; ");
+    (found != count)
+        .then(|| format!("{found} orders were taken, {count} were to be: {}", said()))
+        .into_iter()
+        .collect()
+}
+
+/// Who has had rules of a number in force.
+fn had(events: &[Event], number: u64) -> BTreeSet<&str> {
+    let ruled = |event: &&Event| event.e == "rules" && event.number("number") == Some(number as f64);
+    events.iter().filter(ruled).map(|event| &event.me[..]).collect()
+}
+
+pub fn never(events: &[Event], number: u64) -> Vec<String> {
+    had(events, number).into_iter().map(|me| format!("{me} had rules {number} in force")).collect()
+}
+
+/// At the end all that run have the number in force.
+pub fn ended(
+    scenario: &Scenario,
+    away: &[(String, u64, u64)],
+    end: u64,
+    standings: &BTreeMap<String, Value>,
+    number: u64,
+) -> Vec<String> {
+    let runs = |name: &str| !away.iter().any(|(who, _, to)| who == name && *to >= end);
+    let names = scenario.dispatchers.iter().map(|(name, _)| name).filter(|name| runs(name));
+    let bad = names.filter_map(|name| {
+        let found = standings.get(name).and_then(|standing| standing["in_force"].as_u64());
+        (found != Some(number)).then(|| format!("{name} ends with rules {found:?} in force, not {number}"))
+    });
+    bad.collect()
+}
+
+/// Some had the rules, none outside the location ever, and all that tell say that they are halted or taken back.
+pub fn halted(
+    scenario: &Scenario,
+    events: &[Event],
+    standings: &BTreeMap<String, Value>,
+    number: u64,
+    location: &str,
+) -> Vec<String> {
+    let mut broken = Vec::new();
+    let had = had(events, number);
+    if had.is_empty() {
+        broken.push(format!("nobody ever had rules {number}, so there was nothing to halt"));
+    }
+    let outside = |me: &&str| !scenario.dispatchers.iter().any(|(name, at)| name == me && at == location);
+    broken.extend(
+        had.into_iter().filter(outside).map(|me| format!("{me} is not of {location} and had rules {number}")),
+    );
+    let is_halted = |standing: &Value| {
+        standing["number"] == number && matches!(standing["phase"].as_str(), Some("halted" | "back"))
+    };
+    if standings.is_empty() {
+        broken.push("nobody told where the rollout stands".to_owned());
+    }
+    let others = standings.iter().filter(|(_, standing)| !is_halted(standing));
+    broken.extend(others.map(|(name, standing)| {
+        format!("{name} holds rules {} as {}, not {number} as halted", standing["number"], standing["phase"])
+    }));
+    broken
+}
+
+/// Of each version: how many had it, which part of all visits came to them meanwhile, when it was halted, in seconds after
+/// the first had it.
+pub fn rollouts(played: &Played) -> Vec<String> {
+    let mut spans: BTreeMap<u64, Vec<(&str, u64, u64)>> = BTreeMap::new();
+    let mut last: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    let end = played.span.1;
+    let mut close = |me, (number, since): (u64, u64), t: u64| {
+        spans.entry(number).or_default().push((me, since, t));
+    };
+    for event in &played.events {
+        let number =
+            if event.e == "rules" { event.number("number").map(|number| number as u64) } else { None };
+        if let (Some(before), true) =
+            (last.get(&event.me[..]).copied(), number.is_some() || event.e == "stop")
+        {
+            last.remove(&event.me[..]);
+            close(&event.me[..], before, event.t);
+        }
+        if let Some(number) = number {
+            last.insert(&event.me, (number, event.t));
+        }
+    }
+    last.into_iter().for_each(|(me, before)| close(me, before, end.max(before.1)));
+    let asked: Vec<(u64, &str)> = played
+        .noted
+        .iter()
+        .filter_map(|(at, note)| match note {
+            Note::Asked { dispatcher, .. } => Some((*at, &dispatcher[..])),
+            _ => None,
+        })
+        .collect();
+    let line = |(number, spans): (&u64, &Vec<(&str, u64, u64)>)| {
+        let saw =
+            |(at, who): &&(u64, &str)| spans.iter().any(|(me, from, to)| me == who && from <= at && at < to);
+        let saw = asked.iter().filter(saw).count();
+        let first = spans.iter().map(|span| span.1).min().unwrap_or(0);
+        let had: BTreeSet<&str> = spans.iter().map(|span| span.0).collect();
+        let halt = played.logs.values().flat_map(|log| log.lines());
+        let halt = halt.filter(|line| line.contains(&format!("rollout of rules {number} halted")));
+        let at = halt.filter_map(|line| line.split(' ').next()?.parse::<f64>().ok()).reduce(f64::min);
+        let halt = at.map_or(String::new(), |at| format!(", halted after {:.1} s", at - first as f64 / 1e6));
+        format!(
+            "rules {number}: at {} of {}, {saw} of {} visits ({:.2}%){halt}",
+            had.len(),
+            played.logs.len(),
+            asked.len(),
+            100.0 * saw as f64 / asked.len().max(1) as f64
+        )
+    };
+    spans.iter().filter(|(number, _)| **number > 0).map(line).collect()
+}
+
 /// Figures of a play, a line each.
 pub fn figures(played: &Played) -> Vec<String> {
     let mut counts: BTreeMap<Option<Word>, usize> = BTreeMap::new();
@@ -332,6 +457,8 @@
     for (host, came) in came {
         lines.push(format!("{host}: {came} came, {} of them went badly", lost.get(host).unwrap_or(&0)));
     }
+    lines.extend(played.orders.iter().map(|(said, _)| said.clone()));
+    lines.extend(rollouts(played));
     lines.extend(last_shut(played));
     lines.extend(shut(played));
     lines
--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -4,13 +4,15 @@
 //! `fleet { limits: { origin: 12 } }` (keys of the operators' section; without the line none is set), `store` (each keeps one),
 //! `for 10` (seconds), faults `at 3 for 2 cut d1 d2`, `at 3 for 2 cut d1 > d2`, `lose 0.2 d1 d2` (of all links: `all`), `repeat 0.2 ...`,
 //! `delay 50 200 ...` (ms, least and most), `throttle 20 ...` (datagrams a second), `stall ...` (held, then all at once),
-//! `stop d1`, `kill d1`, `restart d1 [new]` (killed and started; `new`: with an empty store), `fail c1 0.7`, `hang c1`,
+//! `stop d1`, `kill d1`, `kill runner` (whoever runs the rollout then), `restart d1 [new]` (killed and started; `new`: with an empty store), `fail c1 0.7`, `hang c1`,
 //! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`,
 //! `disk d1 lose` (what is acknowledged from then on is gone at the kill; `error`, `full`, `flip`, `stall 2000` in ms),
 //! `rollout d1 start { number: 2, rules: { … }, plan: { … } }` (asked for at d1; `halt`, `resume`, `back`), and lines
 //! `clock d1 0.99` (its rate); disks and clocks want a program built with its feature `faults`. What is held:
 //! `hold rules`, `hold sum origin 12`, `hold sum further 20`, `hold sum cold 1`, `hold age 10000` (ms), `hold feed`, `hold used origin 0.95`,
-//! `hold agreed`, `hold versions`.
+//! `hold agreed`, `hold versions` (none goes back unasked), `hold taken 1` (so many orders of a rollout), `hold end 2` (at the end
+//! rules 2 are in force at all), `hold halted 2 edge` (some had them, none outside `edge` ever, and they are halted),
+//! `hold never 2` (nobody ever had them).
 use winnow::ascii::{alpha1, alphanumeric1, float, space0, space1, till_line_ending};
 use winnow::combinator::{alt, cut_err, delimited, eof, opt, preceded, repeat, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext, StrContextValue};
@@ -87,6 +89,13 @@
     Feed,
     Agreed,
     Versions,
+    /// So many orders of a rollout were taken.
+    Taken(u64),
+    /// At the end rules of this number are in force at all.
+    End(u64),
+    /// They are halted, and only this location's ever had them.
+    Halted(u64, String),
+    Never(u64),
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -247,6 +256,10 @@
         "feed" => Hold::Feed,
         "agreed" => Hold::Agreed,
         "versions" => Hold::Versions,
+        "taken" => Hold::Taken(number(input)? as u64),
+        "end" => Hold::End(number(input)? as u64),
+        "halted" => Hold::Halted(number(input)? as u64, one(input)?),
+        "never" => Hold::Never(number(input)? as u64),
         _ => return unknown(input, begun, "what is to hold"),
     })
 }
@@ -310,6 +323,7 @@
                 Between::All => vec![],
                 Between::Both(a, b) | Between::OneWay(a, b) => vec![a, b],
             },
+            Kill(a) if a == "runner" => vec![],
             Stop(a) | Kill(a) | Fail(a, _) | Hang(a) | Slow(a, _) | Vanish(a) | Fresh(a) | Drain(a) => {
                 vec![a]
             }
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -8,11 +8,13 @@
 use crate::notes::{events, now, Event, Note, Noted, Notes};
 use crate::processes::{has_faults, Files, Process};
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::ffi::OsStr;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, thiserror::Error)]
@@ -25,8 +27,6 @@
         "{0} obeys no faults of disks and clocks: cargo build -p cherrypass-dispatcher --features faults"
     )]
     NoFaults(String),
-    #[error("rollout {0}: {1}")]
-    Order(String, String),
 }
 
 fn doing(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
@@ -55,6 +55,10 @@
     pub away: Vec<(String, u64, u64)>,
     /// Datagrams that went through links.
     pub datagrams: u64,
+    /// Orders of a rollout: what was said, and whether they were taken.
+    pub orders: Vec<(String, bool)>,
+    /// What each process that ran at the end told of the rollout.
+    pub standings: BTreeMap<String, Value>,
 }
 
 struct Dispatcher {
@@ -80,6 +84,10 @@
     links: BTreeMap<(String, String), Link>,
     away: Vec<(String, u64, u64)>,
     crashed: Vec<String>,
+    orders: Vec<(String, bool)>,
+    controls: BTreeMap<String, SocketAddr>,
+    /// Who ran the rollout and was killed for it.
+    runner: Option<String>,
 }
 
 const START_MOST: Duration = Duration::from_secs(10);
@@ -87,6 +95,13 @@
 /// The list tells of a start so much later.
 const LIST_LATE: Duration = Duration::from_millis(500);
 
+/// Whether the order was taken, and what was said; 3 tells of a halt and is an answer too.
+fn ordered(program: &Path, arguments: &[&OsStr]) -> io::Result<(bool, String)> {
+    let done = Command::new(program).arg("rollout").args(arguments).stdin(Stdio::null()).output()?;
+    let said = if done.stdout.is_empty() { &done.stderr } else { &done.stdout };
+    Ok((done.status.success(), String::from_utf8_lossy(said).into_owned()))
+}
+
 /// A port that was free a moment ago.
 fn free_port(udp: bool) -> io::Result<SocketAddr> {
     if udp {
@@ -121,6 +136,9 @@
         links: BTreeMap::new(),
         away: Vec::new(),
         crashed: Vec::new(),
+        orders: Vec::new(),
+        controls: BTreeMap::new(),
+        runner: None,
     };
     play.start()?;
     let span = play.run()?;
@@ -146,6 +164,9 @@
         for name in names.iter().filter(|_| scenario.fleet.is_some()) {
             fleet.insert(name.clone(), free_port(true).map_err(doing("a port"))?);
         }
+        for name in names.iter().filter(|_| scenario.has_orders()) {
+            self.controls.insert(name.clone(), free_port(false).map_err(doing("a port"))?);
+        }
         for (place, (from, to)) in
             names.iter().flat_map(|from| names.iter().map(move |to| (from, to))).enumerate()
         {
@@ -283,8 +304,9 @@
                     Some(format!("{{ name: '{other}', address: '{address}', location: '{location}' }}"))
                 })
                 .collect();
+            let control = self.controls.get(name).map_or(String::new(), |at| format!("control: '{at}', "));
             text += &format!(
-                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', members: [{}] }} + {keys},\n",
+                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', {control}members: [{}] }} + {keys},\n",
                 fleet.get(name)?,
                 at(".events"),
                 members.join(", ")
@@ -369,8 +391,18 @@
                     self.came_back(name);
                 }
             }
+            Fault::Kill(name) if name == "runner" && begins => {
+                let told = |name: &String| self.standing(name)?["runner"].as_str().map(str::to_owned);
+                self.runner = self.dispatchers.keys().find_map(told);
+                let Some(name) = self.runner.clone() else { return Ok(()) };
+                self.kill(&name);
+                self.orders.push((format!("{name} ran the rollout and was killed"), false));
+            }
             Fault::Kill(name) if begins => self.kill(name),
-            Fault::Kill(name) => self.start_anew(name, false)?,
+            Fault::Kill(name) => {
+                let runner = if name == "runner" { self.runner.take() } else { None };
+                self.start_anew(&runner.unwrap_or(name.clone()), false)?;
+            }
             Fault::Restart { who, new } if begins => {
                 self.kill(who);
                 self.start_anew(who, *new)?;
@@ -402,6 +434,19 @@
                 orders.extend(Some(order.clone()).filter(|_| begins));
                 std::fs::write(file, orders.join("\n")).map_err(doing("orders of a disk"))?;
             }
+            Fault::Rollout(who, order, document) if begins => {
+                let file = self.stage.folder.join("rules.jsonnet");
+                if let Some(text) = document {
+                    std::fs::write(&file, text).map_err(doing("a document"))?;
+                }
+                let known = self.dispatchers.get(who).and_then(|known| known.files.operator.as_ref());
+                let Some(operator) = known else { return Ok(()) };
+                let mut arguments = vec!["--operator".as_ref(), operator.as_os_str(), order.as_ref()];
+                arguments.extend(document.as_ref().map(|_| file.as_os_str()));
+                let (taken, said) =
+                    ordered(self.stage.program, &arguments).map_err(doing("cherrypass rollout"))?;
+                self.orders.push((format!("rollout {order} at {who}: {}", said.trim()), taken));
+            }
             Fault::Rollout(..) => {}
             Fault::Fail(name, _)
             | Fault::Hang(name)
@@ -449,7 +494,17 @@
         Ok(())
     }
 
+    /// What a process tells of the rollout.
+    fn standing(&self, name: &str) -> Option<Value> {
+        let control = self.controls.get(name)?.to_string();
+        let arguments = ["status", "--json", "--control", &control].map(OsStr::new);
+        let (_, said) = ordered(self.stage.program, &arguments).ok()?;
+        Some(serde_json::from_str::<Value>(&said).ok()?["rollout"].take())
+    }
+
     fn end(mut self, span: (u64, u64)) -> Result<Played, Error> {
+        let running = self.dispatchers.iter().filter(|(_, known)| known.away_since.is_none());
+        let standings = running.filter_map(|(name, _)| Some((name.clone(), self.standing(name)?))).collect();
         self.dispatchers.values().for_each(|known| known.load.end());
         self.dispatchers.values_mut().for_each(|known| known.load.join());
         let names: Vec<String> = self.dispatchers.keys().cloned().collect();
@@ -489,6 +544,6 @@
         let datagrams =
             self.links.values().map(|link| link.passed.load(std::sync::atomic::Ordering::SeqCst)).sum();
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
-        Ok(Played { noted, events, logs, span, crashed, away, datagrams })
+        Ok(Played { noted, events, logs, span, crashed, away, datagrams, orders: self.orders, standings })
     }
 }
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -144,6 +144,44 @@
     assert!(said.contains("obeys no faults"), "{said}");
 }
 
+fn ruled(me: &str, number: u64) -> String {
+    format!(r#"{{"t":1,"me":"{me}","inc":1,"e":"rules","number":{number}}}"#)
+}
+
+fn standing(number: u64, phase: &str, in_force: u64) -> serde_json::Value {
+    serde_json::json!({ "number": number, "phase": phase, "in_force": in_force })
+}
+
+const TWO: &str = "dispatchers d1 at edge\ndispatchers d2 at far\norigin o1 transfers 3\nfor 5\n";
+
+#[test_case(&[ruled("d1", 2)], "halted", None; "halted in the first location")]
+#[test_case(&[ruled("d1", 2)], "back", None; "taken back")]
+#[test_case(&[ruled("d1", 2), ruled("d2", 2)], "halted", Some("d2 is not of edge"); "it came to the second")]
+#[test_case(&[], "halted", Some("nobody ever had rules 2"); "it never began")]
+#[test_case(&[ruled("d1", 2)], "rolling", Some("holds rules 2 as \"rolling\""); "not halted")]
+fn the_judge_of_halts(lines: &[String], phase: &str, words: Option<&str>) {
+    let standings = [("d1".to_owned(), standing(2, phase, 0))].into();
+    let broken = judge::halted(&read(TWO).unwrap(), &events(&lines.join("\n")), &standings, 2, "edge");
+    match words {
+        None => assert!(broken.is_empty(), "{broken:?}"),
+        Some(words) => assert!(broken.len() == 1 && broken[0].contains(words), "{broken:?}"),
+    }
+    let never = judge::never(&events(&lines.join("\n")), 2);
+    assert_eq!(never.len(), lines.len());
+}
+
+#[test_case(&[("d1", 2), ("d2", 2)], 0; "all have it")]
+#[test_case(&[("d1", 2), ("d2", 0)], 1; "one has not")]
+#[test_case(&[("d1", 2)], 1; "one does not tell")]
+fn the_judge_of_the_end(told: &[(&str, u64)], broken: usize) {
+    let told = told.iter().map(|(who, number)| (who.to_string(), standing(2, "full", *number))).collect();
+    let scenario = read(TWO).unwrap();
+    assert_eq!(judge::ended(&scenario, &[], 9, &told, 2).len(), broken);
+    let away = [("d2".to_owned(), 3, 9)];
+    assert_eq!(judge::ended(&scenario, &away, 9, &told, 2).len(), 0, "who is away is not asked");
+    assert_eq!(judge::taken(&[("start".to_owned(), broken == 0)], 1).len(), broken);
+}
+
 /// Plays with the program that stands beside the tests; the workspace's tests build it.
 #[test_case(include_str!("../scenarios/hosts.bed"); "hosts")]
 fn holds(text: &str) {
