--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -229,7 +229,12 @@
             }
             std::thread::sleep(Duration::from_millis(10));
         }
-        Ok(())
+        // Guards against the port of another play's process, taken meanwhile: that one would answer in its place.
+        std::thread::sleep(Duration::from_millis(20));
+        match known.process.as_mut().and_then(Process::ended) {
+            Some(ended) => Err(Error::NotStarted(name.into(), ended)),
+            None => Ok(()),
+        }
     }
 
     fn entry(&self, name: &str) -> Option<Entry> {
--- a/crates/fleet/tests/verdicts.rs
+++ b/crates/fleet/tests/verdicts.rs
@@ -394,6 +394,16 @@
     assert_eq!(one.bad(), [1]);
 }
 
+#[test]
+fn how_many_must_say_so_may_change() {
+    let mut one = Alone::new();
+    one.hears(2, 3, (1, 1), Some(Kind::ShutOut));
+    for (tellers, part, bad) in [(1, 0.0, &[3][..]), (0, 0.0, &[3]), (1, f64::NAN, &[3]), (2, 0.25, &[])] {
+        one.verdicts.weighed(one.now, tellers, part);
+        assert_eq!(one.bad(), bad, "{tellers} {part}");
+    }
+}
+
 #[test]
 fn a_run_that_is_not_listed_yet_waits_for_the_list() {
     let mut one = Alone::new();
