--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -6,13 +6,15 @@
 use crate::links::{Link, Way};
 use crate::notation::{Between, Fault, Planned, Scenario, Sort};
 use crate::notes::{events, now, Event, Note, Noted, Notes};
-use crate::processes::{Files, Process};
+use crate::processes::{has_faults, Files, Process};
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::ffi::OsStr;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, thiserror::Error)]
@@ -21,6 +23,10 @@
     Io(String, io::Error),
     #[error("{0} did not start: {1}; its log says why")]
     NotStarted(String, String),
+    #[error(
+        "{0} obeys no faults of disks and clocks: cargo build -p cherrypass-dispatcher --features faults"
+    )]
+    NoFaults(String),
 }
 
 fn doing(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
@@ -49,6 +55,10 @@
     pub away: Vec<(String, u64, u64)>,
     /// Datagrams that went through links.
     pub datagrams: u64,
+    /// Orders of a rollout: what was said, and whether they were taken.
+    pub orders: Vec<(String, bool)>,
+    /// What each process that ran at the end told of the rollout.
+    pub standings: BTreeMap<String, Value>,
 }
 
 struct Dispatcher {
@@ -57,6 +67,8 @@
     process: Option<Process>,
     load: Load,
     kept: PathBuf,
+    /// What its disk is ordered now, and the file that says so.
+    orders: (Vec<String>, PathBuf),
     away_since: Option<u64>,
     rate: f64,
 }
@@ -72,6 +84,10 @@
     links: BTreeMap<(String, String), Link>,
     away: Vec<(String, u64, u64)>,
     crashed: Vec<String>,
+    orders: Vec<(String, bool)>,
+    controls: BTreeMap<String, SocketAddr>,
+    /// Who ran the rollout and was killed for it.
+    runner: Option<String>,
 }
 
 const START_MOST: Duration = Duration::from_secs(10);
@@ -79,6 +95,13 @@
 /// The list tells of a start so much later.
 const LIST_LATE: Duration = Duration::from_millis(500);
 
+/// Whether the order was taken, and what was said; 3 tells of a halt and is an answer too.
+fn ordered(program: &Path, arguments: &[&OsStr]) -> io::Result<(bool, String)> {
+    let done = Command::new(program).arg("rollout").args(arguments).stdin(Stdio::null()).output()?;
+    let said = if done.stdout.is_empty() { &done.stderr } else { &done.stdout };
+    Ok((done.status.success(), String::from_utf8_lossy(said).into_owned()))
+}
+
 /// A port that was free a moment ago.
 fn free_port(udp: bool) -> io::Result<SocketAddr> {
     if udp {
@@ -89,6 +112,10 @@
 }
 
 pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
+    let program = || stage.program.display().to_string();
+    if scenario.wants_faults() && !has_faults(stage.program).map_err(doing(program()))? {
+        return Err(Error::NoFaults(program()));
+    }
     let notes = Notes::default();
     let log = ChangeLog::start(notes.clone()).map_err(doing("the change log"))?;
     let mut zones = vec!["hub".to_owned()];
@@ -109,6 +136,9 @@
         links: BTreeMap::new(),
         away: Vec::new(),
         crashed: Vec::new(),
+        orders: Vec::new(),
+        controls: BTreeMap::new(),
+        runner: None,
     };
     play.start()?;
     let span = play.run()?;
@@ -134,6 +164,9 @@
         for name in names.iter().filter(|_| scenario.fleet.is_some()) {
             fleet.insert(name.clone(), free_port(true).map_err(doing("a port"))?);
         }
+        for name in names.iter().filter(|_| scenario.has_orders()) {
+            self.controls.insert(name.clone(), free_port(false).map_err(doing("a port"))?);
+        }
         for (place, (from, to)) in
             names.iter().flat_map(|from| names.iter().map(move |to| (from, to))).enumerate()
         {
@@ -149,10 +182,17 @@
             let address = free_port(false).map_err(doing("a port"))?;
             let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
             let operator = self.operator(name, &fleet);
+            let mut environment = Vec::new();
+            if scenario.wants_faults() {
+                environment.push(("CHERRYPASS_DISK_ORDERS", at(".disk").display().to_string()));
+                let rate = scenario.clocks.iter().find(|(who, _)| who == name).map(|(_, rate)| rate);
+                environment.extend(rate.map(|rate| ("CHERRYPASS_CLOCK_RATE", rate.to_string())));
+            }
             let files = Files {
                 config: at(".json"),
                 operator: operator.is_some().then(|| at(".jsonnet")),
                 log: at(".log"),
+                environment,
             };
             std::fs::write(&files.config, self.config(place, name, address))
                 .map_err(doing("a configuration"))?;
@@ -168,7 +208,8 @@
                 Load::start((name.clone(), address), 0.0, mix, seed, self.notes.clone(), numbers.clone());
             let process = Process::start(self.stage.program, &files).map_err(doing("starting a process"))?;
             let (process, kept, away_since) = (Some(process), at("-kept"), None);
-            let known = Dispatcher { files, address, process, load, kept, away_since, rate };
+            let orders = (Vec::new(), at(".disk"));
+            let known = Dispatcher { files, address, process, load, kept, orders, away_since, rate };
             self.dispatchers.insert(name.clone(), known);
         }
         for name in names {
@@ -188,7 +229,12 @@
             }
             std::thread::sleep(Duration::from_millis(10));
         }
-        Ok(())
+        // Guards against the port of another play's process, taken meanwhile: that one would answer in its place.
+        std::thread::sleep(Duration::from_millis(20));
+        match known.process.as_mut().and_then(Process::ended) {
+            Some(ended) => Err(Error::NotStarted(name.into(), ended)),
+            None => Ok(()),
+        }
     }
 
     fn entry(&self, name: &str) -> Option<Entry> {
@@ -263,8 +309,9 @@
                     Some(format!("{{ name: '{other}', address: '{address}', location: '{location}' }}"))
                 })
                 .collect();
+            let control = self.controls.get(name).map_or(String::new(), |at| format!("control: '{at}', "));
             text += &format!(
-                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', members: [{}] }} + {keys},\n",
+                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', {control}members: [{}] }} + {keys},\n",
                 fleet.get(name)?,
                 at(".events"),
                 members.join(", ")
@@ -349,8 +396,18 @@
                     self.came_back(name);
                 }
             }
+            Fault::Kill(name) if name == "runner" && begins => {
+                let told = |name: &String| self.standing(name)?["runner"].as_str().map(str::to_owned);
+                self.runner = self.dispatchers.keys().find_map(told);
+                let Some(name) = self.runner.clone() else { return Ok(()) };
+                self.kill(&name);
+                self.orders.push((format!("{name} ran the rollout and was killed"), false));
+            }
             Fault::Kill(name) if begins => self.kill(name),
-            Fault::Kill(name) => self.start_anew(name, false)?,
+            Fault::Kill(name) => {
+                let runner = if name == "runner" { self.runner.take() } else { None };
+                self.start_anew(&runner.unwrap_or(name.clone()), false)?;
+            }
             Fault::Restart { who, new } if begins => {
                 self.kill(who);
                 self.start_anew(who, *new)?;
@@ -375,6 +432,27 @@
                     });
                 }
             }
+            Fault::Disk(name, order) => {
+                let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+                let (orders, file) = &mut known.orders;
+                orders.retain(|known| known != order);
+                orders.extend(Some(order.clone()).filter(|_| begins));
+                std::fs::write(file, orders.join("\n")).map_err(doing("orders of a disk"))?;
+            }
+            Fault::Rollout(who, order, document) if begins => {
+                let file = self.stage.folder.join("rules.jsonnet");
+                if let Some(text) = document {
+                    std::fs::write(&file, text).map_err(doing("a document"))?;
+                }
+                let known = self.dispatchers.get(who).and_then(|known| known.files.operator.as_ref());
+                let Some(operator) = known else { return Ok(()) };
+                let mut arguments = vec!["--operator".as_ref(), operator.as_os_str(), order.as_ref()];
+                arguments.extend(document.as_ref().map(|_| file.as_os_str()));
+                let (taken, said) =
+                    ordered(self.stage.program, &arguments).map_err(doing("cherrypass rollout"))?;
+                self.orders.push((format!("rollout {order} at {who}: {}", said.trim()), taken));
+            }
+            Fault::Rollout(..) => {}
             Fault::Fail(name, _)
             | Fault::Hang(name)
             | Fault::Slow(name, _)
@@ -421,7 +499,17 @@
         Ok(())
     }
 
+    /// What a process tells of the rollout.
+    fn standing(&self, name: &str) -> Option<Value> {
+        let control = self.controls.get(name)?.to_string();
+        let arguments = ["status", "--json", "--control", &control].map(OsStr::new);
+        let (_, said) = ordered(self.stage.program, &arguments).ok()?;
+        Some(serde_json::from_str::<Value>(&said).ok()?["rollout"].take())
+    }
+
     fn end(mut self, span: (u64, u64)) -> Result<Played, Error> {
+        let running = self.dispatchers.iter().filter(|(_, known)| known.away_since.is_none());
+        let standings = running.filter_map(|(name, _)| Some((name.clone(), self.standing(name)?))).collect();
         self.dispatchers.values().for_each(|known| known.load.end());
         self.dispatchers.values_mut().for_each(|known| known.load.join());
         let names: Vec<String> = self.dispatchers.keys().cloned().collect();
@@ -461,6 +549,6 @@
         let datagrams =
             self.links.values().map(|link| link.passed.load(std::sync::atomic::Ordering::SeqCst)).sum();
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
-        Ok(Played { noted, events, logs, span, crashed, away, datagrams })
+        Ok(Played { noted, events, logs, span, crashed, away, datagrams, orders: self.orders, standings })
     }
 }
