Faultbed: pairs of builds and of link forms play in one fleet

A process may begin as an older build (--other, or this one in form 1) and be exchanged for the newer and back with the same files.

--- a/crates/faultbed/src/main.rs
+++ b/crates/faultbed/src/main.rs
@@ -12,6 +12,9 @@
     /// The built program
     #[arg(long, default_value = "target/release/cherrypass", global = true)]
     program: PathBuf,
+    /// The older build where a scenario has one; without it, the program in form 1
+    #[arg(long, global = true)]
+    other: Option<PathBuf>,
     #[command(subcommand)]
     command: Command,
 }
@@ -37,13 +40,16 @@
     },
 }
 
+/// The program, and the older build.
+type Builds<'a> = (&'a Path, Option<&'a Path>);
+
 /// What did not hold, after the figures were printed where they are wanted.
-fn once(scenario: &Scenario, program: &Path, seed: u64, logs: Option<&Path>) -> Result<Vec<String>, String> {
+fn once(scenario: &Scenario, (program, other): Builds, seed: u64, logs: Option<&Path>) -> Result<Vec<String>, String> {
     let own = tempfile::tempdir().map_err(|error| error.to_string())?;
     let folder = logs.unwrap_or(own.path());
     std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
     let played =
-        play::play(scenario, play::Stage { program, folder, seed }).map_err(|error| error.to_string())?;
+        play::play(scenario, play::Stage { program, other, folder, seed }).map_err(|error| error.to_string())?;
     judge::figures(&played).iter().for_each(|line| println!("  {line}"));
     Ok(judge::judge(scenario, &played))
 }
@@ -60,9 +66,10 @@
         let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
         notation::read(&text).map_err(|error| format!("{}: {error}", file.display()))
     };
+    let builds = (&*cli.program, cli.other.as_deref());
     match cli.command {
         Command::Play { file, seed, logs } => {
-            let broken = once(&read(&file)?, &cli.program, seed, logs.as_deref())?;
+            let broken = once(&read(&file)?, builds, seed, logs.as_deref())?;
             told(&broken);
             println!("{} seed {seed}: {}", file.display(), if broken.is_empty() { "held" } else { "BROKEN" });
             Ok(broken.is_empty())
@@ -70,11 +77,11 @@
         Command::Hunt { file, from, to } => {
             let scenario = read(&file)?;
             for seed in from..=to {
-                let broken = once(&scenario, &cli.program, seed, None)?;
+                let broken = once(&scenario, builds, seed, None)?;
                 println!("seed {seed}: {}", if broken.is_empty() { "held" } else { "BROKEN" });
                 if !broken.is_empty() {
                     told(&broken);
-                    let least = shrink(scenario, &cli.program, seed)?;
+                    let least = shrink(scenario, builds, seed)?;
                     println!("seed {seed}, the fewest faults that still break it:");
                     least.faults.iter().for_each(|planned| println!("  {planned:?}"));
                     return Ok(false);
@@ -86,12 +93,12 @@
 }
 
 /// Drops one fault after another as long as something is still broken.
-fn shrink(mut scenario: Scenario, program: &Path, seed: u64) -> Result<Scenario, String> {
+fn shrink(mut scenario: Scenario, builds: Builds, seed: u64) -> Result<Scenario, String> {
     let mut place = 0;
     while place < scenario.faults.len() {
         let mut fewer = scenario.clone();
         fewer.faults.remove(place);
-        if once(&fewer, program, seed, None)?.is_empty() {
+        if once(&fewer, builds, seed, None)?.is_empty() {
             place += 1;
         } else {
             scenario = fewer;
--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -8,7 +8,9 @@
 //! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`, and what is held:
 //! `hold rules`, `hold sum origin 12`, `hold sum further 20`, `hold sum cold 1`, `hold age 10000` (ms), `hold feed`, `hold used origin 0.95`,
 //! `hold agreed`, `hold versions`.
-use winnow::ascii::{alpha1, alphanumeric1, float, space0, space1, till_line_ending};
+//! Pairs of builds: `program d2 d3 older` (begin as the older build: the one named by `--other`, or where none is named this one
+//! in form 1), `form 1 d4` (this build, kept to that form), `at 5 upgrade d2`, `at 8 downgrade d2` (SIGTERM, then the other one).
+use winnow::ascii::{alpha1, alphanumeric1, dec_uint, float, space0, space1, till_line_ending};
 use winnow::combinator::{alt, cut_err, delimited, eof, opt, preceded, repeat, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext, StrContextValue};
 use winnow::prelude::*;
@@ -60,6 +62,9 @@
     Load(String, f64),
     Drain(String),
     Purge,
+    /// SIGTERM, then the newer build with the same files; or the older one.
+    Upgrade(String),
+    Downgrade(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -94,6 +99,9 @@
     pub work: f64,
     pub fleet: Option<String>,
     pub store: bool,
+    /// Those that begin as the older build, and those kept to a form.
+    pub older: Vec<String>,
+    pub forms: Vec<(String, u8)>,
     /// Seconds.
     pub lasts: f64,
     pub faults: Vec<Planned>,
@@ -119,6 +127,8 @@
     Work(f64),
     Fleet(String),
     Store,
+    Program(Vec<String>),
+    Form(u8, Vec<String>),
     For(f64),
     Fault(Planned),
     Hold(Hold),
@@ -152,7 +162,7 @@
 
 /// Names up to a word that is none.
 fn names(input: &mut &str) -> Parsed<Vec<String>> {
-    let free = name.verify(|name: &str| !["at", "transfers"].contains(&name));
+    let free = name.verify(|name: &str| !["at", "transfers", "older"].contains(&name));
     cut_err(preceded(space1, separated(1.., free, space1)).context(expected("names"))).parse_next(input)
 }
 
@@ -198,6 +208,8 @@
         "load" => Fault::Load(one(input)?, number(input)?),
         "drain" => Fault::Drain(one(input)?),
         "purge" => Fault::Purge,
+        "upgrade" => Fault::Upgrade(one(input)?),
+        "downgrade" => Fault::Downgrade(one(input)?),
         _ => return unknown(input, begun, "a known fault"),
     })
 }
@@ -248,6 +260,16 @@
         "work" => Line::Work(number(input)?),
         "fleet" => Line::Fleet(braces(input)?),
         "store" => Line::Store,
+        "program" => {
+            let names = names(input)?;
+            cut_err((space1, "older").context(expected("older"))).parse_next(input)?;
+            Line::Program(names)
+        }
+        "form" => {
+            let form = preceded(space0, dec_uint);
+            let form: u8 = cut_err(form.context(expected("a form's number"))).parse_next(input)?;
+            Line::Form(form, names(input)?)
+        }
         "for" => Line::For(number(input)?),
         "at" => Line::Fault(planned(input)?),
         "hold" => Line::Hold(hold(input)?),
@@ -283,11 +305,20 @@
             }
             Load(a, _) if a == "all" => vec![],
             Load(a, _) | Restart { who: a, .. } => vec![a],
+            Upgrade(a) | Downgrade(a) => vec![a],
             Purge => vec![],
         }
     }
 }
 
+fn dispatchers(names: &[String], all: &Scenario, number: usize) -> Result<(), Error> {
+    let known = |name: &&String| all.dispatchers.iter().any(|(own, _)| own == *name);
+    match names.iter().find(|name| !known(name)) {
+        Some(name) => Err(Error::Unknown { line: number + 1, name: name.clone() }),
+        None => Ok(()),
+    }
+}
+
 pub fn read(text: &str) -> Result<Scenario, Error> {
     let mut found = Scenario { objects: 200, work: 10.0, ..Scenario::default() };
     for (number, text) in text.lines().enumerate() {
@@ -317,6 +348,14 @@
             Some(Line::Work(ms)) => found.work = ms,
             Some(Line::Fleet(keys)) => found.fleet = Some(keys),
             Some(Line::Store) => found.store = true,
+            Some(Line::Program(names)) => {
+                dispatchers(&names, &found, number)?;
+                found.older.extend(names);
+            }
+            Some(Line::Form(form, names)) => {
+                dispatchers(&names, &found, number)?;
+                found.forms.extend(names.into_iter().map(|name| (name, form)));
+            }
             Some(Line::For(seconds)) => found.lasts = seconds,
             Some(Line::Fault(planned)) => {
                 if let Some(name) = planned.fault.names().into_iter().find(|name| !known(name, &found)) {
--- a/crates/faultbed/src/processes.rs
+++ b/crates/faultbed/src/processes.rs
@@ -1,6 +1,7 @@
 //! Processes of the built program: started, stopped, continued, killed.
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use std::ffi::OsStr;
 use std::fs::OpenOptions;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -20,14 +21,25 @@
     pub log: PathBuf,
 }
 
+/// Whether a build takes these files: one from before the fleet refuses its section.
+pub fn takes(program: &Path, files: &Files) -> io::Result<bool> {
+    let mut command = Command::new(program);
+    command.arg("check").arg("--config").arg(&files.config).args(files.operator_arguments());
+    let status = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).status()?;
+    Ok(status.success())
+}
+
+impl Files {
+    fn operator_arguments(&self) -> impl Iterator<Item = &OsStr> {
+        self.operator.iter().flat_map(|path| [OsStr::new("--operator"), path.as_os_str()])
+    }
+}
+
 impl Process {
     pub fn start(program: &Path, files: &Files) -> io::Result<Process> {
         let log = OpenOptions::new().create(true).append(true).open(&files.log)?;
         let mut command = Command::new(program);
-        command.arg("serve").arg("--config").arg(&files.config);
-        if let Some(operator) = &files.operator {
-            command.arg("--operator").arg(operator);
-        }
+        command.arg("serve").arg("--config").arg(&files.config).args(files.operator_arguments());
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         Ok(Process { child })
     }
