--- a/crates/faultbed/src/lib.rs
+++ b/crates/faultbed/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod changelog;
 pub mod clients;
+pub mod compare;
 pub mod hosts;
 pub mod judge;
 pub mod links;
--- a/crates/faultbed/src/main.rs
+++ b/crates/faultbed/src/main.rs
@@ -1,6 +1,6 @@
 #![forbid(unsafe_code)]
 use cherrypass_faultbed::notation::{self, Scenario};
-use cherrypass_faultbed::{judge, play};
+use cherrypass_faultbed::{compare, judge, play};
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -38,22 +38,85 @@
         #[arg(long, default_value_t = 10)]
         to: u64,
     },
+    /// Play two scenarios on the same seeds, both of a seed at once, and print what came of each side by side
+    Compare {
+        first: PathBuf,
+        second: PathBuf,
+        /// From and to, such as 1..5; both are played
+        #[arg(long, default_value = "1..5", value_parser = seeds)]
+        seeds: (u64, u64),
+        /// Where the folders of all plays stay; else they go
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
 }
 
 /// The program, and the older build.
 type Builds<'a> = (&'a Path, Option<&'a Path>);
 
 /// What did not hold, after the figures were printed where they are wanted.
-fn once(scenario: &Scenario, (program, other): Builds, seed: u64, logs: Option<&Path>) -> Result<Vec<String>, String> {
+fn once(
+    scenario: &Scenario,
+    (program, other): Builds,
+    seed: u64,
+    logs: Option<&Path>,
+) -> Result<Vec<String>, String> {
     let own = tempfile::tempdir().map_err(|error| error.to_string())?;
     let folder = logs.unwrap_or(own.path());
     std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
-    let played =
-        play::play(scenario, play::Stage { program, other, folder, seed }).map_err(|error| error.to_string())?;
+    let played = play::play(scenario, play::Stage { program, other, folder, seed })
+        .map_err(|error| error.to_string())?;
     judge::figures(&played).iter().for_each(|line| println!("  {line}"));
     Ok(judge::judge(scenario, &played))
 }
 
+fn seeds(text: &str) -> Result<(u64, u64), String> {
+    let both = text.split_once("..").map(|(from, to)| (from.parse(), to.trim_start_matches('=').parse()));
+    match both {
+        Some((Ok(from), Ok(to))) if from <= to => Ok((from, to)),
+        _ => Err("FROM..TO is expected, such as 1..5".to_owned()),
+    }
+}
+
+/// Plays both on each seed; the table, and whether all held in both.
+fn compare(
+    both: [(&str, Scenario); 2],
+    builds: Builds,
+    (from, to): (u64, u64),
+    logs: Option<&Path>,
+) -> Result<bool, String> {
+    let one = |(name, scenario): &(&str, Scenario), seed: u64| {
+        let own = tempfile::tempdir().map_err(|error| error.to_string())?;
+        let kept = logs.map(|logs| logs.join(format!("{name}-{seed}")));
+        let folder = kept.as_deref().unwrap_or(own.path());
+        std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+        let (program, other) = builds;
+        let played = play::play(scenario, play::Stage { program, other, folder, seed })
+            .map_err(|error| error.to_string())?;
+        Ok::<_, String>((compare::counted(scenario, &played), judge::judge(scenario, &played)))
+    };
+    let (mut found, mut held) = (Vec::new(), true);
+    for seed in from..=to {
+        let played = std::thread::scope(|scope| {
+            let first = scope.spawn(|| one(&both[0], seed));
+            let second = one(&both[1], seed);
+            [first.join().unwrap_or(Err("a play came to no end".to_owned())), second]
+        });
+        let [first, second] = played;
+        let [(first, broken), (second, also)] = [first?, second?];
+        for (broken, (name, _)) in [broken, also].into_iter().zip(&both) {
+            if !broken.is_empty() {
+                println!("{name} seed {seed}:");
+                told(&broken);
+                held = false;
+            }
+        }
+        found.push((seed, [first, second]));
+    }
+    println!("{}", compare::table([both[0].0, both[1].0], &found));
+    Ok(held)
+}
+
 fn told(broken: &[String]) {
     broken.iter().take(20).for_each(|line| println!("BROKEN {line}"));
     if broken.len() > 20 {
@@ -74,6 +137,12 @@
             println!("{} seed {seed}: {}", file.display(), if broken.is_empty() { "held" } else { "BROKEN" });
             Ok(broken.is_empty())
         }
+        Command::Compare { first, second, seeds, logs } => {
+            let name = |file: &Path| file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+            let names = [name(&first), name(&second)];
+            let both = [(&names[0][..], read(&first)?), (&names[1][..], read(&second)?)];
+            compare(both, builds, seeds, logs.as_deref())
+        }
         Command::Hunt { file, from, to } => {
             let scenario = read(&file)?;
             for seed in from..=to {
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, thiserror::Error)]
@@ -88,13 +89,25 @@
 /// The list tells of a start so much later.
 const LIST_LATE: Duration = Duration::from_millis(500);
 
-/// A port that was free a moment ago.
+/// Ports below those that systems give to connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// A port that was free a moment ago. None comes twice from one run, and none is one that an outgoing connection
+/// would get: guards against plays side by side that take each other's before a process listens there.
 fn free_port(udp: bool) -> io::Result<SocketAddr> {
-    if udp {
-        UdpSocket::bind("127.0.0.1:0")?.local_addr()
-    } else {
-        TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    // Runs side by side begin at places far from each other.
+    let begin = std::process::id().wrapping_mul(7_919);
+    for _ in 0..count {
+        let place = begin.wrapping_add(NEXT.fetch_add(1, Relaxed)) % count;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + place as u16));
+        let free = if udp { UdpSocket::bind(address).is_ok() } else { TcpListener::bind(address).is_ok() };
+        if free {
+            return Ok(address);
+        }
     }
+    Err(io::Error::from(io::ErrorKind::AddrInUse))
 }
 
 pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
@@ -193,7 +206,9 @@
         };
         let program = other.unwrap_or(self.stage.program);
         let mut joins = other.is_none() || self.joins.unwrap_or(true);
-        let Some(mut files) = self.dispatchers.get(name).map(|known| known.files.clone()) else { return Ok(()) };
+        let Some(mut files) = self.dispatchers.get(name).map(|known| known.files.clone()) else {
+            return Ok(());
+        };
         let path = self.stage.folder.join(format!("{name}.jsonnet"));
         loop {
             let text = self.operator(name, joins, form);
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -145,7 +145,8 @@
     let scenario = read(text).unwrap();
     let folder = tempfile::tempdir().unwrap();
     let seed = 1;
-    let played = play(&scenario, Stage { program: &program, other: None, folder: folder.path(), seed }).unwrap();
+    let played =
+        play(&scenario, Stage { program: &program, other: None, folder: folder.path(), seed }).unwrap();
     let broken = judge::judge(&scenario, &played);
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}\n{:#?}", judge::figures(&played));
 }
