--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -533,6 +533,8 @@
         };
         let apart = self.dispatchers.iter().filter_map(apart).collect();
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
+        let lines: String = noted.iter().map(|(at, note)| format!("{at} {note:?}\n")).collect();
+        std::fs::write(self.stage.folder.join("notes"), lines).map_err(doing("what was noted"))?;
         Ok(Played { noted, events, logs, span, crashed, away, apart, datagrams })
     }
 }
