--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -13,7 +13,9 @@
 //! `hold agreed`, `hold versions` (none goes back unasked), `hold taken 1` (so many orders of a rollout), `hold end 2` (at the end
 //! rules 2 are in force at all), `hold halted 2 edge` (some had them, none outside `edge` ever, and they are halted),
 //! `hold never 2` (nobody ever had them).
-use winnow::ascii::{alpha1, alphanumeric1, float, space0, space1, till_line_ending};
+//! Pairs of builds: `program d2 d3 older` (begin as the older build: the one named by `--other`, or where none is named this one
+//! in form 1), `form 1 d4` (this build, kept to that form), `at 5 upgrade d2`, `at 8 downgrade d2` (SIGTERM, then the other one).
+use winnow::ascii::{alpha1, alphanumeric1, dec_uint, float, space0, space1, till_line_ending};
 use winnow::combinator::{alt, cut_err, delimited, eof, opt, preceded, repeat, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext, StrContextValue};
 use winnow::prelude::*;
@@ -69,6 +71,9 @@
     Disk(String, String),
     /// At whom, what, and the document of a start.
     Rollout(String, String, Option<String>),
+    /// SIGTERM, then the newer build with the same files; or the older one.
+    Upgrade(String),
+    Downgrade(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -112,6 +117,9 @@
     pub store: bool,
     /// Whose clock goes at which rate.
     pub clocks: Vec<(String, f64)>,
+    /// Those that begin as the older build, and those kept to a form.
+    pub older: Vec<String>,
+    pub forms: Vec<(String, u8)>,
     /// Seconds.
     pub lasts: f64,
     pub faults: Vec<Planned>,
@@ -138,6 +146,8 @@
     Fleet(String),
     Store,
     Clock(String, f64),
+    Program(Vec<String>),
+    Form(u8, Vec<String>),
     For(f64),
     Fault(Planned),
     Hold(Hold),
@@ -171,7 +181,7 @@
 
 /// Names up to a word that is none.
 fn names(input: &mut &str) -> Parsed<Vec<String>> {
-    let free = name.verify(|name: &str| !["at", "transfers"].contains(&name));
+    let free = name.verify(|name: &str| !["at", "transfers", "older"].contains(&name));
     cut_err(preceded(space1, separated(1.., free, space1)).context(expected("names"))).parse_next(input)
 }
 
@@ -226,6 +236,8 @@
                 _ => return unknown(input, begun, "a known order"),
             }
         }
+        "upgrade" => Fault::Upgrade(one(input)?),
+        "downgrade" => Fault::Downgrade(one(input)?),
         _ => return unknown(input, begun, "a known fault"),
     })
 }
@@ -293,6 +305,16 @@
             let rate = preceded(space0, float).verify(|rate: &f64| (0.5..=2.0).contains(rate));
             Line::Clock(one(input)?, cut_err(rate.context(expected("0.5 to 2"))).parse_next(input)?)
         }
+        "program" => {
+            let names = names(input)?;
+            cut_err((space1, "older").context(expected("older"))).parse_next(input)?;
+            Line::Program(names)
+        }
+        "form" => {
+            let form = preceded(space0, dec_uint);
+            let form: u8 = cut_err(form.context(expected("a form's number"))).parse_next(input)?;
+            Line::Form(form, names(input)?)
+        }
         "for" => Line::For(number(input)?),
         "at" => Line::Fault(planned(input)?),
         "hold" => Line::Hold(hold(input)?),
@@ -329,6 +351,7 @@
             }
             Load(a, _) if a == "all" => vec![],
             Load(a, _) | Restart { who: a, .. } | Disk(a, _) | Rollout(a, ..) => vec![a],
+            Upgrade(a) | Downgrade(a) => vec![a],
             Purge => vec![],
         }
     }
@@ -345,6 +368,14 @@
     }
 }
 
+fn dispatchers(names: &[String], all: &Scenario, number: usize) -> Result<(), Error> {
+    let known = |name: &&String| all.dispatchers.iter().any(|(own, _)| own == *name);
+    match names.iter().find(|name| !known(name)) {
+        Some(name) => Err(Error::Unknown { line: number + 1, name: name.clone() }),
+        None => Ok(()),
+    }
+}
+
 pub fn read(text: &str) -> Result<Scenario, Error> {
     let mut found = Scenario { objects: 200, work: 10.0, ..Scenario::default() };
     for (number, text) in text.lines().enumerate() {
@@ -380,6 +411,14 @@
                 }
                 found.clocks.push((who, rate));
             }
+            Some(Line::Program(names)) => {
+                dispatchers(&names, &found, number)?;
+                found.older.extend(names);
+            }
+            Some(Line::Form(form, names)) => {
+                dispatchers(&names, &found, number)?;
+                found.forms.extend(names.into_iter().map(|name| (name, form)));
+            }
             Some(Line::For(seconds)) => found.lasts = seconds,
             Some(Line::Fault(planned)) => {
                 if let Some(name) = planned.fault.names().into_iter().find(|name| !known(name, &found)) {
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -6,7 +6,7 @@
 use crate::links::{Link, Way};
 use crate::notation::{Between, Fault, Planned, Scenario, Sort};
 use crate::notes::{events, now, Event, Note, Noted, Notes};
-use crate::processes::{has_faults, Files, Process};
+use crate::processes::{has_faults, takes, Files, Process};
 use nix::sys::signal::Signal;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -15,6 +15,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, thiserror::Error)]
@@ -37,6 +38,8 @@
 /// Where the processes keep what they need, and what is played.
 pub struct Stage<'a> {
     pub program: &'a Path,
+    /// The older build of a pair; none: `program` in form 1 is played as one.
+    pub other: Option<&'a Path>,
     pub folder: &'a Path,
     pub seed: u64,
 }
@@ -53,6 +56,8 @@
     pub crashed: Vec<String>,
     /// When each process did not run: killed or stopped, until it went on.
     pub away: Vec<(String, u64, u64)>,
+    /// Processes that at the end are of a build without the fleet.
+    pub apart: Vec<String>,
     /// Datagrams that went through links.
     pub datagrams: u64,
     /// Orders of a rollout: what was said, and whether they were taken.
@@ -69,6 +74,8 @@
     kept: PathBuf,
     /// What its disk is ordered now, and the file that says so.
     orders: (Vec<String>, PathBuf),
+    /// It is the older build now.
+    older: bool,
     away_since: Option<u64>,
     rate: f64,
 }
@@ -82,6 +89,9 @@
     zones: Vec<String>,
     dispatchers: BTreeMap<String, Dispatcher>,
     links: BTreeMap<(String, String), Link>,
+    fleet: BTreeMap<String, SocketAddr>,
+    /// Whether the older build knows the fleet, once that was tried.
+    joins: Option<bool>,
     away: Vec<(String, u64, u64)>,
     crashed: Vec<String>,
     orders: Vec<(String, bool)>,
@@ -102,13 +112,25 @@
     Ok((done.status.success(), String::from_utf8_lossy(said).into_owned()))
 }
 
-/// A port that was free a moment ago.
+/// Ports below those that systems give to connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// A port that was free a moment ago. None comes twice from one run, and none is one that an outgoing connection
+/// would get: guards against plays side by side that take each other's before a process listens there.
 fn free_port(udp: bool) -> io::Result<SocketAddr> {
-    if udp {
-        UdpSocket::bind("127.0.0.1:0")?.local_addr()
-    } else {
-        TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    // Runs side by side begin at places far from each other.
+    let begin = std::process::id().wrapping_mul(7_919);
+    for _ in 0..count {
+        let place = begin.wrapping_add(NEXT.fetch_add(1, Relaxed)) % count;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + place as u16));
+        let free = if udp { UdpSocket::bind(address).is_ok() } else { TcpListener::bind(address).is_ok() };
+        if free {
+            return Ok(address);
+        }
     }
+    Err(io::Error::from(io::ErrorKind::AddrInUse))
 }
 
 pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
@@ -134,6 +156,8 @@
         zones,
         dispatchers: BTreeMap::new(),
         links: BTreeMap::new(),
+        fleet: BTreeMap::new(),
+        joins: None,
         away: Vec::new(),
         crashed: Vec::new(),
         orders: Vec::new(),
@@ -176,29 +200,21 @@
                 self.links.insert((from.clone(), to.clone()), link);
             }
         }
+        self.fleet = fleet;
         let numbers = Numbers::default();
         numbers.store(1, std::sync::atomic::Ordering::SeqCst);
         for (place, name) in names.iter().enumerate() {
             let address = free_port(false).map_err(doing("a port"))?;
             let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
-            let operator = self.operator(name, &fleet);
             let mut environment = Vec::new();
             if scenario.wants_faults() {
                 environment.push(("CHERRYPASS_DISK_ORDERS", at(".disk").display().to_string()));
                 let rate = scenario.clocks.iter().find(|(who, _)| who == name).map(|(_, rate)| rate);
                 environment.extend(rate.map(|rate| ("CHERRYPASS_CLOCK_RATE", rate.to_string())));
             }
-            let files = Files {
-                config: at(".json"),
-                operator: operator.is_some().then(|| at(".jsonnet")),
-                log: at(".log"),
-                environment,
-            };
+            let files = Files { config: at(".json"), operator: None, log: at(".log"), environment };
             std::fs::write(&files.config, self.config(place, name, address))
                 .map_err(doing("a configuration"))?;
-            if let (Some(path), Some(text)) = (&files.operator, operator) {
-                std::fs::write(path, text).map_err(doing("an operators' file"))?;
-            }
             let of =
                 |who: &str| scenario.load.iter().rev().find(|(name, _)| name == who).map(|(_, rate)| *rate);
             let rate = of(name).or(of("all")).unwrap_or(10.0);
@@ -206,11 +222,11 @@
             let seed = seed.wrapping_mul(1_000_003) + place as u64;
             let load =
                 Load::start((name.clone(), address), 0.0, mix, seed, self.notes.clone(), numbers.clone());
-            let process = Process::start(self.stage.program, &files).map_err(doing("starting a process"))?;
-            let (process, kept, away_since) = (Some(process), at("-kept"), None);
-            let orders = (Vec::new(), at(".disk"));
-            let known = Dispatcher { files, address, process, load, kept, orders, away_since, rate };
+            let (process, kept, away_since) = (None, at("-kept"), None);
+            let (older, orders) = (scenario.older.contains(name), (Vec::new(), at(".disk")));
+            let known = Dispatcher { files, address, process, load, kept, orders, older, away_since, rate };
             self.dispatchers.insert(name.clone(), known);
+            self.begin(name)?;
         }
         for name in names {
             self.wait_for(&name)?;
@@ -218,6 +234,52 @@
         Ok(())
     }
 
+    /// Starts the build that it is to be now, with the operators' file that this one reads.
+    fn begin(&mut self, name: &str) -> Result<(), Error> {
+        let older = self.dispatchers.get(name).is_some_and(|known| known.older);
+        let other = self.stage.other.filter(|_| older);
+        let kept_to = self.scenario.forms.iter().find(|(who, _)| who == name).map(|(_, form)| *form);
+        let form = match other {
+            Some(_) => None,
+            None => kept_to.or(Some(1).filter(|_| older)),
+        };
+        let program = other.unwrap_or(self.stage.program);
+        let mut joins = other.is_none() || self.joins.unwrap_or(true);
+        let Some(mut files) = self.dispatchers.get(name).map(|known| known.files.clone()) else {
+            return Ok(());
+        };
+        let path = self.stage.folder.join(format!("{name}.jsonnet"));
+        loop {
+            let text = self.operator(name, joins, form);
+            files.operator = text.is_some().then(|| path.clone());
+            if let Some(text) = text {
+                std::fs::write(&path, text).map_err(doing("an operators' file"))?;
+            }
+            if other.is_none() || self.joins.is_some() || self.scenario.fleet.is_none() {
+                break;
+            }
+            joins = takes(program, &files).map_err(doing(program.display().to_string()))?;
+            self.joins = Some(joins);
+        }
+        let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+        known.process = Some(Process::start(program, &files).map_err(doing(program.display().to_string()))?);
+        known.files = files;
+        Ok(())
+    }
+
+    /// Ends in order and starts the other build of the pair with the same files.
+    fn exchange(&mut self, name: &str, older: bool) -> Result<(), Error> {
+        self.gone_away(name);
+        let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+        known.older = older;
+        if let Some(process) = known.process.take() {
+            if !process.end(END_MOST) {
+                self.crashed.push(format!("{name} did not end well on SIGTERM before its exchange"));
+            }
+        }
+        self.start_anew(name, false)
+    }
+
     /// Until it takes clients in.
     fn wait_for(&mut self, name: &str) -> Result<(), Error> {
         let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
@@ -292,13 +354,14 @@
     }
 
     /// The operators' file of one process: others are reached through the links.
-    fn operator(&self, name: &str, fleet: &BTreeMap<String, SocketAddr>) -> Option<String> {
+    fn operator(&self, name: &str, joins: bool, form: Option<u8>) -> Option<String> {
+        let fleet = &self.fleet;
         let at = |what: &str| self.stage.folder.join(format!("{name}{what}")).display().to_string();
         let mut text = String::from("{\n");
         if self.scenario.store {
             text += &format!("  store: {{ dir: '{}' }},\n", at("-kept"));
         }
-        if let Some(keys) = &self.scenario.fleet {
+        if let Some(keys) = self.scenario.fleet.as_ref().filter(|_| joins) {
             let members: Vec<String> = self
                 .scenario
                 .dispatchers
@@ -311,10 +374,11 @@
                 .collect();
             let control = self.controls.get(name).map_or(String::new(), |at| format!("control: '{at}', "));
             text += &format!(
-                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', {control}members: [{}] }} + {keys},\n",
+                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', {control}members: [{}]{} }} + {keys},\n",
                 fleet.get(name)?,
                 at(".events"),
-                members.join(", ")
+                members.join(", "),
+                form.map_or(String::new(), |form| format!(", form: {form}"))
             );
         }
         (self.scenario.store || self.scenario.fleet.is_some()).then(|| text + "}\n")
@@ -413,6 +477,8 @@
                 self.start_anew(who, *new)?;
             }
             Fault::Restart { .. } => {}
+            Fault::Upgrade(name) => self.exchange(name, !begins)?,
+            Fault::Downgrade(name) => self.exchange(name, begins)?,
             Fault::Load(who, rate) => {
                 for (name, known) in &self.dispatchers {
                     if who == "all" || who == name {
@@ -493,7 +559,7 @@
         if new {
             let _ = std::fs::remove_dir_all(&known.kept);
         }
-        known.process = Some(Process::start(self.stage.program, &known.files).map_err(doing(name))?);
+        self.begin(name)?;
         self.wait_for(name)?;
         self.came_back(name);
         Ok(())
@@ -548,7 +614,14 @@
         found.sort_by_key(|event: &Event| event.t);
         let datagrams =
             self.links.values().map(|link| link.passed.load(std::sync::atomic::Ordering::SeqCst)).sum();
+        let apart = |(name, known): (&String, &Dispatcher)| {
+            (known.older && self.stage.other.is_some() && self.joins == Some(false)).then(|| name.clone())
+        };
+        let apart = self.dispatchers.iter().filter_map(apart).collect();
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
-        Ok(Played { noted, events, logs, span, crashed, away, datagrams, orders: self.orders, standings })
+        let lines: String = noted.iter().map(|(at, note)| format!("{at} {note:?}\n")).collect();
+        std::fs::write(self.stage.folder.join("notes"), lines).map_err(doing("what was noted"))?;
+        let orders = self.orders;
+        Ok(Played { noted, events, logs, span, crashed, away, apart, datagrams, orders, standings })
     }
 }
