--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -4,10 +4,15 @@
 //! `fleet { limits: { origin: 12 } }` (keys of the operators' section; without the line none is set), `store` (each keeps one),
 //! `for 10` (seconds), faults `at 3 for 2 cut d1 d2`, `at 3 for 2 cut d1 > d2`, `lose 0.2 d1 d2` (of all links: `all`), `repeat 0.2 ...`,
 //! `delay 50 200 ...` (ms, least and most), `throttle 20 ...` (datagrams a second), `stall ...` (held, then all at once),
-//! `stop d1`, `kill d1`, `restart d1 [new]` (killed and started; `new`: with an empty store), `fail c1 0.7`, `hang c1`,
-//! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`, and what is held:
+//! `stop d1`, `kill d1`, `kill runner` (whoever runs the rollout then), `restart d1 [new]` (killed and started; `new`: with an empty store), `fail c1 0.7`, `hang c1`,
+//! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`,
+//! `disk d1 lose` (what is acknowledged from then on is gone at the kill; `error`, `full`, `flip`, `stall 2000` in ms),
+//! `rollout d1 start { number: 2, rules: { … }, plan: { … } }` (asked for at d1; `halt`, `resume`, `back`), and lines
+//! `clock d1 0.99` (its rate); disks and clocks want a program built with its feature `faults`. What is held:
 //! `hold rules`, `hold sum origin 12`, `hold sum further 20`, `hold sum cold 1`, `hold age 10000` (ms), `hold feed`, `hold used origin 0.95`,
-//! `hold agreed`, `hold versions`.
+//! `hold agreed`, `hold versions` (none goes back unasked), `hold taken 1` (so many orders of a rollout), `hold end 2` (at the end
+//! rules 2 are in force at all), `hold halted 2 edge` (some had them, none outside `edge` ever, and they are halted),
+//! `hold never 2` (nobody ever had them).
 //! Pairs of builds: `program d2 d3 older` (begin as the older build: the one named by `--other`, or where none is named this one
 //! in form 1), `form 1 d4` (this build, kept to that form), `at 5 upgrade d2`, `at 8 downgrade d2` (SIGTERM, then the other one).
 use winnow::ascii::{alpha1, alphanumeric1, dec_uint, float, space0, space1, till_line_ending};
@@ -65,6 +70,10 @@
     /// SIGTERM, then the newer build with the same files; or the older one.
     Upgrade(String),
     Downgrade(String),
+    /// An order to its disk, as `cherrypass_peers::disk` takes it.
+    Disk(String, String),
+    /// At whom, what, and the document of a start.
+    Rollout(String, String, Option<String>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -85,6 +94,13 @@
     Feed,
     Agreed,
     Versions,
+    /// So many orders of a rollout were taken.
+    Taken(u64),
+    /// At the end rules of this number are in force at all.
+    End(u64),
+    /// They are halted, and only this location's ever had them.
+    Halted(u64, String),
+    Never(u64),
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -102,6 +118,8 @@
     /// Those that begin as the older build, and those kept to a form.
     pub older: Vec<String>,
     pub forms: Vec<(String, u8)>,
+    /// Whose clock goes at which rate.
+    pub clocks: Vec<(String, f64)>,
     /// Seconds.
     pub lasts: f64,
     pub faults: Vec<Planned>,
@@ -129,6 +147,7 @@
     Store,
     Program(Vec<String>),
     Form(u8, Vec<String>),
+    Clock(String, f64),
     For(f64),
     Fault(Planned),
     Hold(Hold),
@@ -210,10 +229,28 @@
         "purge" => Fault::Purge,
         "upgrade" => Fault::Upgrade(one(input)?),
         "downgrade" => Fault::Downgrade(one(input)?),
+        "disk" => Fault::Disk(one(input)?, disk(input)?),
+        "rollout" => {
+            let (who, order) = (one(input)?, one(input)?);
+            let document = if order == "start" { Some(braces(input)?) } else { None };
+            match &order[..] {
+                "start" | "halt" | "resume" | "back" => Fault::Rollout(who, order, document),
+                _ => return unknown(input, begun, "a known order"),
+            }
+        }
         _ => return unknown(input, begun, "a known fault"),
     })
 }
 
+fn disk(input: &mut &str) -> Parsed<String> {
+    let word = preceded(space1, alt(("lose", "error", "full", "flip", "stall")));
+    let word = cut_err(word.context(expected("a disk's order"))).parse_next(input)?;
+    Ok(match word {
+        "stall" => format!("stall {}", number(input)?.round()),
+        _ => word.to_owned(),
+    })
+}
+
 fn planned(input: &mut &str) -> Parsed<Planned> {
     let at = number(input)?;
     let lasts = opt(preceded((space1, "for"), number)).parse_next(input)?;
@@ -231,6 +268,10 @@
         "feed" => Hold::Feed,
         "agreed" => Hold::Agreed,
         "versions" => Hold::Versions,
+        "taken" => Hold::Taken(number(input)? as u64),
+        "end" => Hold::End(number(input)? as u64),
+        "halted" => Hold::Halted(number(input)? as u64, one(input)?),
+        "never" => Hold::Never(number(input)? as u64),
         _ => return unknown(input, begun, "what is to hold"),
     })
 }
@@ -270,6 +311,10 @@
             let form: u8 = cut_err(form.context(expected("a form's number"))).parse_next(input)?;
             Line::Form(form, names(input)?)
         }
+        "clock" => {
+            let rate = preceded(space0, float).verify(|rate: &f64| (0.5..=2.0).contains(rate));
+            Line::Clock(one(input)?, cut_err(rate.context(expected("0.5 to 2"))).parse_next(input)?)
+        }
         "for" => Line::For(number(input)?),
         "at" => Line::Fault(planned(input)?),
         "hold" => Line::Hold(hold(input)?),
@@ -300,17 +345,29 @@
                 Between::All => vec![],
                 Between::Both(a, b) | Between::OneWay(a, b) => vec![a, b],
             },
+            Kill(a) if a == "runner" => vec![],
             Stop(a) | Kill(a) | Fail(a, _) | Hang(a) | Slow(a, _) | Vanish(a) | Fresh(a) | Drain(a) => {
                 vec![a]
             }
             Load(a, _) if a == "all" => vec![],
-            Load(a, _) | Restart { who: a, .. } => vec![a],
+            Load(a, _) | Restart { who: a, .. } | Disk(a, _) | Rollout(a, ..) => vec![a],
             Upgrade(a) | Downgrade(a) => vec![a],
             Purge => vec![],
         }
     }
 }
 
+impl Scenario {
+    /// Whether it wants a program that was built for faults of disks and clocks.
+    pub fn wants_faults(&self) -> bool {
+        !self.clocks.is_empty() || self.faults.iter().any(|one| matches!(one.fault, Fault::Disk(..)))
+    }
+
+    pub fn has_orders(&self) -> bool {
+        self.faults.iter().any(|one| matches!(one.fault, Fault::Rollout(..)))
+    }
+}
+
 fn dispatchers(names: &[String], all: &Scenario, number: usize) -> Result<(), Error> {
     let known = |name: &&String| all.dispatchers.iter().any(|(own, _)| own == *name);
     match names.iter().find(|name| !known(name)) {
@@ -356,6 +413,12 @@
                 dispatchers(&names, &found, number)?;
                 found.forms.extend(names.into_iter().map(|name| (name, form)));
             }
+            Some(Line::Clock(who, rate)) => {
+                if !found.dispatchers.iter().any(|(own, _)| *own == who) {
+                    return Err(Error::Unknown { line: number + 1, name: who });
+                }
+                found.clocks.push((who, rate));
+            }
             Some(Line::For(seconds)) => found.lasts = seconds,
             Some(Line::Fault(planned)) => {
                 if let Some(name) = planned.fault.names().into_iter().find(|name| !known(name, &found)) {
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -6,13 +6,15 @@
 use crate::links::{Link, Way};
 use crate::notation::{Between, Fault, Planned, Scenario, Sort};
 use crate::notes::{events, now, Event, Note, Noted, Notes};
-use crate::processes::{takes, Files, Process};
+use crate::processes::{has_faults, takes, Files, Process};
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::ffi::OsStr;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
@@ -22,6 +24,10 @@
     Io(String, io::Error),
     #[error("{0} did not start: {1}; its log says why")]
     NotStarted(String, String),
+    #[error(
+        "{0} obeys no faults of disks and clocks: cargo build -p cherrypass-dispatcher --features faults"
+    )]
+    NoFaults(String),
 }
 
 fn doing(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
@@ -54,6 +60,10 @@
     pub apart: Vec<String>,
     /// Datagrams that went through links.
     pub datagrams: u64,
+    /// Orders of a rollout: what was said, and whether they were taken.
+    pub orders: Vec<(String, bool)>,
+    /// What each process that ran at the end told of the rollout.
+    pub standings: BTreeMap<String, Value>,
 }
 
 struct Dispatcher {
@@ -64,6 +74,8 @@
     kept: PathBuf,
     /// It is the older build now.
     older: bool,
+    /// What its disk is ordered now, and the file that says so.
+    orders: (Vec<String>, PathBuf),
     away_since: Option<u64>,
     rate: f64,
 }
@@ -82,6 +94,10 @@
     joins: Option<bool>,
     away: Vec<(String, u64, u64)>,
     crashed: Vec<String>,
+    orders: Vec<(String, bool)>,
+    controls: BTreeMap<String, SocketAddr>,
+    /// Who ran the rollout and was killed for it.
+    runner: Option<String>,
 }
 
 const START_MOST: Duration = Duration::from_secs(10);
@@ -89,6 +105,13 @@
 /// The list tells of a start so much later.
 const LIST_LATE: Duration = Duration::from_millis(500);
 
+/// Whether the order was taken, and what was said; 3 tells of a halt and is an answer too.
+fn ordered(program: &Path, arguments: &[&OsStr]) -> io::Result<(bool, String)> {
+    let done = Command::new(program).arg("rollout").args(arguments).stdin(Stdio::null()).output()?;
+    let said = if done.stdout.is_empty() { &done.stderr } else { &done.stdout };
+    Ok((done.status.success(), String::from_utf8_lossy(said).into_owned()))
+}
+
 /// Ports below those that systems give to connections.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
 
@@ -111,6 +134,10 @@
 }
 
 pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
+    let program = || stage.program.display().to_string();
+    if scenario.wants_faults() && !has_faults(stage.program).map_err(doing(program()))? {
+        return Err(Error::NoFaults(program()));
+    }
     let notes = Notes::default();
     let log = ChangeLog::start(notes.clone()).map_err(doing("the change log"))?;
     let mut zones = vec!["hub".to_owned()];
@@ -133,6 +160,9 @@
         joins: None,
         away: Vec::new(),
         crashed: Vec::new(),
+        orders: Vec::new(),
+        controls: BTreeMap::new(),
+        runner: None,
     };
     play.start()?;
     let span = play.run()?;
@@ -158,6 +188,9 @@
         for name in names.iter().filter(|_| scenario.fleet.is_some()) {
             fleet.insert(name.clone(), free_port(true).map_err(doing("a port"))?);
         }
+        for name in names.iter().filter(|_| scenario.has_orders()) {
+            self.controls.insert(name.clone(), free_port(false).map_err(doing("a port"))?);
+        }
         for (place, (from, to)) in
             names.iter().flat_map(|from| names.iter().map(move |to| (from, to))).enumerate()
         {
@@ -173,7 +206,13 @@
         for (place, name) in names.iter().enumerate() {
             let address = free_port(false).map_err(doing("a port"))?;
             let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
-            let files = Files { config: at(".json"), operator: None, log: at(".log") };
+            let mut environment = Vec::new();
+            if scenario.wants_faults() {
+                environment.push(("CHERRYPASS_DISK_ORDERS", at(".disk").display().to_string()));
+                let rate = scenario.clocks.iter().find(|(who, _)| who == name).map(|(_, rate)| rate);
+                environment.extend(rate.map(|rate| ("CHERRYPASS_CLOCK_RATE", rate.to_string())));
+            }
+            let files = Files { config: at(".json"), operator: None, log: at(".log"), environment };
             std::fs::write(&files.config, self.config(place, name, address))
                 .map_err(doing("a configuration"))?;
             let of =
@@ -184,8 +223,9 @@
             let load =
                 Load::start((name.clone(), address), 0.0, mix, seed, self.notes.clone(), numbers.clone());
             let (process, kept, away_since) = (None, at("-kept"), None);
+            let orders = (Vec::new(), at(".disk"));
             let older = scenario.older.contains(name);
-            let known = Dispatcher { files, address, process, load, kept, older, away_since, rate };
+            let known = Dispatcher { files, address, process, load, kept, older, orders, away_since, rate };
             self.dispatchers.insert(name.clone(), known);
             self.begin(name)?;
         }
@@ -252,7 +292,12 @@
             }
             std::thread::sleep(Duration::from_millis(10));
         }
-        Ok(())
+        // Guards against the port of another play's process, taken meanwhile: that one would answer in its place.
+        std::thread::sleep(Duration::from_millis(20));
+        match known.process.as_mut().and_then(Process::ended) {
+            Some(ended) => Err(Error::NotStarted(name.into(), ended)),
+            None => Ok(()),
+        }
     }
 
     fn entry(&self, name: &str) -> Option<Entry> {
@@ -328,8 +373,9 @@
                     Some(format!("{{ name: '{other}', address: '{address}', location: '{location}' }}"))
                 })
                 .collect();
+            let control = self.controls.get(name).map_or(String::new(), |at| format!("control: '{at}', "));
             text += &format!(
-                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', members: [{}]{} }} + {keys},\n",
+                "  fleet: {{ name: 'bed', me: '{name}', listen: '{}', events: '{}', {control}members: [{}]{} }} + {keys},\n",
                 fleet.get(name)?,
                 at(".events"),
                 members.join(", "),
@@ -415,8 +461,18 @@
                     self.came_back(name);
                 }
             }
+            Fault::Kill(name) if name == "runner" && begins => {
+                let told = |name: &String| self.standing(name)?["runner"].as_str().map(str::to_owned);
+                self.runner = self.dispatchers.keys().find_map(told);
+                let Some(name) = self.runner.clone() else { return Ok(()) };
+                self.kill(&name);
+                self.orders.push((format!("{name} ran the rollout and was killed"), false));
+            }
             Fault::Kill(name) if begins => self.kill(name),
-            Fault::Kill(name) => self.start_anew(name, false)?,
+            Fault::Kill(name) => {
+                let runner = if name == "runner" { self.runner.take() } else { None };
+                self.start_anew(&runner.unwrap_or(name.clone()), false)?;
+            }
             Fault::Restart { who, new } if begins => {
                 self.kill(who);
                 self.start_anew(who, *new)?;
@@ -443,6 +499,27 @@
                     });
                 }
             }
+            Fault::Disk(name, order) => {
+                let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+                let (orders, file) = &mut known.orders;
+                orders.retain(|known| known != order);
+                orders.extend(Some(order.clone()).filter(|_| begins));
+                std::fs::write(file, orders.join("\n")).map_err(doing("orders of a disk"))?;
+            }
+            Fault::Rollout(who, order, document) if begins => {
+                let file = self.stage.folder.join("rules.jsonnet");
+                if let Some(text) = document {
+                    std::fs::write(&file, text).map_err(doing("a document"))?;
+                }
+                let known = self.dispatchers.get(who).and_then(|known| known.files.operator.as_ref());
+                let Some(operator) = known else { return Ok(()) };
+                let mut arguments = vec!["--operator".as_ref(), operator.as_os_str(), order.as_ref()];
+                arguments.extend(document.as_ref().map(|_| file.as_os_str()));
+                let (taken, said) =
+                    ordered(self.stage.program, &arguments).map_err(doing("cherrypass rollout"))?;
+                self.orders.push((format!("rollout {order} at {who}: {}", said.trim()), taken));
+            }
+            Fault::Rollout(..) => {}
             Fault::Fail(name, _)
             | Fault::Hang(name)
             | Fault::Slow(name, _)
@@ -489,7 +566,17 @@
         Ok(())
     }
 
+    /// What a process tells of the rollout.
+    fn standing(&self, name: &str) -> Option<Value> {
+        let control = self.controls.get(name)?.to_string();
+        let arguments = ["status", "--json", "--control", &control].map(OsStr::new);
+        let (_, said) = ordered(self.stage.program, &arguments).ok()?;
+        Some(serde_json::from_str::<Value>(&said).ok()?["rollout"].take())
+    }
+
     fn end(mut self, span: (u64, u64)) -> Result<Played, Error> {
+        let running = self.dispatchers.iter().filter(|(_, known)| known.away_since.is_none());
+        let standings = running.filter_map(|(name, _)| Some((name.clone(), self.standing(name)?))).collect();
         self.dispatchers.values().for_each(|known| known.load.end());
         self.dispatchers.values_mut().for_each(|known| known.load.join());
         let names: Vec<String> = self.dispatchers.keys().cloned().collect();
@@ -535,6 +622,7 @@
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
         let lines: String = noted.iter().map(|(at, note)| format!("{at} {note:?}\n")).collect();
         std::fs::write(self.stage.folder.join("notes"), lines).map_err(doing("what was noted"))?;
-        Ok(Played { noted, events, logs, span, crashed, away, apart, datagrams })
+        let orders = self.orders;
+        Ok(Played { noted, events, logs, span, crashed, away, apart, datagrams, orders, standings })
     }
 }
--- a/crates/faultbed/src/processes.rs
+++ b/crates/faultbed/src/processes.rs
@@ -19,6 +19,14 @@
     pub operator: Option<PathBuf>,
     /// Its standard error, added to.
     pub log: PathBuf,
+    /// What its environment has besides.
+    pub environment: Vec<(&'static str, String)>,
+}
+
+/// Whether the program obeys orders to its disk and clock.
+pub fn has_faults(program: &Path) -> io::Result<bool> {
+    let said = Command::new(program).arg("version").stdin(Stdio::null()).output()?;
+    Ok(String::from_utf8_lossy(&said.stdout).trim_end().ends_with(" with faults"))
 }
 
 /// Whether a build takes these files: one from before the fleet refuses its section.
@@ -40,6 +48,7 @@
         let log = OpenOptions::new().create(true).append(true).open(&files.log)?;
         let mut command = Command::new(program);
         command.arg("serve").arg("--config").arg(&files.config).args(files.operator_arguments());
+        command.envs(files.environment.iter().cloned());
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         Ok(Process { child })
     }
