--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -67,13 +67,13 @@
     Load(String, f64),
     Drain(String),
     Purge,
+    /// SIGTERM, then the newer build with the same files; or the older one.
+    Upgrade(String),
+    Downgrade(String),
     /// An order to its disk, as `cherrypass_peers::disk` takes it.
     Disk(String, String),
     /// At whom, what, and the document of a start.
     Rollout(String, String, Option<String>),
-    /// SIGTERM, then the newer build with the same files; or the older one.
-    Upgrade(String),
-    Downgrade(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -115,11 +115,11 @@
     pub work: f64,
     pub fleet: Option<String>,
     pub store: bool,
-    /// Whose clock goes at which rate.
-    pub clocks: Vec<(String, f64)>,
     /// Those that begin as the older build, and those kept to a form.
     pub older: Vec<String>,
     pub forms: Vec<(String, u8)>,
+    /// Whose clock goes at which rate.
+    pub clocks: Vec<(String, f64)>,
     /// Seconds.
     pub lasts: f64,
     pub faults: Vec<Planned>,
@@ -145,9 +145,9 @@
     Work(f64),
     Fleet(String),
     Store,
-    Clock(String, f64),
     Program(Vec<String>),
     Form(u8, Vec<String>),
+    Clock(String, f64),
     For(f64),
     Fault(Planned),
     Hold(Hold),
@@ -227,6 +227,8 @@
         "load" => Fault::Load(one(input)?, number(input)?),
         "drain" => Fault::Drain(one(input)?),
         "purge" => Fault::Purge,
+        "upgrade" => Fault::Upgrade(one(input)?),
+        "downgrade" => Fault::Downgrade(one(input)?),
         "disk" => Fault::Disk(one(input)?, disk(input)?),
         "rollout" => {
             let (who, order) = (one(input)?, one(input)?);
@@ -236,8 +238,6 @@
                 _ => return unknown(input, begun, "a known order"),
             }
         }
-        "upgrade" => Fault::Upgrade(one(input)?),
-        "downgrade" => Fault::Downgrade(one(input)?),
         _ => return unknown(input, begun, "a known fault"),
     })
 }
@@ -301,10 +301,6 @@
         "work" => Line::Work(number(input)?),
         "fleet" => Line::Fleet(braces(input)?),
         "store" => Line::Store,
-        "clock" => {
-            let rate = preceded(space0, float).verify(|rate: &f64| (0.5..=2.0).contains(rate));
-            Line::Clock(one(input)?, cut_err(rate.context(expected("0.5 to 2"))).parse_next(input)?)
-        }
         "program" => {
             let names = names(input)?;
             cut_err((space1, "older").context(expected("older"))).parse_next(input)?;
@@ -315,6 +311,10 @@
             let form: u8 = cut_err(form.context(expected("a form's number"))).parse_next(input)?;
             Line::Form(form, names(input)?)
         }
+        "clock" => {
+            let rate = preceded(space0, float).verify(|rate: &f64| (0.5..=2.0).contains(rate));
+            Line::Clock(one(input)?, cut_err(rate.context(expected("0.5 to 2"))).parse_next(input)?)
+        }
         "for" => Line::For(number(input)?),
         "at" => Line::Fault(planned(input)?),
         "hold" => Line::Hold(hold(input)?),
@@ -405,12 +405,6 @@
             Some(Line::Work(ms)) => found.work = ms,
             Some(Line::Fleet(keys)) => found.fleet = Some(keys),
             Some(Line::Store) => found.store = true,
-            Some(Line::Clock(who, rate)) => {
-                if !found.dispatchers.iter().any(|(own, _)| *own == who) {
-                    return Err(Error::Unknown { line: number + 1, name: who });
-                }
-                found.clocks.push((who, rate));
-            }
             Some(Line::Program(names)) => {
                 dispatchers(&names, &found, number)?;
                 found.older.extend(names);
@@ -419,6 +413,12 @@
                 dispatchers(&names, &found, number)?;
                 found.forms.extend(names.into_iter().map(|name| (name, form)));
             }
+            Some(Line::Clock(who, rate)) => {
+                if !found.dispatchers.iter().any(|(own, _)| *own == who) {
+                    return Err(Error::Unknown { line: number + 1, name: who });
+                }
+                found.clocks.push((who, rate));
+            }
             Some(Line::For(seconds)) => found.lasts = seconds,
             Some(Line::Fault(planned)) => {
                 if let Some(name) = planned.fault.names().into_iter().find(|name| !known(name, &found)) {
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -72,10 +72,10 @@
     process: Option<Process>,
     load: Load,
     kept: PathBuf,
-    /// What its disk is ordered now, and the file that says so.
-    orders: (Vec<String>, PathBuf),
     /// It is the older build now.
     older: bool,
+    /// What its disk is ordered now, and the file that says so.
+    orders: (Vec<String>, PathBuf),
     away_since: Option<u64>,
     rate: f64,
 }
@@ -223,8 +223,9 @@
             let load =
                 Load::start((name.clone(), address), 0.0, mix, seed, self.notes.clone(), numbers.clone());
             let (process, kept, away_since) = (None, at("-kept"), None);
-            let (older, orders) = (scenario.older.contains(name), (Vec::new(), at(".disk")));
-            let known = Dispatcher { files, address, process, load, kept, orders, older, away_since, rate };
+            let orders = (Vec::new(), at(".disk"));
+            let older = scenario.older.contains(name);
+            let known = Dispatcher { files, address, process, load, kept, older, orders, away_since, rate };
             self.dispatchers.insert(name.clone(), known);
             self.begin(name)?;
         }
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -13,10 +13,10 @@
 #[test_case("at 1 kill d9", "line 4: there is no d9"; "an unknown process")]
 #[test_case("load d1 5 per second", "line 4, column 11"; "more than fits")]
 #[test_case("fleet { limits: { origin: 3 }", "line 4"; "braces that don't match")]
-#[test_case("at 1 disk d1 burn", "line 4, column 14"; "an unknown order to a disk")]
-#[test_case("clock d1 3", "line 4, column 9"; "a clock out of bounds")]
 #[test_case("program d1 newer", "line 4, column 17"; "a build of no name")]
 #[test_case("form 1 d9", "line 4: there is no d9"; "a form of nobody")]
+#[test_case("at 1 disk d1 burn", "line 4, column 14"; "an unknown order to a disk")]
+#[test_case("clock d1 3", "line 4, column 9"; "a clock out of bounds")]
 #[test_case("caches c1 transfers 5", "line 4"; "caches without a location")]
 fn a_mistake_has_its_place(line: &str, place: &str) {
     let said = read(&format!("{HEAD}{line}\n")).unwrap_err().to_string();
