Faultbed: ports that no connection takes, and no process left behind

A dispatcher's port was taken by a connection while the dispatcher was killed, and it could not start anew; a play that ended early left its other processes running.

--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -15,6 +15,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, thiserror::Error)]
@@ -102,13 +103,24 @@
     Ok((done.status.success(), String::from_utf8_lossy(said).into_owned()))
 }
 
-/// A port that was free a moment ago.
+/// Ports below those that systems give out by themselves.
+const PORTS: std::ops::Range<u32> = 10_000..32_000;
+
+/// A port that was free a moment ago. Guards against one that a connection gets before the process, or while it is
+/// killed: then it could not start.
 fn free_port(udp: bool) -> io::Result<SocketAddr> {
-    if udp {
-        UdpSocket::bind("127.0.0.1:0")?.local_addr()
-    } else {
-        TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = PORTS.end - PORTS.start;
+    for _ in 0..count {
+        // Plays at the same time begin at other ports.
+        let place = std::process::id().wrapping_mul(997).wrapping_add(NEXT.fetch_add(1, SeqCst));
+        let at = SocketAddr::from(([127, 0, 0, 1], (PORTS.start + place % count) as u16));
+        let free = if udp { UdpSocket::bind(at).is_ok() } else { TcpListener::bind(at).is_ok() };
+        if free {
+            return Ok(at);
+        }
     }
+    Err(io::ErrorKind::AddrNotAvailable.into())
 }
 
 pub fn play(scenario: &Scenario, stage: Stage) -> Result<Played, Error> {
@@ -177,7 +189,7 @@
             }
         }
         let numbers = Numbers::default();
-        numbers.store(1, std::sync::atomic::Ordering::SeqCst);
+        numbers.store(1, SeqCst);
         for (place, name) in names.iter().enumerate() {
             let address = free_port(false).map_err(doing("a port"))?;
             let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
@@ -546,8 +558,7 @@
             logs.insert(name.clone(), log);
         }
         found.sort_by_key(|event: &Event| event.t);
-        let datagrams =
-            self.links.values().map(|link| link.passed.load(std::sync::atomic::Ordering::SeqCst)).sum();
+        let datagrams = self.links.values().map(|link| link.passed.load(SeqCst)).sum();
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
         Ok(Played { noted, events, logs, span, crashed, away, datagrams, orders: self.orders, standings })
     }
--- a/crates/faultbed/src/processes.rs
+++ b/crates/faultbed/src/processes.rs
@@ -28,6 +28,14 @@
     Ok(String::from_utf8_lossy(&said.stdout).trim_end().ends_with(" with faults"))
 }
 
+impl Drop for Process {
+    /// A play that ends early leaves none behind.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 impl Process {
     pub fn start(program: &Path, files: &Files) -> io::Result<Process> {
         let log = OpenOptions::new().create(true).append(true).open(&files.log)?;
@@ -50,10 +58,7 @@
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
-    pub fn kill(mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+    pub fn kill(self) {}
 
     /// SIGTERM, and SIGKILL where that doesn't do within the time; whether it ended well by itself.
     pub fn end(mut self, within: Duration) -> bool {
