Rollout: a look at few windows does not promote

A hold of three windows promoted rules that turned half of the visits back: the first look, at four windows, could not tell and was taken for a good one. Eight windows at least are wanted now.

--- a/crates/fleet/src/rollout/figures.rs
+++ b/crates/fleet/src/rollout/figures.rs
@@ -211,6 +211,8 @@
 /// Least windows before and since.
 pub const BEFORE: usize = 8;
 pub const SINCE: usize = 4;
+/// Least windows since that tell that it is not worse: by fewer only much of the harm there may be would show.
+pub const WELL: usize = 2 * SINCE;
 
 /// `with` has the version since the window `since`, `without` has not (may be empty: then against themselves alone).
 /// `spend` is the chance of a false alarm for this look at all measures.
--- a/crates/fleet/src/rollout/runner.rs
+++ b/crates/fleet/src/rollout/runner.rs
@@ -333,7 +333,8 @@
         if finding != Finding::Few {
             self.looks += 1;
             self.next_look = last + (windows as u64).div_ceil(2);
-            self.well = matches!(finding, Finding::NotWorse { .. });
+            // Guards against a short hold, by which a look that can't tell much would promote what is harmful.
+            self.well = matches!(finding, Finding::NotWorse { windows, .. } if windows >= figures::WELL);
         }
         finding
     }
