--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -15,7 +15,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, thiserror::Error)]
@@ -123,7 +123,7 @@
     // Runs side by side begin at places far from each other.
     let begin = std::process::id().wrapping_mul(7_919);
     for _ in 0..count {
-        let place = begin.wrapping_add(NEXT.fetch_add(1, Relaxed)) % count;
+        let place = begin.wrapping_add(NEXT.fetch_add(1, SeqCst)) % count;
         let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + place as u16));
         let free = if udp { UdpSocket::bind(address).is_ok() } else { TcpListener::bind(address).is_ok() };
         if free {
@@ -202,7 +202,7 @@
         }
         self.fleet = fleet;
         let numbers = Numbers::default();
-        numbers.store(1, std::sync::atomic::Ordering::SeqCst);
+        numbers.store(1, SeqCst);
         for (place, name) in names.iter().enumerate() {
             let address = free_port(false).map_err(doing("a port"))?;
             let at = |what: &str| self.stage.folder.join(format!("{name}{what}"));
@@ -613,8 +613,7 @@
             logs.insert(name.clone(), log);
         }
         found.sort_by_key(|event: &Event| event.t);
-        let datagrams =
-            self.links.values().map(|link| link.passed.load(std::sync::atomic::Ordering::SeqCst)).sum();
+        let datagrams = self.links.values().map(|link| link.passed.load(SeqCst)).sum();
         let apart = |(name, known): (&String, &Dispatcher)| {
             (known.older && self.stage.other.is_some() && self.joins == Some(false)).then(|| name.clone())
         };
