--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -564,8 +564,8 @@
             Move::Disk(i) => self.disk(now, i),
             Move::Wake(i) => {
                 self.wakes -= 1;
-                self.now = now + Span::seconds(1.5);
-                self.call(i, |rollout| rollout.woken(now + Span::seconds(1.5)))
+                self.now = now + Span::millis(500);
+                self.call(i, |rollout| rollout.woken(now + Span::millis(500)))
             }
             Move::Halt(i) => {
                 self.halts -= 1;
@@ -756,3 +756,39 @@
         assert!(ends.len() > 1);
     }
 }
+
+/// A member accepts `back` with one other, forgets it at a kill, and then hears the third alone, which would halt.
+#[test]
+fn a_member_that_forgot_what_it_accepted_abstains() {
+    let listed = fleet(3, 3);
+    let mut world = before_promoting(&listed, 1);
+    world.explore();
+    (world.kills, world.wakes) = (1, 100);
+    let now = world.now;
+    let third = world.nodes[0].0.status().runner.unwrap().0 as usize - 1;
+    let (other, forgets) = ((third + 1) % 3, (third + 2) % 3);
+    let settle = |world: &mut World, among: [usize; 2]| {
+        for _ in 0..4 {
+            for i in among {
+                world.make(&listed, Move::Wake(i)).unwrap();
+            }
+            while let Some(n) =
+                world.said.iter().position(|(from, to, ..)| among.contains(from) && among.contains(to))
+            {
+                world.make(&listed, Move::Hear(n)).unwrap();
+                among.into_iter().for_each(|i| world.disk(now, i).unwrap());
+            }
+            among.into_iter().for_each(|i| world.disk(now, i).unwrap());
+        }
+    };
+    world.call(other, |rollout| rollout.order(now, Order::Back).unwrap()).unwrap();
+    settle(&mut world, [other, forgets]);
+    assert_eq!(world.nodes[other].0.state().chosen.phase, Phase::Back);
+    world.make(&listed, Move::Kill(forgets, false)).unwrap();
+    world.call(third, |rollout| rollout.order(now, Order::Halt).unwrap()).unwrap();
+    settle(&mut world, [third, forgets]);
+    assert_eq!(world.nodes[third].0.state().chosen.phase, Phase::Rolling);
+    settle(&mut world, [other, forgets]);
+    let node = &world.nodes[forgets].0;
+    assert!(node.status().able && node.state().chosen.phase == Phase::Back);
+}
