--- a/crates/fleet/src/rollout/runner.rs
+++ b/crates/fleet/src/rollout/runner.rs
@@ -273,8 +273,9 @@
         true
     }
 
-    /// A look at the figures before a stage ends, and when there are half as many windows again as at the last one. The k-th look of a stage
-    /// spends 1/k(k+1) of the stage's part of the rate of false alarms, so that all looks together spend that part.
+    /// A look at the figures before a stage ends, and when there are half as many windows again as at the
+    /// last one. The k-th look of a stage spends 1/k(k+1) of the stage's part of the rate of false alarms, so
+    /// that all looks together spend that part.
     fn look(&mut self, step: Step, version: &Version, is_last: bool) -> Finding {
         let since = self.place(self.learned);
         let had = |id: &MemberId| step.stage > 0 && version.has(&self.listed, step.stage - 1, *id);
--- a/crates/fleet/src/rollout/steps.rs
+++ b/crates/fleet/src/rollout/steps.rs
@@ -30,8 +30,8 @@
         }
     }
 
-    /// Answers of processes that were started anew since are void: guards against one that promised, forgot it at
-    /// a crash and answered another after that, while this ballot still counts on it.
+    /// Answers of processes that were started anew since are void: guards against one that promised, forgot
+    /// it at a crash and answered another after that, while this ballot still counts on it.
     fn valid(&self, answers: &BTreeMap<MemberId, Incarnation>) -> BTreeSet<MemberId> {
         let current = |id: &MemberId, inc: &Incarnation| self.met.get(id).is_none_or(|met| met <= inc);
         answers.iter().filter(|(id, inc)| current(id, inc)).map(|(id, _)| *id).collect()
@@ -124,7 +124,8 @@
         if !self.able() || self.is_lie(ballot) || ballot.who != from {
             return;
         }
-        // A halt wins over promoting: guards against a promotion after a halt that the proposer has not heard of.
+        // A halt wins over promoting: guards against a promotion after a halt that the proposer has not heard
+        // of.
         if ballot < self.state.promised || (step.promotes() && self.halts(&step)) {
             let said = self.refusal(ballot);
             return self.say(from, said);
@@ -219,8 +220,8 @@
         self.try_caught(now);
     }
 
-    /// Any majority that answered something has a member in common with those heard now: by count alone if they
-    /// are sure, else by as many more as may have forgotten at the same time.
+    /// Any majority that answered something has a member in common with those heard now: by count alone if
+    /// they are sure, else by as many more as may have forgotten at the same time.
     pub(super) fn try_caught(&mut self, now: Time) {
         let Some(catching) = &self.catching else { return };
         let all = self.listed.len();
