--- a/crates/fleet/examples/rollout.rs
+++ b/crates/fleet/examples/rollout.rs
@@ -1,6 +1,6 @@
 //! How soon harmful versions halt, and how often harmless ones do, in virtual time on the made network:
-//! `cargo run --release --example rollout [runs] [seed]`. Figures are made: traffic that is uneven, swings and bursts
-//! together, visits of one second that share their fate, hosts that fail for a whole location.
+//! `cargo run --release --example rollout [runs] [seed]`. Figures are made: traffic that is uneven, swings
+//! and bursts together, visits of one second that share their fate, hosts that fail for a whole location.
 use cherrypass::ids::LocationId;
 use cherrypass::time::{Span, Time};
 use cherrypass_fleet::common::{Incarnation, MemberId};
@@ -275,10 +275,13 @@
                 let mut shares: Vec<f64> = halted.iter().map(|o| o.share).collect();
                 seconds.sort_unstable();
                 shares.sort_by(f64::total_cmp);
-                print!("  {name:18} halted {:3} of {runs}, in the first location {early}, its first part {first_stage}", halted.len());
+                let n = halted.len();
+                print!("  {name:18} halted {n:3} of {runs}, in the first location {early}");
+                print!(", its first part {first_stage}");
                 if let (Some(most), Some(share)) = (seconds.last(), shares.last()) {
                     let (middle, half) = (seconds[seconds.len() / 2], shares[shares.len() / 2]);
-                    print!("; s to the halt {middle} (most {most}); share that saw it {half:.4} (most {share:.4})");
+                    print!("; s to the halt {middle} (most {most})");
+                    print!("; share that saw it {half:.4} (most {share:.4})");
                 }
                 println!();
                 if is_harmless {
--- a/crates/fleet/src/rollout/figures.rs
+++ b/crates/fleet/src/rollout/figures.rs
@@ -1,9 +1,10 @@
 //! Whether dispatchers with a new version do worse: differences in differences of windows, Welch's t on them.
 //!
-//! Visits of one dispatcher and one window share their fate, so a window is one value, however many visits it had.
-//! From each value its dispatcher's mean before the version is taken (dispatchers differ), then the mean of those without
-//! the version in the same window (bursts and the day's swing are common). What is left is compared after against
-//! before. Windows that resemble their predecessors count for fewer (first-order autocorrelation).
+//! Visits of one dispatcher and one window share their fate, so a window is one value, however many visits it
+//! had. From each value its dispatcher's mean before the version is taken (dispatchers differ), then the mean
+//! of those without the version in the same window (bursts and the day's swing are common). What is left is
+//! compared after against before. Windows that resemble their predecessors count for fewer (first-order
+//! autocorrelation).
 use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::BTreeMap;
@@ -177,8 +178,9 @@
     }
 }
 
-/// The means over dispatchers of what is above their own means, window by window. Weights are fixed, so that one
-/// that is not heard for a window doesn't shift the mean; windows of less than half the weight are left out.
+/// The means over dispatchers of what is above their own means, window by window. Weights are fixed, so that
+/// one that is not heard for a window doesn't shift the mean; windows of less than half the weight are left
+/// out.
 fn course(group: &[&Windows], since: u64, measure: Measure) -> (f64, BTreeMap<u64, f64>) {
     let mut sums: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
     let (mut all, mut means) = (0.0, 0.0);
@@ -212,8 +214,8 @@
 pub const BEFORE: usize = 8;
 pub const SINCE: usize = 4;
 
-/// `with` has the version since the window `since`, `without` has not (may be empty: then against themselves alone).
-/// `spend` is the chance of a false alarm for this look at all measures.
+/// `with` has the version since the window `since`, `without` has not (may be empty: then against themselves
+/// alone). `spend` is the chance of a false alarm for this look at all measures.
 pub fn judge(with: &[&Windows], without: &[&Windows], since: u64, spend: f64) -> Finding {
     let mut least = (1.0, Measure::Late, 0.0);
     let mut windows = usize::MAX;
--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -1,13 +1,14 @@
 //! Rules rolled out in stages, halted by themselves.
 //!
-//! Where the rollout stands is one register, a `Step`, that is rewritten by a majority: who wants to change it asks all for
-//! promises under a new ballot, takes over the highest step any of them accepted, changes that one and has the
-//! outcome accepted. So whoever runs it goes on with the same one, and two that both run it can't split it. Whatever a
-//! member answers is on its disk before (`Effect::Keep`, `kept`).
+//! Where the rollout stands is one register, a `Step`, that is rewritten by a majority: who wants to change
+//! it asks all for promises under a new ballot, takes over the highest step any of them accepted, changes
+//! that one and has the outcome accepted. So whoever runs it goes on with the same one, and two that both run
+//! it can't split it. Whatever a member answers is on its disk before (`Effect::Keep`, `kept`).
 //!
-//! A step by which more dispatchers get the version needs all listed members besides, each of which refuses once it knows of a
-//! halt. So a halt at any member, heard of by nobody, ends promoting: only a step that the member itself
-//! had accepted before may still come, and then no dispatcher that knows of the halt takes the version by it.
+//! A step by which more dispatchers get the version needs all listed members besides, each of which refuses
+//! once it knows of a halt. So a halt at any member, heard of by nobody, ends promoting: only a step that the
+//! member itself had accepted before may still come, and then no dispatcher that knows of the halt takes the
+//! version by it.
 //!
 //! A member that starts takes part only once it knows what enough others know (`catching`), so a store that
 //! lost its end, or all of it, harms nothing while fewer than the set number did so at the same time.
@@ -50,7 +51,8 @@
     pub again: Span,
     /// How long an order waits for those it needs.
     pub patience: Span,
-    /// How long after a stage's hold its figures may still be too few, or a dispatcher may still be without the version.
+    /// How long after a stage's hold its figures may still be too few, or a dispatcher may still be without
+    /// the version.
     pub tell_within: Span,
     /// The figures' windows, and how many before a stage and since are kept.
     pub window: Span,
@@ -59,7 +61,8 @@
     pub false_halts: f64,
     /// How many members may have lost the end of their store at the same time.
     pub liars: usize,
-    /// Promoting needs all listed members; else all that have the version or would get it, and a majority of all.
+    /// Promoting needs all listed members; else all that have the version or would get it, and a majority of
+    /// all.
     pub all: bool,
     /// How long a store that failed rests before it is tried again.
     pub store_rest: Span,
@@ -233,7 +236,8 @@
         ticket: u64,
         record: Record,
     },
-    /// These rules are in force here from now on (number 0, no text: the file's alone), or `refused` is called.
+    /// These rules are in force here from now on (number 0, no text: the file's alone), or `refused` is
+    /// called.
     InForce {
         number: u64,
         text: String,
@@ -341,7 +345,8 @@
 }
 
 impl Rollout {
-    /// `members`: all listed with their locations, this one among them. `kept`: records from the store, in any order.
+    /// `members`: all listed with their locations, this one among them. `kept`: records from the store, in
+    /// any order.
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         set: Set,
@@ -651,7 +656,8 @@
                 }
             }
             After::Ack { to, ballot, step } => {
-                // Guards against a halt that came while the disk wrote: it does harm if a promotion passes it.
+                // Guards against a halt that came while the disk wrote: it does harm if a promotion passes
+                // it.
                 let refused = ballot < self.state.promised || (step.promotes() && self.halts(&step));
                 let said = if refused {
                     self.refusal(ballot)
--- a/crates/fleet/src/rollout/runner.rs
+++ b/crates/fleet/src/rollout/runner.rs
@@ -185,10 +185,10 @@
         }
         let (step, latest) = (self.state.chosen, self.latest());
         if let Some(halt) = self.state.halt.clone().filter(|_| latest.promotes() && self.halts(&latest)) {
-            let final_here = latest == step && step.phase == Phase::Full;
+            // Also where it is full already: the halt was given by one that had not heard of that.
             let settles = self.attempt.as_ref().is_some_and(|attempt| !attempt.is_promoting());
             let wants = matches!(self.wanted, Some((Change::Halt(_), _)));
-            if !final_here && !settles && !wants && !self.ordered {
+            if !settles && !wants && !self.ordered {
                 self.attempt = None;
                 self.wanted = Some((Change::Halt(halt), now));
             }
@@ -273,8 +273,9 @@
         true
     }
 
-    /// A look at the figures before a stage ends, and when there are half as many windows again as at the last one. The k-th look of a stage
-    /// spends 1/k(k+1) of the stage's part of the rate of false alarms, so that all looks together spend that part.
+    /// A look at the figures before a stage ends, and when there are half as many windows again as at the
+    /// last one. The k-th look of a stage spends 1/k(k+1) of the stage's part of the rate of false alarms, so
+    /// that all looks together spend that part.
     fn look(&mut self, step: Step, version: &Version, is_last: bool) -> Finding {
         let since = self.place(self.learned);
         let had = |id: &MemberId| step.stage > 0 && version.has(&self.listed, step.stage - 1, *id);
--- a/crates/fleet/src/rollout/steps.rs
+++ b/crates/fleet/src/rollout/steps.rs
@@ -30,8 +30,8 @@
         }
     }
 
-    /// Answers of processes that were started anew since are void: guards against one that promised, forgot it at
-    /// a crash and answered another after that, while this ballot still counts on it.
+    /// Answers of processes that were started anew since are void: guards against one that promised, forgot
+    /// it at a crash and answered another after that, while this ballot still counts on it.
     fn valid(&self, answers: &BTreeMap<MemberId, Incarnation>) -> BTreeSet<MemberId> {
         let current = |id: &MemberId, inc: &Incarnation| self.met.get(id).is_none_or(|met| met <= inc);
         answers.iter().filter(|(id, inc)| current(id, inc)).map(|(id, _)| *id).collect()
@@ -124,7 +124,8 @@
         if !self.able() || self.is_lie(ballot) || ballot.who != from {
             return;
         }
-        // A halt wins over promoting: guards against a promotion after a halt that the proposer has not heard of.
+        // A halt wins over promoting: guards against a promotion after a halt that the proposer has not heard
+        // of.
         if ballot < self.state.promised || (step.promotes() && self.halts(&step)) {
             let said = self.refusal(ballot);
             return self.say(from, said);
@@ -219,8 +220,8 @@
         self.try_caught(now);
     }
 
-    /// Any majority that answered something has a member in common with those heard now: by count alone if they
-    /// are sure, else by as many more as may have forgotten at the same time.
+    /// Any majority that answered something has a member in common with those heard now: by count alone if
+    /// they are sure, else by as many more as may have forgotten at the same time.
     pub(super) fn try_caught(&mut self, now: Time) {
         let Some(catching) = &self.catching else { return };
         let all = self.listed.len();
@@ -286,13 +287,13 @@
         let has = |version: &Version| version.has(&self.listed, step.stage, self.own);
         let mine = self.documents.get(&step.version).is_some_and(has);
         let due = match step.phase {
-            Phase::Full => step.version,
+            Phase::Full if self.active == step.version || !self.halts(&step) => step.version,
             Phase::Back => step.base,
             // What still waits for the disk has not been taken.
             Phase::Rolling | Phase::Halted if self.active == step.version => self.active,
             // Guards against spreading it under a halt: who knows of one doesn't take the version newly.
             Phase::Rolling if mine && !self.halts(&step) => step.version,
-            Phase::Rolling | Phase::Halted => step.base,
+            Phase::Full | Phase::Rolling | Phase::Halted => step.base,
         };
         if due == old && due == self.active {
             return;
@@ -346,7 +347,7 @@
         self.dirty = true;
         // Guards against a version that is taken when the disk has written, though a halt came meanwhile.
         let step = self.state.chosen;
-        if step.phase == Phase::Rolling && self.halts(&step) && self.active != self.state.in_force {
+        if step.promotes() && self.halts(&step) && self.active != self.state.in_force {
             self.state.in_force = self.active;
         }
         if self.attempt.as_ref().is_some_and(Attempt::is_promoting) {
--- a/crates/fleet/src/rollout/version.rs
+++ b/crates/fleet/src/rollout/version.rs
@@ -1,4 +1,5 @@
-//! What is rolled out: numbered versions of the rules with the plan of their way, and what is wrong with an order.
+//! What is rolled out: numbered versions of the rules with the plan of their way, and what is wrong with an
+//! order.
 use crate::common::MemberId;
 use cherrypass::containers::rendezvous;
 use cherrypass::ids::{HostId, LocationId};
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -459,8 +459,9 @@
     assert!(ends.len() == 3 || seeds < 100, "{ends:?}");
 }
 
-/// Every order of events from the moment on in which one or two members begin to promote the second stage: messages (any may
-/// stay out for ever), disks, one halt anywhere, one kill anywhere with the last record there or lost.
+/// Every order of events from the moment on in which one or two members begin to promote the second stage:
+/// messages (any may stay out for ever), disks, one halt anywhere, one kill anywhere with the last record
+/// there or lost.
 #[derive(Clone)]
 struct World {
     nodes: Vec<Rc<(Rollout, u64)>>,
@@ -705,7 +706,8 @@
     assert!(promoted && seen.len() > 1000);
 }
 
-/// Random orders of what is too much for all orders: two that promote, a promotion against an order back, each with a kill.
+/// Random orders of what is too much for all orders: two that promote, a promotion against an order back,
+/// each with a kill.
 #[test]
 fn random_orders_with_two_that_change() {
     let walks: u64 = std::env::var("ROLLOUT_WALKS").ok().and_then(|walks| walks.parse().ok()).unwrap_or(300);
@@ -757,7 +759,8 @@
     }
 }
 
-/// A member accepts `back` with one other, forgets it at a kill, and then hears the third alone, which would halt.
+/// A member accepts `back` with one other, forgets it at a kill, and then hears the third alone, which would
+/// halt.
 #[test]
 fn a_member_that_forgot_what_it_accepted_abstains() {
     let listed = fleet(3, 3);
