--- a/crates/fleet/examples/rollout.rs
+++ b/crates/fleet/examples/rollout.rs
@@ -280,7 +280,8 @@
                 print!(", its first part {first_stage}");
                 if let (Some(most), Some(share)) = (seconds.last(), shares.last()) {
                     let (middle, half) = (seconds[seconds.len() / 2], shares[shares.len() / 2]);
-                    print!("; s to the halt {middle} (most {most}); share that saw it {half:.4} (most {share:.4})");
+                    print!("; s to the halt {middle} (most {most})");
+                    print!("; share that saw it {half:.4} (most {share:.4})");
                 }
                 println!();
                 if is_harmless {
--- a/crates/fleet/src/rollout/runner.rs
+++ b/crates/fleet/src/rollout/runner.rs
@@ -185,10 +185,10 @@
         }
         let (step, latest) = (self.state.chosen, self.latest());
         if let Some(halt) = self.state.halt.clone().filter(|_| latest.promotes() && self.halts(&latest)) {
-            let final_here = latest == step && step.phase == Phase::Full;
+            // Also where it is full already: the halt was given by one that had not heard of that.
             let settles = self.attempt.as_ref().is_some_and(|attempt| !attempt.is_promoting());
             let wants = matches!(self.wanted, Some((Change::Halt(_), _)));
-            if !final_here && !settles && !wants && !self.ordered {
+            if !settles && !wants && !self.ordered {
                 self.attempt = None;
                 self.wanted = Some((Change::Halt(halt), now));
             }
--- a/crates/fleet/src/rollout/steps.rs
+++ b/crates/fleet/src/rollout/steps.rs
@@ -287,13 +287,13 @@
         let has = |version: &Version| version.has(&self.listed, step.stage, self.own);
         let mine = self.documents.get(&step.version).is_some_and(has);
         let due = match step.phase {
-            Phase::Full => step.version,
+            Phase::Full if self.active == step.version || !self.halts(&step) => step.version,
             Phase::Back => step.base,
             // What still waits for the disk has not been taken.
             Phase::Rolling | Phase::Halted if self.active == step.version => self.active,
             // Guards against spreading it under a halt: who knows of one doesn't take the version newly.
             Phase::Rolling if mine && !self.halts(&step) => step.version,
-            Phase::Rolling | Phase::Halted => step.base,
+            Phase::Full | Phase::Rolling | Phase::Halted => step.base,
         };
         if due == old && due == self.active {
             return;
@@ -347,7 +347,7 @@
         self.dirty = true;
         // Guards against a version that is taken when the disk has written, though a halt came meanwhile.
         let step = self.state.chosen;
-        if step.phase == Phase::Rolling && self.halts(&step) && self.active != self.state.in_force {
+        if step.promotes() && self.halts(&step) && self.active != self.state.in_force {
             self.state.in_force = self.active;
         }
         if self.attempt.as_ref().is_some_and(Attempt::is_promoting) {
