--- a/crates/faultbed/src/judge.rs
+++ b/crates/faultbed/src/judge.rs
@@ -232,6 +232,9 @@
             *known = known.min(was).min(part.amount);
         }
     }
+    for (who, part) in last {
+        lowest.entry(who).and_modify(|known| *known = known.min(part.at(to)));
+    }
     let best = lowest.values().copied().fold(0.0, f64::max);
     if best < least {
         vec![format!("{best:.3} of {key} was in force where most was wanted, {least} at least")]
@@ -274,7 +277,7 @@
 
 /// Well after the last fault all processes that run hold each other as alive; those of a build without the fleet have no
 /// part in it.
-fn agreed(scenario: &Scenario, played: &Played) -> Vec<String> {
+pub fn agreed(scenario: &Scenario, played: &Played) -> Vec<String> {
     let last =
         played.noted.iter().filter(|(_, note)| matches!(note, Note::Fault { .. })).map(|(at, _)| *at).max();
     let end = played.span.1;
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -45,6 +45,7 @@
 }
 
 /// What a play left behind.
+#[derive(Default)]
 pub struct Played {
     pub noted: Noted,
     pub events: Vec<Event>,
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -3,7 +3,7 @@
 use cherrypass_faultbed::judge;
 use cherrypass_faultbed::notation::{read, Fault};
 use cherrypass_faultbed::notes::{events, Note, Noted, Word};
-use cherrypass_faultbed::play::{play, Stage};
+use cherrypass_faultbed::play::{play, Played, Stage};
 use test_case::test_case;
 
 const HEAD: &str = "dispatchers d1 d2 at edge\norigin o1 transfers 3\nfor 5\n";
@@ -108,6 +108,38 @@
     }
 }
 
+#[test_case(&[part(1, "a", 2.0, 90, 1.0), part(60, "a", 9.0, 120, 1.0), part(95, "a", 9.5, 120, 1.0)], true; "held in the last third")]
+#[test_case(&[part(70, "a", 9.0, 80, 1.0), part(85, "a", 9.5, 120, 1.0)], false; "lapsed meanwhile")]
+#[test_case(&[part(70, "a", 9.5, 95, 1.0)], false; "lapsed before the end")]
+#[test_case(&[part(1, "a", 9.5, 200, 9.5), part(70, "b", 1.0, 200, 1.0)], false; "nothing told of who has most")]
+fn the_judge_of_use(lines: &[String], well: bool) {
+    let broken = judge::used(&events(&lines.join("\n")), "origin", 9.0, (0, 100));
+    assert_eq!(broken.is_empty(), well, "{broken:?}");
+}
+
+fn held(me: &str, who: &str, standing: &str) -> String {
+    format!(r#"{{"t":{S},"me":"{me}","inc":1,"e":"member","who":"{who}","standing":"{standing}"}}"#)
+}
+
+#[test_case(&[("d1", "d2", "alive"), ("d2", "d1", "alive")], 1, None; "all agree")]
+#[test_case(&[("d1", "d2", "dead"), ("d2", "d1", "alive")], 1, Some("holds d2 as dead"); "one is held dead")]
+#[test_case(&[("d1", "d2", "alive")], 1, Some("holds d1 as unheard"); "one never heard")]
+#[test_case(&[("d1", "d2", "alive"), ("d2", "d1", "alive")], 18, Some("too late to tell"); "a fault at the end")]
+fn the_judge_of_members(told: &[(&str, &str, &str)], fault: u64, words: Option<&str>) {
+    let lines: Vec<String> = told.iter().map(|(me, who, standing)| held(me, who, standing)).collect();
+    let played = Played {
+        noted: vec![(fault * S, Note::Fault { what: "one".into() })],
+        events: events(&lines.join("\n")),
+        span: (0, 20 * S),
+        ..Played::default()
+    };
+    let broken = judge::agreed(&read(TWO).unwrap(), &played);
+    match words {
+        None => assert!(broken.is_empty(), "{broken:?}"),
+        Some(words) => assert!(broken.len() == 1 && broken[0].contains(words), "{broken:?}"),
+    }
+}
+
 fn fed(e: &str, n: u64) -> String {
     format!(r#"{{"t":{n},"me":"a","inc":1,"e":"{e}","source":"b","sinc":1,"n":{n}}}"#)
 }
