--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -43,6 +43,16 @@
     OneWay(String, String),
 }
 
+impl Between {
+    pub fn has(&self, from: &str, to: &str) -> bool {
+        match self {
+            Between::All => true,
+            Between::Both(a, b) => (from == a && to == b) || (from == b && to == a),
+            Between::OneWay(a, b) => from == a && to == b,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
     Cut(Between),
@@ -358,6 +368,17 @@
 }
 
 impl Scenario {
+    /// Whether a fault ever comes to the link from one process to another.
+    pub fn has_trouble(&self, from: &str, to: &str) -> bool {
+        use Fault::*;
+        self.faults.iter().any(|planned| match &planned.fault {
+            Cut(b) | Lose(_, b) | Repeat(_, b) | Delay(_, _, b) | Throttle(_, b) | Stall(b) => {
+                b.has(from, to)
+            }
+            _ => false,
+        })
+    }
+
     /// Whether it wants a program that was built for faults of disks and clocks.
     pub fn wants_faults(&self) -> bool {
         !self.clocks.is_empty() || self.faults.iter().any(|one| matches!(one.fault, Fault::Disk(..)))
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -103,6 +103,8 @@
 
 const START_MOST: Duration = Duration::from_secs(10);
 const END_MOST: Duration = Duration::from_secs(5);
+/// Up to so many processes each pair has a link of its own; of more only those with a fault do, for each is a thread.
+const LINKED_MOST: usize = 12;
 /// The list tells of a start so much later.
 const LIST_LATE: Duration = Duration::from_millis(500);
 
@@ -195,7 +197,8 @@
         for (place, (from, to)) in
             names.iter().flat_map(|from| names.iter().map(move |to| (from, to))).enumerate()
         {
-            if let Some(address) = fleet.get(to).filter(|_| from != to) {
+            let linked = names.len() <= LINKED_MOST || scenario.has_trouble(from, to);
+            if let Some(address) = fleet.get(to).filter(|_| from != to && linked) {
                 let link =
                     Link::start(*address, seed.wrapping_mul(31) + place as u64).map_err(doing("a link"))?;
                 self.links.insert((from.clone(), to.clone()), link);
@@ -409,12 +412,7 @@
     }
 
     fn each_link(&self, between: &Between, change: impl Fn(&mut Way)) {
-        let hit = |from: &str, to: &str| match between {
-            Between::All => true,
-            Between::Both(a, b) => (from == a && to == b) || (from == b && to == a),
-            Between::OneWay(a, b) => from == a && to == b,
-        };
-        let links = self.links.iter().filter(|((from, to), _)| hit(from, to));
+        let links = self.links.iter().filter(|((from, to), _)| between.has(from, to));
         links.for_each(|(_, link)| link.change(&change));
     }
 
