Verdicts: a host that others find bad is tried in turn, and at once when one has it back

Each dispatcher went on with trials of its own, so as many visits were lost to a hanging cache as without any word. While others' word stands rests go up to three times the longest, the first spread over that; who has it back says so (Word::Cleared), which voids what was found before, and the others try at once with one good trial to go.

--- a/crates/fleet/src/verdicts/calls.rs
+++ b/crates/fleet/src/verdicts/calls.rs
@@ -63,6 +63,8 @@
     },
     /// The host is not held to be bad any more.
     Withdrawn,
+    /// The teller's own trials went well: what was found of the host before counts no more.
+    Cleared,
 }
 
 /// What goes between members.
@@ -177,7 +179,7 @@
     pub fn matter(&self) -> Matter {
         match self.word {
             Word::Found { kind, .. } => kind.matter(),
-            Word::Withdrawn => Matter::Bad,
+            Word::Withdrawn | Word::Cleared => Matter::Bad,
         }
     }
 }
--- a/crates/fleet/src/verdicts/mod.rs
+++ b/crates/fleet/src/verdicts/mod.rs
@@ -40,6 +40,10 @@
     refuted: Time,
     /// It was out by what was told: until then one teller is enough to call it new.
     was_out: Time,
+    /// A teller's own trials brought it back: nothing found before counts.
+    cleared: Option<Time>,
+    /// This dispatcher told that it is bad, and has not taken that back.
+    tells: bool,
 }
 
 /// An own finding.
@@ -145,7 +149,15 @@
             return;
         }
         if self.hosts.get(&host).is_none_or(|known| (known.since, known.used_by) != (since, used_by)) {
-            let fresh = Host { since, used_by, untold: now, refuted: now, was_out: Time::default() };
+            let fresh = Host {
+                since,
+                used_by,
+                untold: now,
+                refuted: now,
+                was_out: Time::default(),
+                cleared: None,
+                tells: false,
+            };
             self.hosts.insert(host, fresh);
             // Not withdrawn for others: on the run that their lists name it still holds.
             self.mine.retain(|key, mine| key.0 != host || mine.since == since);
@@ -190,9 +202,9 @@
 
     /// The own module holds the host to be bad no more.
     pub fn cleared(&mut self, now: Time, host: HostId) {
-        let told = self.mine.remove(&(host, Matter::Bad)).is_some_and(|mine| mine.told);
-        if told {
-            self.withdraw(now, host);
+        self.mine.remove(&(host, Matter::Bad));
+        if self.hosts.get(&host).is_some_and(|known| known.tells) {
+            self.withdraw(now, host, Word::Cleared);
         }
         self.tell(now);
     }
@@ -261,8 +273,9 @@
             );
             return self.weigh_teller(now, from);
         }
+        let counts = now >= teller.discounted;
         let told = match said.word {
-            Word::Withdrawn => Told { number: said.number, found: None, until: now + hold },
+            Word::Withdrawn | Word::Cleared => Told { number: said.number, found: None, until: now + hold },
             Word::Found { since, kind, evidence, age: then } => {
                 // A clock that runs faster than the teller's sees more time go by.
                 let age = then.times(CLOCKS) + age;
@@ -273,6 +286,11 @@
             }
         };
         teller.told.insert((host, matter), told);
+        if said.word == Word::Cleared && counts {
+            // Once in the hold time: guards against a host that is half bad and goes well now and then.
+            let known = self.hosts.get_mut(&host).filter(|h| h.cleared.is_none_or(|at| now >= at + hold));
+            known.into_iter().for_each(|known| known.cleared = Some(now));
+        }
         if self.discount(now, from) {
             self.weigh_teller(now, from);
         }
@@ -330,6 +348,8 @@
             let rest = self.set.hold.times(TOLD_ANEW * self.chance.gen_range(0.8..1.0));
             self.mine.insert(key, Mine { told: true, next: now + rest, ..mine });
             let left = Span(self.set.hold.0.saturating_sub(age.0));
+            let known = self.hosts.get_mut(&key.0).filter(|_| key.1 == Matter::Bad);
+            known.into_iter().for_each(|known| known.tells = true);
             self.publish(key, Word::Found { since, kind, evidence, age }, left);
         }
     }
@@ -344,13 +364,16 @@
                 mine.next = mine.next.max(now + rest);
             }
         }
-        told.into_iter().for_each(|host| self.withdraw(now, host));
+        told.into_iter().for_each(|host| self.withdraw(now, host, Word::Withdrawn));
     }
 
-    fn withdraw(&mut self, now: Time, host: HostId) {
+    fn withdraw(&mut self, now: Time, host: HostId, word: Word) {
         let rest = self.set.hold.times(REST);
-        self.hosts.get_mut(&host).into_iter().for_each(|known| known.untold = now + rest);
-        self.publish((host, Matter::Bad), Word::Withdrawn, self.set.hold);
+        self.hosts
+            .get_mut(&host)
+            .into_iter()
+            .for_each(|known| (known.untold, known.tells) = (now + rest, false));
+        self.publish((host, Matter::Bad), word, self.set.hold);
     }
 
     fn publish(&mut self, (host, matter): (HostId, Matter), word: Word, hold: Span) {
@@ -458,6 +481,12 @@
         let counts = |t: &&Teller| counts(t) && !(of_all && blurred(t));
         let said = self.tellers.values().filter(counts).filter_map(|teller| {
             let told = teller.told.get(&(host, matter)).filter(|told| now < told.until)?;
+            // Guards against a host that is kept out by what was found before another had it back; harms where it was
+            // well for that one alone, or for a moment: those that still find it bad tell it anew.
+            let since = known.cleared.map_or(Time::default(), |at| at + self.set.used_to());
+            if matter == Matter::Bad && told.until <= since {
+                return None;
+            }
             let (since, kind, evidence) = told.found.filter(|found| found.0 == known.since)?;
             let here = teller.location == self.location;
             (here || kind.goes_far()).then_some((told.until, since, kind, evidence, teller.location))
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,7 +38,8 @@
 // So long a good answer of its own is worth more than others' word, and says nothing of what ends later.
 const OWN_WORD: Span = Span::millis(300);
 pub(crate) const UNANSWERED: Span = OWN_WORD;
-const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
+pub(crate) const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
+pub(crate) const TOLD_REST: [f64; 2] = [0.3, 3.0];
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.7;
 const COLD_BURST: f64 = 0.2;
@@ -420,8 +421,7 @@
         let held = fill.is_some_and(|fill| fill.held);
         let onward = if lacks || to_origin { 1.0 } else { self.origin.onward.or(ONWARD_START) };
         let origin_share = if held { 0.0 } else { fill_share * onward };
-        let leads = !known && fill_share > 0.0;
-        let band = visit.band;
+        let (leads, band) = (!known && fill_share > 0.0, visit.band);
         let sent =
             Sent { at: now, tried, host, source, band, copy, known, leads, fill_share, origin_share, held };
         self.count(&sent, 1);
@@ -661,7 +661,7 @@
             }
             return;
         };
-        shut.tried(now, failed, REST);
+        shut.tried(now, failed, if told { crate::shared::rests(self.set.sharers()) } else { REST });
         if shut.passed >= TRIALS_TO_OPEN {
             (host.shut, host.bad) = (None, Mean::default());
             host.told.iter_mut().for_each(|told| told.passed = told.passed.max(TRIALS_TO_OPEN));
@@ -701,6 +701,7 @@
         } else if !own && !host.told.is_some_and(|told| told.is_refuted(now)) {
             self.shut_out(now, id, Bad::Told, "told by others".into());
         }
+        self.spread(now, id);
     }
 
     /// What shut a host out by others' word alone does so no longer once that is over. Guards against word
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -401,6 +401,7 @@
 #[test_case(include_str!("scenarios/busy_parent.txt"); "busy_parent")]
 #[test_case(include_str!("scenarios/given_up_at_once.txt"); "given_up_at_once")]
 #[test_case(include_str!("scenarios/told_room.txt"); "told_room")]
+#[test_case(include_str!("scenarios/told_rest.txt"); "told_rest")]
 #[test_case(include_str!("scenarios/fresh_limits.txt"); "fresh_limits")]
 #[test_case(include_str!("scenarios/cold_told_busy.txt"); "cold_told_busy")]
 #[test_case(include_str!("scenarios/hits_only.txt"); "hits_only")]
