--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,7 +7,7 @@
 use crate::ids::*;
 use crate::settings::{Effect::*, Group, Settings};
 pub use crate::state::Brain;
-use crate::state::{Choice, Due, Gate, Host, Open, Sent};
+use crate::state::{Choice, Due, Gate, Host, Open, Sent, Shut};
 use crate::time::{Span, Time};
 use rand::Rng;
 
@@ -38,8 +38,8 @@
 // So long a good answer of its own is worth more than others' word, and says nothing of what ends later.
 const OWN_WORD: Span = Span::millis(300);
 pub(crate) const UNANSWERED: Span = OWN_WORD;
-pub(crate) const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
-pub(crate) const TOLD_REST: [f64; 2] = [0.3, 3.0];
+const REST: [Span; 2] = [Span::millis(500), Span::millis(4_000)];
+const TOLD_REST: [f64; 2] = [0.3, 3.0];
 // Cold starts: the part of the permitted budget that is spent, and how much of a window at once.
 const COLD_SPEND: f64 = 0.7;
 const COLD_BURST: f64 = 0.2;
@@ -97,22 +97,6 @@
         brain
     }
 
-    /// A list of hosts, whole or only what changed. Hosts missing from a whole list are gone.
-    pub fn listed(&mut self, now: Time, entries: &[Listing], whole: bool) {
-        self.hosts.values_mut().filter(|_| whole).for_each(|host| host.entry.phase = Phase::Gone);
-        for entry in entries {
-            let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
-            if entry.since > host.entry.since {
-                // A process that started anew has lost what it held, and what was known of it is void.
-                *host = Host { in_flight: host.in_flight, ..Host::new(*entry, now) };
-            }
-            (host.entry, host.listed) = (*entry, entry.since);
-        }
-        let gone = self.hosts.values().filter(|h| h.is_gone() && h.in_flight > 0);
-        let gone: Vec<HostId> = gone.map(|h| h.entry.host).collect();
-        gone.into_iter().for_each(|host| self.call_off(host));
-    }
-
     pub fn arrived(&mut self, now: Time, visit: Visit) {
         let popular = self.is_popular(now, &visit);
         self.further.level = (self.further.level + RETRY_SHARE).min(RETRY_BURST);
@@ -281,15 +265,6 @@
         });
     }
 
-    /// Forgets a visit whose client has left or has its final answer, and calls off what is still out for it.
-    pub fn left(&mut self, id: VisitId) {
-        if self.visits.remove(&id).is_none() || !self.set.cancel {
-            return;
-        }
-        let out = self.sent.range((id, HandOffNo(0))..=(id, HandOffNo(u8::MAX)));
-        self.ready.extend(out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }));
-    }
-
     /// A host that was asked tells how busy it is, or nothing in the time for that. Guards against sources
     /// that are full, slow or silent and show it in too few fills of this dispatcher's own; harms one whose
     /// probes get lost on the way, which has a smaller part for some seconds.
@@ -661,7 +636,7 @@
             }
             return;
         };
-        shut.tried(now, failed, if told { crate::shared::rests(self.set.sharers()) } else { REST });
+        shut.tried(now, failed, if told { told_rests(self.set.sharers()) } else { REST });
         if shut.passed >= TRIALS_TO_OPEN {
             (host.shut, host.bad) = (None, Mean::default());
             host.told.iter_mut().for_each(|told| told.passed = told.passed.max(TRIALS_TO_OPEN));
@@ -704,18 +679,37 @@
         self.spread(now, id);
     }
 
+    /// Spreads the first trials of a host that others find bad over the longer rest. Guards against visits
+    /// lost to trials that all make at once; harms a host wrongly told of, which is tried seconds later.
+    fn spread(&mut self, now: Time, id: HostId) {
+        let most = told_rests(self.set.sharers())[1];
+        let Some(host) = self.hosts.get_mut(&id).filter(|host| host.is_told(now)) else { return };
+        let short = |shut: &&mut Shut| shut.passed == 0 && shut.rest < REST[1];
+        let Some(shut) = host.shut.as_mut().filter(short) else { return };
+        let first = now + most.times(self.chance.gen_range(TOLD_REST[0]..1.0));
+        (shut.rest, shut.next_trial) = (most, shut.next_trial.max(first));
+    }
+
+    /// Others take back that a host is bad, since it went well there: one own good trial is enough now.
+    pub(crate) fn went_well_there(&mut self, now: Time, id: HostId) {
+        let Some(shut) = self.hosts.get_mut(&id).and_then(|host| host.shut.as_mut()) else { return };
+        (shut.next_trial, shut.rest) = (shut.next_trial.min(now), REST[0]);
+        shut.passed = shut.passed.max(TRIALS_TO_OPEN - 1);
+    }
+
     /// What shut a host out by others' word alone does so no longer once that is over. Guards against word
     /// that is older than those who gave it would bear.
     fn untold(&mut self, now: Time, id: HostId) {
         let over = self.is_told_out(now, id);
         let Some(host) = self.hosts.get_mut(&id).filter(|_| over) else { return };
+        host.shut.iter_mut().for_each(|shut| shut.rests_at_most(now, REST[1]));
         if host.shut.take_if(|shut| shut.why == Bad::Told).is_some() {
             self.log(format!("host {:x} back: others' word on it is over", id.0));
         }
     }
 
     /// Calls off what is out at a host that is not expected to answer, where a repeat does no harm.
-    fn call_off(&mut self, id: HostId) {
+    pub(crate) fn call_off(&mut self, id: HostId) {
         let harmless = |band: BandId| self.band(band).is_some_and(|b| b.effect == Idempotent);
         let out = self.sent.iter().filter(|(_, s)| self.set.cancel && s.host == id && harmless(s.band));
         let out: Vec<_> = out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }).collect();
@@ -781,6 +775,11 @@
     }
 }
 
+/// Between which bounds trials of a host rest that others find bad as well: longer, as they try it too.
+fn told_rests(sharers: f64) -> [Span; 2] {
+    [REST[0], REST[1].times(sharers.clamp(1.0, TOLD_REST[1]))]
+}
+
 fn follow(gate: &mut Gate, out: f64, sharers: f64, weight: f64) {
     let worse = gate.late.value.exp() / gate.borne;
     gate.limit = follow_limit(gate.limit, worse, out, sharers, weight).min(gate.most).max(GATE_LEAST);
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -1,12 +1,11 @@
 //! What holds for several dispatchers in sum, and what they tell each other of hosts. With nothing told,
 //! nothing of it is in force, and all is decided as by one that is alone.
-use crate::brain::{Brain, ONWARD_START, REST, TOLD_REST, TRIALS_TO_OPEN, UNANSWERED};
+use crate::brain::{Brain, ONWARD_START, TRIALS_TO_OPEN, UNANSWERED};
 use crate::calls::{Bad, Finding, Found, Shared, Wanted, Word};
 use crate::containers::Bucket;
 use crate::ids::HostId;
 use crate::state::{Due, Host, Sent, Shut};
-use crate::time::{Span, Time};
-use rand::Rng;
+use crate::time::Time;
 
 /// An amount past it is none that could be used up.
 const AMOUNT_MOST: f64 = 1e9;
@@ -54,24 +53,7 @@
     asked: Time,
 }
 
-/// Between which bounds trials of a host rest that others find bad as well: longer, as they try it too.
-pub(crate) fn rests(sharers: f64) -> [Span; 2] {
-    [REST[0], REST[1].times(sharers.clamp(1.0, TOLD_REST[1]))]
-}
-
 impl Brain {
-    /// Spreads the first trials of a host that others find bad over the longer rest. Guards against visits
-    /// lost to trials that all make at the same time; harms a host of which wrong is told, which is tried
-    /// some seconds later.
-    pub(crate) fn spread(&mut self, now: Time, id: HostId) {
-        let most = rests(self.set.sharers())[1];
-        let Some(host) = self.hosts.get_mut(&id).filter(|host| host.is_told(now)) else { return };
-        let short = |shut: &&mut Shut| shut.passed == 0 && shut.rest < REST[1];
-        let Some(shut) = host.shut.as_mut().filter(short) else { return };
-        let first = now + most.times(self.chance.gen_range(TOLD_REST[0]..1.0));
-        (shut.rest, shut.next_trial) = (most, shut.next_trial.max(first));
-    }
-
     /// What is told of the use of shared limits, where any is shared.
     pub(crate) fn count_use(&mut self, sent: &Sent, begins: bool) {
         if self.parts.is_empty() || !begins {
@@ -165,13 +147,11 @@
         let present = known.filter(|h| h.listed == since)?.entry.since == since;
         if now >= until {
             // It is taken back, also where the process is known to be new by now.
-            let host = self.hosts.get_mut(&id)?;
-            let told = host.told.as_mut()?;
-            // Taken back before it was over: it went well elsewhere, so one own good trial is enough now.
-            if let Some(shut) = host.shut.as_mut().filter(|_| now < told.until) {
-                (shut.next_trial, shut.rest) = (shut.next_trial.min(now), REST[0]);
-                shut.passed = shut.passed.max(TRIALS_TO_OPEN - 1);
+            let before = self.hosts.get(&id)?.told?.until;
+            if now < before {
+                self.went_well_there(now, id);
             }
+            let told = self.hosts.get_mut(&id)?.told.as_mut()?;
             (told.until, told.due) = (until, until);
             self.due.put(until, Due::Told(id));
             return None;
@@ -203,15 +183,11 @@
             return false;
         }
         host.told = None;
-        if let Some(shut) = host.shut.as_mut() {
-            shut.rest = shut.rest.min(REST[1]);
-            shut.next_trial = shut.next_trial.min(now + shut.rest);
-        }
         true
     }
 
-    /// What this dispatcher finds of hosts now by what it saw itself; nothing that it was only told, nor of one
-    /// whose last trials went well.
+    /// What this dispatcher finds of hosts now by what it saw itself; nothing that it was only told, nor of
+    /// one whose last trials went well.
     pub fn findings(&self, now: Time) -> impl Iterator<Item = Finding> + '_ {
         self.hosts.values().filter(|host| !host.is_gone()).filter_map(move |host| {
             let id = host.entry.host;
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,12 @@
 }
 
 impl Shut {
+    /// Its next trial is no later than after so long.
+    pub fn rests_at_most(&mut self, now: Time, rest: Span) {
+        self.rest = self.rest.min(rest);
+        self.next_trial = self.next_trial.min(now + self.rest);
+    }
+
     /// One more trial has ended; after a bad one it rests for longer, within these bounds.
     pub fn tried(&mut self, now: Time, failed: bool, rest: [Span; 2]) {
         self.passed = if failed { 0 } else { self.passed + 1 };
@@ -351,6 +357,31 @@
         }
     }
 
+    /// A list of hosts, whole or only what changed. Hosts missing from a whole list are gone.
+    pub fn listed(&mut self, now: Time, entries: &[Listing], whole: bool) {
+        self.hosts.values_mut().filter(|_| whole).for_each(|host| host.entry.phase = Phase::Gone);
+        for entry in entries {
+            let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
+            if entry.since > host.entry.since {
+                // A process that started anew has lost what it held, and what was known of it is void.
+                *host = Host { in_flight: host.in_flight, ..Host::new(*entry, now) };
+            }
+            (host.entry, host.listed) = (*entry, entry.since);
+        }
+        let gone = self.hosts.values().filter(|h| h.is_gone() && h.in_flight > 0);
+        let gone: Vec<HostId> = gone.map(|h| h.entry.host).collect();
+        gone.into_iter().for_each(|host| self.call_off(host));
+    }
+
+    /// Forgets a visit whose client has left or has its final answer, and calls off what is still out for it.
+    pub fn left(&mut self, id: VisitId) {
+        if self.visits.remove(&id).is_none() || !self.set.cancel {
+            return;
+        }
+        let out = self.sent.range((id, HandOffNo(0))..=(id, HandOffNo(u8::MAX)));
+        self.ready.extend(out.map(|(&(visit, number), _)| Decision::Cancel { visit, number }));
+    }
+
     /// An earlier try of a visit that has just arrived may have run, sent then and to that host. Guards
     /// against a repeat past the group that drops it, after a dispatcher's end; harms only where that try
     /// never ran.
