--- a/src/brain.rs
+++ b/src/brain.rs
@@ -102,7 +102,7 @@
         self.hosts.values_mut().filter(|_| whole).for_each(|host| host.entry.phase = Phase::Gone);
         for entry in entries {
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(*entry, now));
-            if entry.since > host.entry.since {
+            if entry.since > host.entry.since || host.told_new && entry.since > host.listed {
                 // A process that started anew has lost what it held, and what was known of it is void.
                 *host = Host { in_flight: host.in_flight, ..Host::new(*entry, now) };
             }
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -179,6 +179,7 @@
         Some(()).filter(|()| present)?;
         if word == Word::Anew {
             let host = self.hosts.get_mut(&id)?;
+            host.told_new = true;
             host.shut.iter_mut().for_each(|shut| shut.next_trial = shut.next_trial.min(now));
             return Some(host);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,8 @@
     /// Its start as listed, and when it came back anew since.
     pub listed: Option<Time>,
     pub anew: Option<Time>,
+    /// It counts as just started by others' word alone, until the list tells when it was.
+    pub told_new: bool,
     pub cold: Bucket,
     pub cold_use: Use,
     pub carried: Mean,
@@ -90,6 +92,7 @@
             told: None,
             listed: entry.since,
             anew: None,
+            told_new: false,
             cold: Bucket::default(),
             cold_use: Use::default(),
             carried: Mean::default(),
