Faultbed: logs' lines of hosts and parts of limits are read in one place

Found on a second reading: the judge printed what logs say of hosts and parsed that text again, the comparison read the same lines by itself, and two judges each decoded a part from its event. One reader serves them now. An empty kill, which only dropped the process, is gone.

--- a/crates/faultbed/src/compare.rs
+++ b/crates/faultbed/src/compare.rs
@@ -1,7 +1,9 @@
 //! Two scenarios on the same seeds, side by side: what clients and the host at fault saw, and how soon it was shut out.
+use crate::judge::of_hosts;
 use crate::notation::Scenario;
 use crate::notes::{Note, Word};
 use crate::play::Played;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// What is counted in each play; its names, and how many decimals are shown.
@@ -29,19 +31,19 @@
 
 /// When each process that did first had the host shut out, in seconds after the first fault.
 fn shut_out(played: &Played, host: &str) -> Vec<f64> {
-    let fault = played.noted.iter().find(|(_, note)| matches!(note, Note::Fault { .. })).map(|(at, _)| *at);
-    let Some(fault) = fault else { return Vec::new() };
+    // The log names a host's id; the line of the list has both.
     let is = format!(" is {host},");
-    let first = |log: &String| {
-        // The log names a host's id; the line of the list has both.
-        let listed = log.lines().find(|line| line.contains("list: host ") && line.contains(&is))?;
-        let id = listed.split("list: host ").nth(1)?.split(' ').next()?;
-        let shut = format!("module: host {id} shut out: ");
-        let times = log.lines().filter(|line| line.contains(&shut));
-        let times = times.filter_map(|line| line.split(' ').next()?.parse::<f64>().ok());
-        times.map(|at| at - fault as f64 / 1e6).find(|at| *at >= 0.0)
-    };
-    let mut found: Vec<f64> = played.logs.values().filter_map(first).collect();
+    let mut lines = played.logs.values().flat_map(|log| log.lines());
+    let listed = lines.find(|line| line.contains("list: host ") && line.contains(&is));
+    let id = listed.and_then(|line| line.split("list: host ").nth(1)?.split(' ').next());
+    let Some(shut) = id.map(|id| format!("host {id} shut out: ")) else { return Vec::new() };
+    let mut first: BTreeMap<&str, f64> = BTreeMap::new();
+    for (at, who, _) in
+        of_hosts(played).into_iter().filter(|(at, _, words)| *at >= 0.0 && words.starts_with(&shut))
+    {
+        first.entry(who).or_insert(at);
+    }
+    let mut found: Vec<f64> = first.into_values().collect();
     found.sort_by(f64::total_cmp);
     found
 }
--- a/crates/faultbed/src/judge.rs
+++ b/crates/faultbed/src/judge.rs
@@ -157,6 +157,11 @@
 }
 
 impl Part {
+    fn of(event: &Event) -> Part {
+        let number = |name| event.number(name).unwrap_or(0.0);
+        Part { amount: number("amount"), until: number("until") as u64, after: number("after") }
+    }
+
     fn at(&self, t: u64) -> f64 {
         if t < self.until {
             self.amount
@@ -191,12 +196,7 @@
         for t in instants {
             while let Some(event) = coming.filter(|event| event.t <= t) {
                 match &event.e[..] {
-                    "part" => {
-                        let number = |name| event.number(name).unwrap_or(0.0);
-                        let (amount, after) = (number("amount"), number("after"));
-                        let until = number("until") as u64;
-                        parts.insert(&event.me, Part { amount, until, after });
-                    }
+                    "part" => drop(parts.insert(&event.me, Part::of(event))),
                     _ => drop(parts.remove(&event.me[..])),
                 }
                 coming = next.next();
@@ -222,8 +222,7 @@
     let mut last: BTreeMap<&str, Part> = BTreeMap::new();
     let mut lowest: BTreeMap<&str, f64> = BTreeMap::new();
     for event in events.iter().filter(parted) {
-        let number = |name| event.number(name).unwrap_or(0.0);
-        let part = Part { amount: number("amount"), until: number("until") as u64, after: number("after") };
+        let part = Part::of(event);
         // What ran out before the next was told counts as it stood.
         let before = last.insert(&event.me, part);
         if event.t >= begun {
@@ -477,15 +476,14 @@
 
 /// By when the last of the processes that did so had each host shut out, in seconds after the first fault.
 pub fn last_shut(played: &Played) -> Vec<String> {
-    let mut first: BTreeMap<String, BTreeMap<String, f64>> = BTreeMap::new();
-    for line in shut(played).iter().filter(|line| line.contains(" shut out: ")) {
-        let words: Vec<&str> = line.split_whitespace().collect();
-        if let [at, _, who, _, host, ..] = words[..] {
-            let at = at.parse().unwrap_or(f64::MAX);
-            first.entry(host.to_owned()).or_default().entry(who.to_owned()).or_insert(at);
+    let mut first: BTreeMap<&str, BTreeMap<&str, f64>> = BTreeMap::new();
+    for (at, who, words) in of_hosts(played) {
+        let host = words.strip_prefix("host ").and_then(|words| words.split_once(" shut out: "));
+        if let Some((host, _)) = host {
+            first.entry(host).or_default().entry(who).or_insert(at);
         }
     }
-    let line = |(host, by): (&String, &BTreeMap<String, f64>)| {
+    let line = |(host, by): (&&str, &BTreeMap<&str, f64>)| {
         let last = by.values().copied().fold(f64::MIN, f64::max);
         format!("host {host}: shut out by {} of {}, the last at {last:+.3} s", by.len(), played.logs.len())
     };
@@ -494,6 +492,12 @@
 
 /// When each process had a host shut out, in seconds after the first fault, by its own log.
 pub fn shut(played: &Played) -> Vec<String> {
+    let line = |(at, who, words): (f64, &str, &str)| format!("{at:+.3} s {who}: {words}");
+    of_hosts(played).into_iter().map(line).collect()
+}
+
+/// What each process's own log says of hosts: seconds after the first fault, who says it, and what.
+pub fn of_hosts(played: &Played) -> Vec<(f64, &str, &str)> {
     let fault = played.noted.iter().find(|(_, note)| matches!(note, Note::Fault { .. })).map(|(at, _)| *at);
     let Some(fault) = fault else { return Vec::new() };
     let mut found = Vec::new();
@@ -501,7 +505,7 @@
         for line in log.lines().filter(|line| line.contains("module: host ")) {
             let at = line.split(' ').next().and_then(|at| at.parse::<f64>().ok()).unwrap_or(0.0);
             let words = line.split("module: ").nth(1).unwrap_or(line);
-            found.push(format!("{:+.3} s {name}: {words}", at - fault as f64 / 1e6));
+            found.push((at - fault as f64 / 1e6, &name[..], words));
         }
     }
     found
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -431,7 +431,7 @@
     fn kill(&mut self, name: &str) {
         self.gone_away(name);
         if let Some(process) = self.dispatchers.get_mut(name).and_then(|known| known.process.take()) {
-            process.kill();
+            drop(process);
         }
     }
 
--- a/crates/faultbed/src/processes.rs
+++ b/crates/faultbed/src/processes.rs
@@ -44,7 +44,7 @@
 }
 
 impl Drop for Process {
-    /// A play that ends early leaves none behind.
+    /// SIGKILL, where it runs still: a play that ends early leaves none behind.
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -70,9 +70,6 @@
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
-    /// SIGKILL: that comes with its drop.
-    pub fn kill(self) {}
-
     /// SIGTERM, and SIGKILL where that doesn't do within the time; whether it ended well by itself.
     pub fn end(mut self, within: Duration) -> bool {
         self.signal(Signal::SIGTERM);
@@ -83,7 +80,6 @@
             }
             std::thread::sleep(Duration::from_millis(10));
         }
-        self.kill();
         false
     }
 }
