--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -191,7 +191,7 @@
 
 fn encode(reply: &mut Reply, who: u16, decision: Decision) {
     match decision {
-        Decision::HandOff { visit, host, until, fill } => {
+        Decision::HandOff { visit, host, until, fill, .. } => {
             let mut record = reply.record(if fill.is_some() { 264 } else { 261 }, who);
             record.put(4, &visit.0.to_le_bytes());
             record.put(8, &host_bytes(host)).put(14, &until.0.to_le_bytes());
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -8,36 +8,79 @@
 use crate::mailbox;
 use crate::msgpack::{self, Message, Parts};
 use crate::spent::Spent;
+use crate::wanted::{Wanted, Withdraw};
 use bytes::{Bytes, BytesMut};
 use cherrypass::time::{Span, Time};
-use crossbeam_channel::{unbounded, Receiver, Sender};
+use crossbeam_channel::{unbounded, Receiver, Sender, TrySendError};
 use nix::errno::Errno;
 use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// What is read at once, which an open visit may keep.
 pub const PIECE: usize = 8 * 1024;
-/// Who has sent nothing whole by then is owed an end.
+/// Who has sent nothing whole by then is owed an end: within 3 s, by the page for service.
 const MUTE: Span = Span::millis(2_000);
-/// A message that has begun comes whole within this.
-const HALF: Span = Span::millis(1_500);
-/// Clients close what they don't use after 4 s; what stands longer is not used again.
+/// A message that has begun comes whole within this, and the connection ends where nothing is open on it. Past the
+/// second what is open has its final answer, so that the end comes within the same 3 s.
+const HALF: [Span; 2] = [Span::millis(1_500), Span::millis(2_500)];
+/// Clients close what they don't use after 4 s, by the protocol page; what stands longer is not used again.
 const IDLE: Span = Span::millis(4_500);
-/// How often connections are looked after.
+/// How often connections are looked after, and how often once the process is to end.
 const LOOK: Span = Span::millis(250);
+const LAST_LOOK: Span = Span::millis(20);
 /// A connection this new may still be about to ask: it doesn't make room for others.
 const NEW: Span = Span::millis(250);
 /// How long a newcomer waits for room before it is turned away, and how often it is looked for.
 const ROOM_WAIT: Span = Span::millis(400);
 const ROOM_LOOK: Span = Span::millis(2);
+/// So long what still comes on a connection is taken in, unused, after this side has ended it (a request that crosses
+/// the end is on its way for 50 ms at most, by the protocol page); so many bytes, which no such request has; and so
+/// many connections at once.
+const LINGER: Span = Span::millis(300);
+const LINGER_BYTES: usize = 4 * msgpack::MESSAGE_MOST;
+const LINGER_MOST: usize = 16;
+/// Where the machine gives out fewer descriptors than the limits tell, so many are left to the change log and to hosts.
+const SPARE: usize = 8;
 /// How many connections are served for one look, and what stands for the listener among them.
 const EVENTS: usize = 64;
 const LISTENER: u64 = u64::MAX;
 
+/// How far the process is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    Serving,
+    /// It ends soon, and serves on what comes.
+    Stopping,
+    /// Each connection ends once nothing is owed on it.
+    Leaving,
+}
+
+/// What the router and the thread of clients tell each other of the process's end.
+#[derive(Debug, Default)]
+pub struct Front {
+    stage: AtomicU8,
+    standing: AtomicUsize,
+}
+
+impl Front {
+    pub fn go_to(&self, stage: Stage) {
+        self.stage.fetch_max(stage as u8, Relaxed);
+    }
+
+    fn has_come_to(&self, stage: Stage) -> bool {
+        self.stage.load(Relaxed) >= stage as u8
+    }
+
+    /// Whether no connection stands any more, at the last look.
+    pub fn is_empty(&self) -> bool {
+        self.standing.load(Relaxed) == 0
+    }
+}
+
 pub struct ToClient {
     pub parts: Parts,
     /// When the host's answer came that this passes on.
@@ -104,14 +147,14 @@
             match self.line.write_now(&answer.bytes()) {
                 Ok(n) if n == answer.length() => return answer.written(spent),
                 Ok(n) => written = n,
-                Err(_) => return self.line.end(Code::WriteFailed),
+                Err(_) => return self.line.finish(Code::WriteFailed),
             }
         }
         if self.slow.is_none() {
             let (mailbox, late) = unbounded();
             let (line, spent) = (self.line.clone(), spent.clone());
             if spawn("slow", move || write_slowly(&line, late, &spent)).is_err() {
-                return self.line.end(Code::NoThread);
+                return self.line.finish(Code::NoThread);
             }
             self.slow = Some(mailbox);
         }
@@ -123,18 +166,51 @@
 
 /// A newcomer that waits for a place.
 struct Newcomer {
-    stream: TcpStream,
-    from: SocketAddr,
+    client: Client,
     since: Time,
 }
 
+/// A connection that this side has ended, until its other side has ended too.
+struct Lingering {
+    line: Arc<Line>,
+    until: Time,
+    bytes: usize,
+}
+
+/// What the thread of clients tells: requests by a mailbox that is bounded, ends by one that is not.
+pub struct Tell {
+    pub requests: Sender<Input>,
+    pub ends: Sender<Input>,
+}
+
 /// Takes connections in and reads them until the process ends.
-pub fn listen(listener: TcpListener, most: usize, patience: Span, router: Sender<Input>) -> io::Result<()> {
+pub fn listen(
+    listener: TcpListener,
+    most: usize,
+    patience: Span,
+    tell: Tell,
+    front: Arc<Front>,
+) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
     epoll.add(&listener, EpollEvent::new(EpollFlags::EPOLLIN, LISTENER))?;
-    let (taken, newcomer, next, failing) = Default::default();
-    let mut clients = Clients { listener, epoll, most, patience, router, taken, newcomer, next, failing };
+    let (taken, lingering, newcomer, next, waiting) = Default::default();
+    let (resting, failing) = (None, false);
+    let mut clients = Clients {
+        listener,
+        epoll,
+        most,
+        patience,
+        tell,
+        front,
+        taken,
+        lingering,
+        newcomer,
+        next,
+        waiting,
+        resting,
+        failing,
+    };
     clients.run()
 }
 
@@ -143,79 +219,193 @@
     epoll: Epoll,
     most: usize,
     patience: Span,
-    router: Sender<Input>,
+    tell: Tell,
+    front: Arc<Front>,
     taken: BTreeMap<u64, Client>,
+    lingering: BTreeMap<u64, Lingering>,
     newcomer: Option<Newcomer>,
     next: u64,
+    /// Of whom messages are read and not told yet, in turn. Guards against one who sends much and holds the others up,
+    /// or the news that they have gone: he alone is not read from while the router has much to do.
+    waiting: VecDeque<u64>,
+    /// Until when the listener rests, for want of descriptors.
+    resting: Option<Time>,
     failing: bool,
 }
 
+/// Readable, and its other side's end even behind bytes that are not read yet.
+fn reads() -> EpollFlags {
+    EpollFlags::EPOLLIN | EpollFlags::EPOLLRDHUP
+}
+
 impl Clients {
     fn run(&mut self) -> io::Result<()> {
         let mut events = [EpollEvent::empty(); EVENTS];
         let mut look = clock::now() + LOOK;
         loop {
-            let until = if self.newcomer.is_some() { ROOM_LOOK } else { look - clock::now() };
+            let soon = self.newcomer.is_some() || !self.waiting.is_empty();
+            let until = if soon { ROOM_LOOK } else { look - clock::now() };
             let found = match self.epoll.wait(&mut events, EpollTimeout::from((until.0 / 1000 + 1) as u16)) {
                 Err(Errno::EINTR) => 0,
                 found => found?,
             };
+            let gone = EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLHUP | EpollFlags::EPOLLERR;
+            for event in events[..found].iter().filter(|event| event.events().intersects(gone)) {
+                if let Some(client) = self.taken.get_mut(&event.data()) {
+                    client.line.leave();
+                    client.untold.clear();
+                }
+            }
             for event in &events[..found] {
                 match event.data() {
                     LISTENER => self.accept()?,
-                    number => {
-                        let turn = self.taken.get_mut(&number).map(|client| client.turn(&self.router));
-                        match turn {
-                            Some(Err(Code::Stopped)) => return Ok(()),
-                            Some(Err(code)) => self.close(number, code),
-                            Some(Ok(())) | None => {}
-                        }
-                    }
+                    number if self.lingering.contains_key(&number) => self.pass_over(number),
+                    number => drop(self.turn(number)),
                 }
             }
+            if self.tell_in_turn().is_err() {
+                return Ok(());
+            }
             self.make_room()?;
             let now = clock::now();
             if now >= look {
-                look = now + LOOK;
-                let ends = |client: &Client| Some((client.line.clone(), client.fault(now)?));
-                let ending: Vec<_> = self.taken.values().filter_map(ends).collect();
-                ending.into_iter().for_each(|(line, code)| line.end(code));
+                let leaving = self.front.has_come_to(Stage::Leaving);
+                look = now + if self.front.has_come_to(Stage::Stopping) { LAST_LOOK } else { LOOK };
+                self.look_after(now, leaving)?;
+            }
+        }
+    }
+
+    fn look_after(&mut self, now: Time, leaving: bool) -> io::Result<()> {
+        self.lingering.retain(|_, lingering| now < lingering.until);
+        if self.resting.take_if(|until| now >= *until).is_some() {
+            self.hear_listener(true)?;
+        }
+        if leaving {
+            self.accept()?;
+        }
+        let ends = |(number, client): (&u64, &Client)| Some((*number, client.fault(now, leaving)?));
+        let ending: Vec<_> = self.taken.iter().filter_map(ends).collect();
+        for (number, code) in ending {
+            match self.taken.get_mut(&number) {
+                Some(client) if code == Code::HalfMessage && client.is_used() => {
+                    client.end_soon(now, &self.tell)
+                }
+                _ => self.end_resting(number, code),
             }
         }
+        let standing = self.taken.len() + self.lingering.len() + usize::from(self.newcomer.is_some());
+        self.front.standing.store(standing, Relaxed);
+        Ok(())
+    }
+
+    /// Ends a connection on which nothing is open, unless something has just come on it: guards against an end that
+    /// closes over a request which was there.
+    fn end_resting(&mut self, number: u64, code: Code) {
+        let Some(client) = self.taken.get(&number) else { return };
+        let heard = client.line.heard();
+        if self.turn(number) && self.taken.get(&number).is_some_and(|client| client.line.heard() == heard) {
+            self.close(number, code);
+        }
+    }
+
+    /// Reads one piece of what has come and tells of all whole messages; whether the connection stands.
+    fn turn(&mut self, number: u64) -> bool {
+        let Some(client) = self.taken.get_mut(&number) else { return false };
+        if client.line.is_ended() {
+            let code = client.line.code();
+            self.close(number, code);
+            return false;
+        }
+        if !client.untold.is_empty() {
+            return true;
+        }
+        if let Err(code) = client.turn() {
+            self.close(number, code);
+            return false;
+        }
+        if !client.untold.is_empty() {
+            self.waiting.push_back(number);
+        }
+        true
+    }
+
+    /// Tells what was read, a message of each client in turn, until the router has enough; whoever is left over is not
+    /// read from meanwhile.
+    fn tell_in_turn(&mut self) -> Result<(), Code> {
+        for _ in 0..self.waiting.len() {
+            let Some(number) = self.waiting.pop_front() else { break };
+            let Some(client) = self.taken.get_mut(&number) else { continue };
+            if client.line.has_left() {
+                client.untold.clear();
+            }
+            while let Some(what) = client.untold.pop_front() {
+                match self.tell.requests.try_send(Input::Client(client.id, what)) {
+                    Ok(()) if self.waiting.is_empty() => {}
+                    Ok(()) => break,
+                    Err(TrySendError::Full(Input::Client(_, what))) => {
+                        client.untold.push_front(what);
+                        break;
+                    }
+                    Err(_) => return Err(Code::Stopped),
+                }
+            }
+            let held = !client.untold.is_empty();
+            if held {
+                self.waiting.push_back(number);
+            }
+            if held != client.held {
+                client.held = held;
+                let flags = if held { EpollFlags::EPOLLRDHUP } else { reads() };
+                let _ = self.epoll.modify(&*client.line, &mut EpollEvent::new(flags, number));
+            }
+        }
+        Ok(())
+    }
+
+    fn hear_listener(&self, hear: bool) -> io::Result<()> {
+        let flags = if hear { EpollFlags::EPOLLIN } else { EpollFlags::empty() };
+        Ok(self.epoll.modify(&self.listener, &mut EpollEvent::new(flags, LISTENER))?)
     }
 
     /// Takes what waits at the listener, until there is no place for one.
     fn accept(&mut self) -> io::Result<()> {
-        while self.newcomer.is_none() {
+        while self.newcomer.is_none() && self.resting.is_none() {
             match self.listener.accept() {
-                Ok((stream, from)) if self.taken.len() < self.most => self.take(stream, from),
                 Ok((stream, from)) => {
-                    self.newcomer = Some(Newcomer { stream, from, since: clock::now() });
-                    self.epoll.modify(&self.listener, &mut EpollEvent::new(EpollFlags::empty(), LISTENER))?;
-                }
-                Err(error) if is_wait(&error) => return Ok(()),
-                // Guards against a loop that burns the core while no descriptor is to be had.
-                Err(error) => {
-                    if !self.failing {
-                        tracing::warn!("accept fails: {error}");
+                    let client = Client::new(ClientId(self.next), stream, from);
+                    self.next += 1;
+                    if self.taken.len() < self.most {
+                        self.take(client);
+                    } else {
+                        self.newcomer = Some(Newcomer { client, since: clock::now() });
+                        self.hear_listener(false)?;
                     }
-                    self.failing = true;
-                    std::thread::sleep(Duration::from_millis(5));
-                    return Ok(());
                 }
+                Err(error) if is_wait(&error) => return Ok(()),
+                Err(error) => return self.rest(&error),
             }
             self.failing = false;
         }
         Ok(())
     }
 
-    fn take(&mut self, stream: TcpStream, from: SocketAddr) {
-        let number = self.next;
-        self.next += 1;
-        let client = Client::new(ClientId(number), stream, from);
+    /// No descriptor is to be had, against what the limits tell. Guards against a loop that burns the core, and against
+    /// idle clients that hold what the change log and hosts need: the first time so many places less are given out.
+    fn rest(&mut self, error: &io::Error) -> io::Result<()> {
+        if !std::mem::replace(&mut self.failing, true) {
+            tracing::warn!("accept fails: {error}");
+            self.most = self.most.min(self.taken.len().saturating_sub(SPARE)).max(1);
+        }
+        self.lingering.clear();
+        self.resting = Some(clock::now() + LOOK);
+        self.hear_listener(false)
+    }
+
+    fn take(&mut self, client: Client) {
+        let number = client.id.0;
         let set_up = client.line.set_up(Some(clock::duration(self.patience)));
-        let event = EpollEvent::new(EpollFlags::EPOLLIN, number);
-        if set_up.is_err() || self.epoll.add(&*client.line, event).is_err() {
+        if set_up.is_err() || self.epoll.add(&*client.line, EpollEvent::new(reads(), number)).is_err() {
             client.ended(Code::Reset);
             return;
         }
@@ -225,36 +415,77 @@
     /// Guards against connections that say nothing, or no more, and leave no room for those that ask: the longest
     /// mute and then the longest unused makes room for a newcomer, which waits for that, but not for long.
     fn make_room(&mut self) -> io::Result<()> {
-        let Some(newcomer) = &self.newcomer else { return Ok(()) };
         let now = clock::now();
-        if self.taken.len() >= self.most && now <= newcomer.since + ROOM_WAIT {
-            // One that has ended makes room as soon as its end was read.
-            let standing = || self.taken.values().filter(|client| !client.line.is_ended());
-            if standing().count() >= self.most {
-                let unused = standing().filter_map(|client| Some((client.unused_for(now)?, client)));
-                let unused = unused.filter(|(span, _)| *span > NEW);
-                let longest = unused.max_by_key(|(span, client)| (!client.asked, *span));
-                longest.into_iter().for_each(|(_, client)| client.line.end(Code::RoomNeeded));
+        let wanted = self.taken.len() + usize::from(self.newcomer.is_some());
+        if wanted > self.most {
+            let unused = self.taken.values().filter_map(|client| Some((client.unused_for(now)?, client)));
+            let unused = unused.filter(|(span, _)| *span > NEW);
+            let longest = unused.max_by_key(|(span, client)| (!client.asked, *span));
+            if let Some(number) = longest.map(|(_, client)| client.id.0) {
+                self.end_resting(number, Code::RoomNeeded);
             }
+        }
+        let Some(newcomer) = &self.newcomer else { return Ok(()) };
+        let room = self.taken.len() < self.most;
+        if !room && now <= newcomer.since + ROOM_WAIT {
             return Ok(());
         }
-        let Some(Newcomer { stream, from, .. }) = self.newcomer.take() else { return Ok(()) };
-        if self.taken.len() < self.most {
-            self.take(stream, from);
+        let Some(Newcomer { client, .. }) = self.newcomer.take() else { return Ok(()) };
+        if room {
+            self.take(client);
         } else {
-            let number = ClientId(self.next);
-            self.next += 1;
-            Client::new(number, stream, from).ended(Code::TooManyClients);
+            self.refuse(client);
+        }
+        self.hear_listener(true)
+    }
+
+    /// Answers what a newcomer without a place has asked, and ends its connection.
+    fn refuse(&mut self, mut client: Client) {
+        let set_up = client.line.set_up(Some(clock::duration(self.patience)));
+        if set_up.is_ok() && client.turn().is_ok() {
+            for what in std::mem::take(&mut client.untold) {
+                if let FromClient::Visit { id, .. } = what {
+                    let parts = msgpack::turned_back(id, Span::ZERO);
+                    let _ = client.line.write_now(&parts.each_ref().map(|part| &part[..]));
+                }
+            }
+        }
+        let number = client.id.0;
+        client.ended(Code::TooManyClients);
+        let event = EpollEvent::new(EpollFlags::EPOLLIN, number);
+        if !client.line.peer_left() && self.epoll.add(&*client.line, event).is_ok() {
+            self.linger(number, client.line.clone());
         }
-        Ok(self.epoll.modify(&self.listener, &mut EpollEvent::new(EpollFlags::EPOLLIN, LISTENER))?)
     }
 
     fn close(&mut self, number: u64, code: Code) {
         let Some(client) = self.taken.remove(&number) else { return };
-        let _ = self.epoll.delete(&*client.line);
         client.ended(code);
         if client.asked {
-            let _ = self.router.send(Input::Client(client.id, FromClient::Closed));
+            let _ = self.tell.ends.send(Input::Client(client.id, FromClient::Closed));
+        }
+        let event = &mut EpollEvent::new(EpollFlags::EPOLLIN, number);
+        if client.line.peer_left() || client.held && self.epoll.modify(&*client.line, event).is_err() {
+            let _ = self.epoll.delete(&*client.line);
+        } else {
+            self.linger(number, client.line.clone());
+        }
+    }
+
+    fn linger(&mut self, number: u64, line: Arc<Line>) {
+        self.lingering.insert(number, Lingering { line, until: clock::now() + LINGER, bytes: 0 });
+        if self.lingering.len() > LINGER_MOST {
+            self.lingering.pop_first();
+        }
+        self.pass_over(number);
+    }
+
+    fn pass_over(&mut self, number: u64) {
+        let Some(lingering) = self.lingering.get_mut(&number) else { return };
+        let passed = lingering.line.pass_over(&mut [0; PIECE]);
+        lingering.bytes += passed.unwrap_or(0);
+        if passed.is_none() || lingering.bytes > LINGER_BYTES {
+            self.lingering.remove(&number);
         }
     }
 }
@@ -269,11 +500,21 @@
     busy: Gauge,
     asked: bool,
     buffer: BytesMut,
+    /// Messages that were read, and whether reading rests for that.
+    untold: VecDeque<FromClient>,
+    held: bool,
+    /// Requests that may be open, by their numbers.
+    open: BTreeMap<u32, Withdraw>,
     /// The number of the last message.
     last: u32,
     visits: u64,
+    /// What is open was told to end.
+    ending: bool,
 }
 
+/// From so many on, requests that are over are forgotten.
+const OPEN_KEPT: usize = 64;
+
 impl Client {
     fn new(id: ClientId, stream: TcpStream, from: SocketAddr) -> Client {
         Client {
@@ -284,30 +525,47 @@
             busy: Gauge::default(),
             asked: false,
             buffer: BytesMut::new(),
+            untold: VecDeque::new(),
+            held: false,
+            open: BTreeMap::new(),
             last: 0,
             visits: 0,
+            ending: false,
         }
     }
 
+    /// Whether something is open on it, or read and not told.
+    fn is_used(&self) -> bool {
+        self.busy.amount() > 0 || !self.untold.is_empty()
+    }
+
     fn unused_for(&self, now: Time) -> Option<Span> {
-        (self.busy.amount() == 0).then(|| now - self.line.heard())
+        (!self.is_used()).then(|| now - self.line.heard())
     }
 
     /// Why it is to end. Guards against connections that stay mute, break off in a message or are not used.
-    fn fault(&self, now: Time) -> Option<Code> {
+    fn fault(&self, now: Time, leaving: bool) -> Option<Code> {
         let mute = (!self.asked).then(|| now - self.opened);
         let half = self.line.half_for(now);
         let unused = self.unused_for(now).filter(|_| half.is_none());
         let at_most = |span: Option<Span>, most: Span, code| span.filter(|span| *span > most).map(|_| code);
-        at_most(half, HALF, Code::HalfMessage).or(at_most(mute, MUTE, Code::Mute)).or(at_most(
-            unused,
-            IDLE,
-            Code::Idle,
-        ))
+        let rests = leaving && unused.is_some() && mute.is_none_or(|span| span > NEW);
+        at_most(half, HALF[0], Code::HalfMessage)
+            .or(at_most(mute, MUTE, Code::Mute))
+            .or(at_most(unused, IDLE, Code::Idle))
+            .or(rests.then_some(Code::Stopped))
+    }
+
+    /// What is open on it gets its final answer, once it has stood in mid-message for long.
+    fn end_soon(&mut self, now: Time, tell: &Tell) {
+        let long = self.line.half_for(now).is_some_and(|span| span > HALF[1]);
+        if long && !std::mem::replace(&mut self.ending, true) {
+            let _ = tell.ends.send(Input::Client(self.id, FromClient::Ending));
+        }
     }
 
     fn ended(&self, code: Code) {
-        self.line.end(code);
+        self.line.finish(code);
         let (client, code, visits) = (self.id.0, self.line.code().word(), self.visits);
         tracing::info!(
             client,
@@ -318,8 +576,8 @@
         );
     }
 
-    /// Reads one piece of what has come and tells of all whole messages, so that who sends much waits its turn.
-    fn turn(&mut self, router: &Sender<Input>) -> Result<(), Code> {
+    /// Reads one piece of what has come, so that who sends much waits its turn, and takes all whole messages.
+    fn turn(&mut self) -> Result<(), Code> {
         let Some(at) = self.line.read_now(&mut self.buffer, PIECE)? else { return Ok(()) };
         let mut messages = Vec::new();
         while let Some(message) = msgpack::next(&mut self.buffer)? {
@@ -330,9 +588,8 @@
             // Guards against large messages whose room stays with connections that stand.
             self.buffer = BytesMut::new();
         }
-        let tell = |what| router.send(Input::Client(self.id, what)).map_err(|_| Code::Stopped);
-        if !messages.is_empty() && !std::mem::replace(&mut self.asked, true) {
-            tell(FromClient::Opened { line: self.line.clone() })?;
+        if messages.is_empty() || self.line.has_left() {
+            return Ok(());
         }
         // Guards against an answer that could be taken for another message's. What came together with such a
         // message is not taken either.
@@ -344,15 +601,26 @@
                 self.last = *id;
             }
         }
+        if !std::mem::replace(&mut self.asked, true) {
+            self.untold.push_back(FromClient::Opened { line: self.line.clone() });
+        }
         for message in messages {
             match message {
                 Message::Visit(id, asked) => {
                     self.visits += 1;
-                    tell(FromClient::Visit { id, asked, at, busy: self.busy.hold(1) })?;
+                    let (busy, wanted) = (self.busy.hold(1), Wanted::new(self.line.clone()));
+                    if self.open.len() >= OPEN_KEPT {
+                        self.open.retain(|_, withdraw| withdraw.is_open());
+                    }
+                    self.open.insert(id, wanted.withdraw());
+                    self.untold.push_back(FromClient::Visit { id, asked, at, busy, wanted });
+                }
+                Message::Bad(id, field) => self.untold.push_back(FromClient::Bad { id, field }),
+                Message::Status(id) => self.untold.push_back(FromClient::Status { id }),
+                Message::Withdraw(ids) => {
+                    ids.iter().filter_map(|id| self.open.get(id)).for_each(Withdraw::now);
+                    self.untold.push_back(FromClient::Withdrawn { ids });
                 }
-                Message::Bad(id, field) => tell(FromClient::Bad { id, field })?,
-                Message::Status(id) => tell(FromClient::Status { id })?,
-                Message::Withdraw(ids) => tell(FromClient::Withdrawn { ids })?,
                 Message::Unknown => {}
             }
         }
@@ -363,7 +631,7 @@
 fn write_slowly(line: &Line, late: Receiver<Late>, spent: &Spent) {
     while let Some(Late { answer, written, _waiting }) = mailbox::next(&late) {
         if let Err(error) = line.write(&answer.bytes(), written) {
-            line.end(if is_wait(&error) { Code::SlowReader } else { Code::WriteFailed });
+            line.finish(if is_wait(&error) { Code::SlowReader } else { Code::WriteFailed });
             return;
         }
         answer.written(spent);
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -122,25 +122,29 @@
 }
 
 impl ToLine {
-    /// Whether it is still to go out; from then on it can't be called off unwritten.
-    fn begin(&self) -> bool {
-        !matches!(self, ToLine::HandOff(hand_off) if !hand_off.way.begin())
+    /// The hand-off that is not to go out any more.
+    fn stale(&self, now: Time) -> Option<HandOffId> {
+        match self {
+            ToLine::HandOff(hand_off) if !hand_off.begin(now) => Some(hand_off.id),
+            _ => None,
+        }
     }
 
     fn with_parts<T>(&self, write: impl FnOnce(&[&[u8]]) -> T) -> T {
         match self {
-            ToLine::HandOff(hand_off) => {
-                let head = resp::want(&hand_off.txn, &hand_off.fields, hand_off.body.len());
-                write(&[&head, &hand_off.body, resp::END])
-            }
+            ToLine::HandOff(hand_off) => write(&[&hand_off.head(clock::now()), &hand_off.body, resp::END]),
             ToLine::NeverMind(_, message) => write(&[message]),
             ToLine::Probe(number) => write(&[resp::busy(*number).as_bytes()]),
         }
     }
 }
 
-/// A message for the thread of a connection's own, and how much of it is written if it has begun.
-type Late = (ToLine, Option<usize>);
+/// A message for the thread of a connection's own.
+enum Late {
+    Whole(ToLine),
+    /// What is left of one that has begun.
+    Rest(ToLine, Vec<u8>),
+}
 
 struct Out {
     id: HandOffId,
@@ -148,6 +152,10 @@
     wire: Bytes,
     seen: Option<Bytes>,
     copy: bool,
+    /// A miss is filled, from a source that gives what it lacks too.
+    fills: bool,
+    /// An earlier one of the same request was answered on this connection.
+    again: bool,
     until: Time,
     way: Way,
 }
@@ -162,6 +170,8 @@
     out: BTreeMap<Txn, Out>,
     /// Ids given up, and until when a late answer to them may come.
     given_up: BTreeMap<Txn, Time>,
+    /// Ids of requests that were answered here, and may be asked again, until when.
+    answered: BTreeMap<Txn, Time>,
     /// Those of which the host is not told yet.
     untold: Vec<HandOffId>,
     used: Time,
@@ -270,6 +280,7 @@
                 }
             }
             ToHost::GivenUp(line, id, at) => self.given_up(line, id, at),
+            ToHost::Unsent(line, id) => self.unsent(line, id),
             ToHost::Answered(line, answer, held, at) => self.answered(line, answer, held, at),
             ToHost::Closed(line, code, at) => {
                 let Some(pooled) = self.lines.remove(&line) else { return };
@@ -351,9 +362,10 @@
             self.ended(hand_off.id, Outcome::Moot, None, clock::now());
             return;
         };
-        let HandOff { id, copy, until, .. } = hand_off;
+        let HandOff { id, copy, fills, until, .. } = hand_off;
         let (wire, seen, way) = (hand_off.txn.clone(), hand_off.seen.clone(), hand_off.way.clone());
-        pooled.out.insert(txn, Out { id, wire, seen, copy, until, way });
+        let again = pooled.answered.contains_key(&txn);
+        pooled.out.insert(txn, Out { id, wire, seen, copy, fills, again, until, way });
         match line.filter(|_| pooled.line.is_some()) {
             Some(line) => self.say(line, ToLine::HandOff(hand_off)),
             None => pooled.pending.push_back(hand_off),
@@ -366,26 +378,27 @@
         let Some(line) = pooled.line.clone() else { return };
         pooled.sent += u64::from(matches!(message, ToLine::HandOff(_)));
         if let Some(slow) = &pooled.slow {
-            let _ = slow.send((message, None));
+            let _ = slow.send(Late::Whole(message));
             return;
         }
-        if !message.begin() {
+        if let Some(stale) = message.stale(clock::now()) {
+            self.unsent(id, stale);
             return;
         }
-        let mut all = 0;
         let written = message.with_parts(|parts| {
-            all = parts.iter().map(|part| part.len()).sum();
-            line.write_now(parts)
+            let written = line.write_now(parts)?;
+            let whole = written == parts.iter().map(|part| part.len()).sum::<usize>();
+            Ok::<_, std::io::Error>(if whole { Vec::new() } else { parts.concat().split_off(written) })
         });
         match (written, &message) {
-            (Ok(written), ToLine::HandOff(hand_off)) if written == all => hand_off.way.written(),
-            (Ok(written), ToLine::NeverMind(hand_off, _)) if written == all => {
+            (Ok(rest), ToLine::HandOff(hand_off)) if rest.is_empty() => hand_off.way.written(),
+            (Ok(rest), ToLine::NeverMind(hand_off, _)) if rest.is_empty() => {
                 self.given_up(id, *hand_off, clock::now());
             }
-            (Ok(written), ToLine::Probe(_)) if written == all => {}
-            (Ok(written), _) => {
+            (Ok(rest), ToLine::Probe(_)) if rest.is_empty() => {}
+            (Ok(rest), _) => {
                 let (mailbox, messages) = unbounded();
-                let _ = mailbox.send((message, Some(written)));
+                let _ = mailbox.send(Late::Rest(message, rest));
                 pooled.slow = Some(mailbox);
                 let (host, own) = (self.own.clone(), line.clone());
                 if spawn("slow", move || write_slowly(id, &own, &host, messages)).is_err() {
@@ -404,6 +417,16 @@
         }
     }
 
+    /// Its turn came too late, unless it was called off before: it never ran.
+    fn unsent(&mut self, line: LineId, id: HandOffId) {
+        let Some(pooled) = self.lines.get_mut(&line) else { return };
+        let mut off = pooled.out.extract_if(.., |_, out| out.id == id && out.way.call_off());
+        if off.next().is_some() {
+            drop(off);
+            self.ended(id, Outcome::Moot, None, clock::now());
+        }
+    }
+
     fn open(&mut self) -> Option<LineId> {
         let standing = self.lines.values().filter(|pooled| pooled.stands()).count();
         if self.retired || standing >= self.common.room.share() {
@@ -420,6 +443,7 @@
             pending: VecDeque::new(),
             out: BTreeMap::new(),
             given_up: BTreeMap::new(),
+            answered: BTreeMap::new(),
             untold: Vec::new(),
             used: clock::now(),
             worn: None,
@@ -461,12 +485,18 @@
             return;
         }
         let txn = Txn::of(&answer.id);
-        let named = pooled.out.get(&txn).is_some_and(|out| out.wire == answer.id);
+        // Guards against a second copy of the miss before, which would be taken for this one's end while it runs: who
+        // is told where to fill from has no miss of its own to tell.
+        let copied = |out: &Out| out.again && out.fills && answer.outcome == Outcome::Miss;
+        let named = pooled.out.get(&txn).is_some_and(|out| out.wire == answer.id && !copied(out));
         let Some(out) = named.then(|| pooled.out.remove(&txn)).flatten() else {
             // An answer to what was given up, or to nothing: dropped by its id.
             pooled.given_up.remove(&txn);
             return;
         };
+        if answer.outcome != Outcome::Settled {
+            pooled.answered.insert(txn, out.until);
+        }
         // A copy that the client holds can only be the one where the answer names the one that the client told of.
         // Guards also against bytes of which it is not told what they are: neither reaches a client, nor does what
         // comes behind them.
@@ -485,6 +515,7 @@
         let idle = self.common.reach.idle.times(0.8);
         for pooled in self.lines.values_mut() {
             pooled.given_up.retain(|_, until| now < *until + LATE);
+            pooled.answered.retain(|_, until| now < *until);
             let Some(line) = pooled.line.as_ref().filter(|_| !pooled.ending) else { continue };
             // Guards against an answer that stops short or drips: nothing behind it can come through.
             if line.half_for(now).is_some_and(|span| span > self.common.reach.connect_limit) {
@@ -498,11 +529,19 @@
 
 /// Writes the rest of a message and all that come after it, as fast as the host takes them.
 fn write_slowly(id: LineId, line: &Line, host: &Mailbox, messages: Receiver<Late>) {
-    while let Some((message, begun)) = mailbox::next(&messages) {
-        if begun.is_none() && !message.begin() {
-            continue;
-        }
-        if message.with_parts(|parts| line.write(parts, begun.unwrap_or(0))).is_err() {
+    while let Some(late) = mailbox::next(&messages) {
+        let (message, written) = match late {
+            Late::Rest(message, rest) => (message, line.write(&[&rest], 0)),
+            Late::Whole(message) => {
+                if let Some(stale) = message.stale(clock::now()) {
+                    let _ = host.send(ToHost::Unsent(id, stale));
+                    continue;
+                }
+                let written = message.with_parts(|parts| line.write(parts, 0));
+                (message, written)
+            }
+        };
+        if written.is_err() {
             line.end(Code::WriteFailed);
             return;
         }
--- a/crates/dispatcher/src/inbox.rs
+++ b/crates/dispatcher/src/inbox.rs
@@ -5,6 +5,7 @@
 use crate::line::Line;
 use crate::msgpack::Asked;
 use crate::resp::Answer;
+use crate::wanted::Wanted;
 use cherrypass::calls::{Listing, Outcome, Report};
 use cherrypass::time::Time;
 use cherrypass_keep::purges::Purge;
@@ -26,11 +27,28 @@
 
 /// What clients tell the router; a visit with the time of its last byte.
 pub enum FromClient {
-    Opened { line: Arc<Line> },
-    Visit { id: u32, asked: Box<Asked>, at: Time, busy: Held },
-    Bad { id: u32, field: &'static str },
-    Status { id: u32 },
-    Withdrawn { ids: Vec<u32> },
+    Opened {
+        line: Arc<Line>,
+    },
+    Visit {
+        id: u32,
+        asked: Box<Asked>,
+        at: Time,
+        busy: Held,
+        wanted: Wanted,
+    },
+    Bad {
+        id: u32,
+        field: &'static str,
+    },
+    Status {
+        id: u32,
+    },
+    Withdrawn {
+        ids: Vec<u32>,
+    },
+    /// The connection is about to be ended: what is open on it gets its final answer now.
+    Ending,
     Closed,
 }
 
--- a/crates/dispatcher/src/letters.rs
+++ b/crates/dispatcher/src/letters.rs
@@ -3,7 +3,8 @@
 use crate::clock;
 use crate::ids::{HandOffId, HostNo, LineId, ProbeNo};
 use crate::line::{Code, Line};
-use crate::resp::Answer;
+use crate::resp::{self, Answer};
+use crate::wanted::Wanted;
 use bytes::Bytes;
 use cherrypass::time::Time;
 use crossbeam_channel::Sender;
@@ -50,17 +51,37 @@
     pub id: HandOffId,
     /// The client's id of the visit, which names the hand-off on the wire.
     pub txn: Bytes,
+    /// All but how long an answer is waited for, which counts from when it goes out.
     pub fields: String,
     pub body: Bytes,
     /// The tag of the copy that the client holds.
     pub seen: Option<Bytes>,
     /// What answers it is a copy.
     pub copy: bool,
+    /// A miss is filled, from a source that gives what it lacks too.
+    pub fills: bool,
     /// Until when an answer may come.
     pub until: Time,
+    /// It never begins past this.
+    pub latest: Time,
+    pub wanted: Wanted,
     pub way: Way,
 }
 
+impl HandOff {
+    /// Whether its first byte goes out now; from then on it can't be called off unwritten. The one place that says so,
+    /// for first, further, recorded and delayed ones: guards against what goes out though its time passed, or its
+    /// client left, while it waited for a connection, a record or a slow host.
+    pub fn begin(&self, now: Time) -> bool {
+        now < self.latest && self.wanted.look() && self.way.begin()
+    }
+
+    pub fn head(&self, now: Time) -> Bytes {
+        let wait = ((self.until - now).0 / 1000).max(1);
+        resp::want(&self.txn, &format!("{},w={wait}", self.fields), self.body.len())
+    }
+}
+
 pub enum ToHost {
     HandOff(HandOff),
     NeverMind(HandOffId),
@@ -73,6 +94,8 @@
     Retire,
     Up(LineId, Arc<Line>),
     GivenUp(LineId, HandOffId, Time),
+    /// It was not to begin any more when its turn came.
+    Unsent(LineId, HandOffId),
     Answered(LineId, Answer, Held, Time),
     Closed(LineId, Code, Time),
 }
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod signals;
 pub mod spent;
 pub mod store_commands;
+pub mod wanted;
--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -3,11 +3,12 @@
 use crate::config::HOST_MESSAGE;
 use cherrypass::time::{Span, Time};
 use nix::errno::Errno;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use nix::sys::socket::{recv, MsgFlags};
 use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::OnceLock;
 use std::thread::{Builder, JoinHandle};
 use std::time::Duration;
@@ -86,6 +87,8 @@
 pub struct Line {
     stream: TcpStream,
     end: OnceLock<Code>,
+    /// The peer has ended its side.
+    left: AtomicBool,
     /// When something last came, and since when a message is here in part (0: none is).
     heard: AtomicU64,
     half: AtomicU64,
@@ -100,7 +103,7 @@
 impl Line {
     pub fn new(stream: TcpStream) -> Line {
         let heard = AtomicU64::new(clock::now().0);
-        Line { stream, end: OnceLock::new(), heard, half: AtomicU64::new(0) }
+        Line { stream, end: OnceLock::new(), left: AtomicBool::new(false), heard, half: AtomicU64::new(0) }
     }
 
     /// Messages go out at once; with a limit, a write stands still no longer. Reads have none, as each time the
@@ -119,10 +122,44 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// Ends this side alone: what was written still goes out, and the peer sees a whole stream. Guards against a
+    /// reset that takes the last answers with it: who reads has to take in, unused, what still comes, and to close then.
+    pub fn finish(&self, code: Code) {
+        let _ = self.end.set(code);
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    /// Whether this side has ended it.
     pub fn is_ended(&self) -> bool {
         self.end.get().is_some()
     }
 
+    pub fn leave(&self) {
+        self.left.store(true, Relaxed);
+    }
+
+    /// Whether the peer has ended its side, as far as was read.
+    pub fn peer_left(&self) -> bool {
+        self.left.load(Relaxed)
+    }
+
+    /// Whether nobody is there any more.
+    pub fn has_left(&self) -> bool {
+        self.peer_left() || self.is_ended()
+    }
+
+    /// The same as the machine knows it: guards against an end that stands behind bytes which are not read yet.
+    pub fn look_left(&self) -> bool {
+        let gone = || {
+            let mut polled = [PollFd::new(self.as_fd(), PollFlags::from_bits_retain(libc::POLLRDHUP))];
+            matches!(poll(&mut polled, PollTimeout::ZERO), Ok(found) if found > 0)
+        };
+        if !self.has_left() && gone() {
+            self.leave();
+        }
+        self.has_left()
+    }
+
     pub fn code(&self) -> Code {
         *self.end.get_or_init(|| Code::ClosedByPeer)
     }
@@ -152,8 +189,10 @@
         let found = recv(self.stream.as_raw_fd(), &mut into[held..], MsgFlags::MSG_DONTWAIT);
         into.truncate(held + found.unwrap_or(0));
         match found {
-            Ok(0) if held > 0 => Err(Code::CutInMessage),
-            Ok(0) => Err(Code::ClosedByPeer),
+            Ok(0) => {
+                self.leave();
+                Err(if held > 0 { Code::CutInMessage } else { Code::ClosedByPeer })
+            }
             Ok(_) => {
                 let now = clock::now();
                 self.heard.store(now.0, Relaxed);
@@ -161,7 +200,20 @@
                 Ok(Some(now))
             }
             Err(Errno::EAGAIN | Errno::EINTR) => Ok(None),
-            Err(_) => Err(Code::Reset),
+            Err(_) => {
+                self.leave();
+                Err(Code::Reset)
+            }
+        }
+    }
+
+    /// Takes in what has come, and drops it; how much that was, none once the peer has ended its side.
+    pub fn pass_over(&self, piece: &mut [u8]) -> Option<usize> {
+        match recv(self.stream.as_raw_fd(), piece, MsgFlags::MSG_DONTWAIT) {
+            Ok(0) => None,
+            Ok(found) => Some(found),
+            Err(Errno::EAGAIN | Errno::EINTR) => Some(0),
+            Err(_) => None,
         }
     }
 
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -1,7 +1,7 @@
 //! The module's actor, the only owner of the module, of open visits and of hand-offs: turns messages into
 //! calls, pulls decisions, and sends them out. It decides nothing itself.
 use crate::bounds::{Gauge, Held, Room};
-use crate::clients::{Outlet, ToClient, PIECE};
+use crate::clients::{Front, Outlet, Stage, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
 use crate::hosts::Hosts;
@@ -15,6 +15,7 @@
 use crate::resp::Answer;
 use crate::sharing::Sharing;
 use crate::spent::Spent;
+use crate::wanted::Wanted;
 use bytes::Bytes;
 use cherrypass::brain::Brain;
 use cherrypass::calls::*;
@@ -41,7 +42,7 @@
 const TOLD: u32 = 40;
 /// How many messages of clients are taken before others are looked for.
 const AT_ONCE: usize = 16;
-/// For so long after SIGTERM visits may still come.
+/// For so long after SIGTERM requests may still come: 0.6 s by the protocol page, and as much again for the way.
 const STILL_COMING: Span = Span::millis(1_000);
 /// After SIGTERM it may be killed no sooner than the longest hard limit, counted as so much at most, and 0.7 s.
 const KILLED_MOST: Span = Span::millis(3_000);
@@ -74,6 +75,7 @@
     read: Time,
     hand_offs: u8,
     busy: Held,
+    wanted: Wanted,
 }
 
 impl Open {
@@ -88,6 +90,7 @@
     sent: Time,
     read: Time,
     way: Way,
+    fill: Option<Fill>,
     /// As what it ends once its host is told that no answer is wanted any more.
     stopping: Option<Outcome>,
     /// What goes out once its record is on disk.
@@ -123,6 +126,8 @@
     next: u32,
     /// When SIGTERM came.
     stopping: Option<Time>,
+    /// What the thread of clients is told of the end, and tells.
+    front: Arc<Front>,
     pub spent: Arc<Spent>,
     sweeps: u32,
     done: bool,
@@ -143,6 +148,7 @@
         config: Config,
         own: Sender<Input>,
         mailboxes: [Receiver<Input>; 2],
+        front: Arc<Front>,
     ) -> std::io::Result<Router> {
         let now = clock::now();
         let room = Room::new(config.reach.connections, config.held);
@@ -167,6 +173,7 @@
             last_probe: 0,
             next: 0,
             stopping: None,
+            front,
             spent: Arc::default(),
             sweeps: 0,
             done: false,
@@ -193,6 +200,16 @@
             keeper.purged(now, purge);
         }
         self.brain.purged(now, purge.group, purge.object, now - purge.at);
+        let visits = &self.visits;
+        let asks = |id: &HandOffId| {
+            let asked = visits.get(&id.0).map(|open| &open.asked);
+            asked.is_some_and(|asked| match purge.object {
+                Some(object) => asked.object == object,
+                None => asked.group == purge.group,
+            })
+        };
+        let stale = self.hand_offs.iter().filter(|(id, out)| out.fill.is_some() && asks(id));
+        self.decide_anew(stale.map(|(id, _)| *id).collect());
     }
 
     /// Runs until the process is to end.
@@ -274,7 +291,8 @@
                 if self.stopping.is_none() {
                     tracing::info!(visits = self.visits.len(), "stopping: {} visits open", self.visits.len());
                     self.stopping = Some(now);
-                    self.due.put(now + STILL_COMING, Due::Leave);
+                    self.front.go_to(Stage::Stopping);
+                    self.due.put((now + STILL_COMING).min(self.last_answers(now)), Due::Leave);
                 }
             }
         }
@@ -282,12 +300,18 @@
 
     fn heard(&mut self, client: ClientId, what: FromClient) {
         match what {
+            // Its end is told past the messages before it.
+            FromClient::Opened { line } if line.is_ended() => {}
             FromClient::Opened { line } => {
                 let outlet = Outlet::new(line);
                 let (open, unread) = Default::default();
                 self.clients.insert(client, Client { outlet, open, unread });
             }
-            FromClient::Visit { id, asked, at, busy } => self.arrived(client, id, *asked, at, busy),
+            FromClient::Visit { id, asked, at, busy, wanted } => {
+                if wanted.is() {
+                    self.arrived(client, id, *asked, at, (busy, wanted));
+                }
+            }
             FromClient::Bad { id, field } => self.answer(client, msgpack::bad(id, field), None, None),
             FromClient::Status { id } => {
                 let parts = msgpack::status(id, !self.hosts.is_empty());
@@ -298,6 +322,10 @@
                 let gone: Vec<VisitId> = ids.iter().filter_map(|id| known.open.remove(id)).collect();
                 gone.into_iter().for_each(|visit| self.left(visit));
             }
+            FromClient::Ending => {
+                let open = self.clients.get(&client).into_iter().flat_map(|known| known.open.values());
+                open.copied().collect::<Vec<_>>().into_iter().for_each(|visit| self.brain.give_up(visit));
+            }
             FromClient::Closed => {
                 let Some(known) = self.clients.remove(&client) else { return };
                 known.open.into_values().for_each(|visit| self.left(visit));
@@ -320,7 +348,7 @@
         Some(open)
     }
 
-    fn arrived(&mut self, client: ClientId, id: u32, asked: Asked, at: Time, busy: Held) {
+    fn arrived(&mut self, client: ClientId, id: u32, asked: Asked, at: Time, (busy, wanted): (Held, Wanted)) {
         let Some(known) = self.clients.get_mut(&client) else { return };
         let names = &self.config.names.bands;
         let band = names.iter().position(|name| name.as_bytes() == &asked.band[..]);
@@ -334,7 +362,7 @@
             _ => None,
         };
         if let Some(code) = breach {
-            known.outlet.line.end(code);
+            known.outlet.line.finish(code);
             return;
         }
         let fault = match found {
@@ -373,8 +401,17 @@
             kilobytes: None,
             hard_limit: at + asked.limit,
         };
-        let open =
-            Open { client, id, band: BandId(band as u8), asked, came: at, read: at, hand_offs: 0, busy };
+        let open = Open {
+            client,
+            id,
+            band: BandId(band as u8),
+            asked,
+            came: at,
+            read: at,
+            hand_offs: 0,
+            busy,
+            wanted,
+        };
         let before = self.keeper.as_ref().and_then(|keeper| keeper.visits.arrived(at, open.name()));
         self.visits.insert(visit, open);
         self.spent.open_most.fetch_max(self.visits.len(), Relaxed);
@@ -396,11 +433,11 @@
         known.outlet.send(answer, &self.spent);
         // Guards against clients that don't read: past the bounds the one that owes most pays for it alone.
         if known.outlet.waiting() > UNREAD_MOST {
-            known.outlet.line.end(Code::SlowReader);
+            known.outlet.line.finish(Code::SlowReader);
         }
         if all > self.config.unread {
             if let Some(worst) = self.clients.values().max_by_key(|client| client.unread.amount()) {
-                worst.outlet.line.end(Code::SlowReader);
+                worst.outlet.line.finish(Code::SlowReader);
             }
         }
     }
@@ -460,8 +497,8 @@
         let now = clock::now();
         while let Some(decision) = self.brain.next(now) {
             match decision {
-                Decision::HandOff { visit, host, until, fill } => {
-                    self.hand_off(now, visit, host, until, fill)
+                Decision::HandOff { visit, host, until, latest, fill } => {
+                    self.hand_off(now, visit, host, [until, latest], fill)
                 }
                 Decision::Cancel { visit, number } => self.stop(HandOffId(visit, number), Outcome::Cancelled),
                 Decision::TurnBack { visit, come_back } => {
@@ -495,22 +532,37 @@
         }
     }
 
-    fn hand_off(&mut self, now: Time, visit: VisitId, host: HostId, until: Time, fill: Option<Fill>) {
+    fn hand_off(
+        &mut self,
+        now: Time,
+        visit: VisitId,
+        host: HostId,
+        [until, latest]: [Time; 2],
+        fill: Option<Fill>,
+    ) {
         let Some(open) = self.visits.get_mut(&visit) else { return };
         self.sharing.iter_mut().for_each(Sharing::handed_off);
         let id = HandOffId(visit, HandOffNo(open.hand_offs));
         open.hand_offs = open.hand_offs.saturating_add(1);
+        if !open.wanted.is() {
+            self.close(visit, false);
+            self.brain.ended(now, Ended { last: true, ..never_sent(id, Outcome::Moot) });
+            return;
+        }
         let read = std::mem::replace(&mut open.read, now);
         let asked = &open.asked;
         let source = fill.filter(|fill| fill.source != host).and_then(|fill| self.hosts.get(&fill.source));
         let hand_off = HandOff {
             id,
             txn: asked.txn.clone(),
-            fields: fields(asked, until - now, fill, source.map(|known| &known.name[..])),
+            fields: fields(asked, fill, source.map(|known| &known.name[..])),
             body: asked.body.clone(),
             seen: asked.cached.clone(),
             copy: fill.is_some(),
+            fills: source.is_some() && fill.is_some_and(|fill| !fill.held),
             until,
+            latest,
+            wanted: open.wanted.clone(),
             way: Way::default(),
         };
         let way = hand_off.way.clone();
@@ -537,7 +589,7 @@
             }
         }
         let waits = record.is_some();
-        self.hand_offs.insert(id, Out { mailbox, sent: now, read, way, stopping: None, waits: record });
+        self.hand_offs.insert(id, Out { mailbox, sent: now, read, way, fill, stopping: None, waits: record });
         self.due.put(until, Due::Until(id));
         if !waits {
             self.send(id, hand_off, now);
@@ -582,6 +634,13 @@
                 }
                 hosts.into_iter().for_each(|host| self.listed(host));
                 self.brain.listed(now, &entries, whole);
+                let leaves = |host: HostId| match entries.iter().find(|entry| entry.host == host) {
+                    Some(entry) => entry.phase != Phase::Ready,
+                    None => whole,
+                };
+                let fills = |out: &Out| out.fill.is_some_and(|fill| leaves(fill.source));
+                let stale = self.hand_offs.iter().filter(|(_, out)| fills(out));
+                self.decide_anew(stale.map(|(id, _)| *id).collect());
                 if let Some(sharing) = &mut self.sharing {
                     entries.iter().for_each(|entry| sharing.listed(&mut self.brain, entry));
                 }
@@ -590,6 +649,16 @@
         }
     }
 
+    /// Of these hand-offs what has not begun to go out never does, and is nobody's fault: guards against one that goes
+    /// out as it was decided before what was told since, of a purge or of its source.
+    fn decide_anew(&mut self, stale: Vec<HandOffId>) {
+        for id in stale {
+            let Some(out) = self.hand_offs.get(&id).filter(|out| out.way.call_off()) else { continue };
+            let _ = out.mailbox.send(ToHost::NeverMind(id));
+            self.ended(id, Outcome::Moot, None, clock::now());
+        }
+    }
+
     /// Nothing is kept for a host that has gone; its actor ends by itself once nothing is out there.
     fn retire(&mut self, id: HostId) {
         if let Some(known) = self.hosts.remove(&id) {
@@ -643,17 +712,23 @@
         );
     }
 
-    /// Ends the process once all is answered and written; until then it serves on what comes. Guards against
-    /// an end from outside: what would still be open then is given up in time to be told.
+    /// By then what is still open after SIGTERM is given up.
+    fn last_answers(&self, now: Time) -> Time {
+        self.stopping.unwrap_or(now) + self.config.longest().min(KILLED_MOST) + LAST_ANSWERS
+    }
+
+    /// Has each connection ended once nothing is owed on it, and the process once none is left; until then it serves
+    /// on what comes. Guards against an end from outside: what would still be open then is given up in time to be told.
     fn leave(&mut self, now: Time) {
+        self.front.go_to(Stage::Leaving);
         let unread: usize = self.clients.values().map(|client| client.outlet.waiting()).sum();
-        let last = self.stopping.unwrap_or(now) + self.config.longest().min(KILLED_MOST) + LAST_ANSWERS;
+        let last = self.last_answers(now);
         if now > last {
             let open: Vec<VisitId> = self.visits.keys().copied().collect();
             open.into_iter().for_each(|visit| self.brain.give_up(visit));
             self.pull();
         }
-        if self.visits.is_empty() && unread == 0 || now > last + LAST_WRITES {
+        if self.visits.is_empty() && unread == 0 && self.front.is_empty() || now > last + LAST_WRITES {
             self.tell_spent();
             tracing::info!("stopped: {} visits open, {unread} answers unread", self.visits.len());
             self.done = true;
@@ -669,11 +744,10 @@
 }
 
 /// The fields of a hand-off; the module's times become milliseconds, rounded so that no older copy will do.
-fn fields(asked: &Asked, wait: Span, fill: Option<Fill>, source: Option<&str>) -> String {
+fn fields(asked: &Asked, fill: Option<Fill>, source: Option<&str>) -> String {
     let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
     let mut fields = String::with_capacity(160);
-    let wait = (wait.0 / 1000).max(1);
-    let _ = write!(fields, "c={},k={},p={},w={wait}", text(&asked.band), text(&asked.item), asked.block);
+    let _ = write!(fields, "c={},k={},p={}", text(&asked.band), text(&asked.item), asked.block);
     if let Some(unique) = &asked.unique {
         let _ = write!(fields, ",i={}", text(unique));
     }
@@ -700,166 +774,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::changes::host_id;
-    use crate::ids::HostNo;
-    use crate::keeping::Kept;
-    use crate::letters::Letter;
-    use crate::line::Line;
-    use cherrypass_operator as operator;
-    use cherrypass_store::engine::{Batch, Options};
-    use cherrypass_store::simulated::{Call, Disk, Fate, Image};
-    use cherrypass_store::store::Store;
-    use crossbeam_channel::unbounded;
-    use std::net::{TcpListener, TcpStream};
-    use std::time::Duration;
-    use test_case::test_case;
-
-    const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"1","changelog":"127.0.0.1:1",
-        "limits":{"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"me":0,"zone":0,"zones":["edge"],
-        "services":[{"name":"video","aim":500000,"deadline":6000000,"effect":"idempotent"},
-         {"name":"once","aim":500000,"deadline":6000000,"effect":"at_most_once"}],
-        "models":["small"],
-        "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
-        "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
-
-    fn known(letters: &Sender<Letter>) -> Known {
-        let mailbox = Mailbox { number: HostNo(0), letters: letters.clone() };
-        Known { name: String::new(), address: "127.0.0.1:1".parse().unwrap(), since: None, mailbox }
-    }
-
-    #[test_case(true; "one that is on its way")]
-    #[test_case(false; "one that is not")]
-    fn no_next_hand_off_before_the_host_is_told(begun: bool) {
-        let (own, mailbox) = unbounded();
-        let mut router =
-            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]).unwrap();
-        let hosts = ["a", "b"].map(|name| (host_id(name), unbounded()));
-        let entry = |host, phase| Listing {
-            host,
-            location: LocationId(0),
-            kind: KindId(1),
-            cell: CellId(0),
-            weight: 9.0,
-            since: None,
-            phase,
-        };
-        let entries: Vec<Listing> = hosts.iter().map(|(id, _)| entry(*id, Phase::Ready)).collect();
-        router.brain.listed(clock::now(), &entries, true);
-        for (id, (letters, _)) in &hosts {
-            router.hosts.insert(*id, known(letters));
-        }
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-        let client = ClientId(0);
-        router.take(Input::Client(client, FromClient::Opened { line: line.into() }));
-        let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
-            \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
-        let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else {
-            panic!()
-        };
-        let busy = Gauge::default().hold(1);
-        router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now(), busy }));
-        router.pull();
-        let sent = |(_, (_, sent)): &(HostId, (_, Receiver<Letter>))| match sent.try_recv() {
-            Ok(Letter::For(_, ToHost::HandOff(hand_off))) => Some(hand_off.way),
-            _ => None,
-        };
-        let found = hosts.iter().enumerate().find_map(|(place, host)| Some((place, sent(host)?)));
-        let (first, way) = found.unwrap();
-        let other = &hosts[1 - first];
-        assert!(!begun || way.begin());
-        router.brain.listed(clock::now(), &[entry(hosts[first].0, Phase::Gone)], false);
-        router.pull();
-        let Ok(Letter::For(_, ToHost::NeverMind(id))) = hosts[first].1 .1.try_recv() else {
-            panic!("not called off")
-        };
-        if begun {
-            assert!(sent(other).is_none(), "a second copy");
-            router.take(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
-            router.pull();
-        }
-        assert!(sent(other).is_some());
-        assert!(!way.begin(), "written after it was called off");
-    }
-
-    /// On a disk that takes 2 s for a sync.
-    #[test_case(operator::HandOffs::Synced, false; "a stalled store holds up hand-offs, never answers")]
-    #[test_case(operator::HandOffs::Written, true; "what is written alone doesn't wait for the sync")]
-    fn each_visit_has_its_answer_in_time(hand_offs: operator::HandOffs, goes: bool) {
-        let stalls = Arc::new(std::sync::atomic::AtomicBool::new(false));
-        let own = stalls.clone();
-        let watch = move |_: &Image, call: Call| {
-            if matches!(call, Call::Sync { .. }) && own.load(Relaxed) {
-                std::thread::sleep(Duration::from_millis(2_000));
-            }
-            Fate::Well
-        };
-        let disk = Disk::new(Image::default(), Some(Box::new(watch)));
-        let store = Store::on(Arc::new(disk), Options::default(), Arc::new(clock::now), None).unwrap();
-        // The first batch begins a segment, which takes a sync of its own.
-        store.write(Batch::new().put("s", "k", "v")).unwrap();
-        stalls.store(true, Relaxed);
-        let set = operator::Store { hand_offs, ..operator::Store::in_folder("none".into()) };
-        let (own, mailbox) = unbounded();
-        let config = Config::decode(SETTINGS.as_bytes()).unwrap();
-        let settings = config.settings.clone();
-        let mut router = Router::new(config, own.clone(), [mailbox, unbounded().1]).unwrap();
-        router.keep(Keeper::start(Kept::with(Some(Arc::new(store)), set), &settings, own));
-        let (id, host) = (host_id("a"), unbounded());
-        router.hosts.insert(id, known(&host.0));
-        let listing = Listing {
-            host: id,
-            location: LocationId(0),
-            kind: KindId(0),
-            cell: CellId(0),
-            weight: 9.0,
-            since: None,
-            phase: Phase::Ready,
-        };
-        router.brain.listed(clock::now(), &[listing], true);
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-        router.take(Input::Client(ClientId(0), FromClient::Opened { line: line.into() }));
-        let fields: &[u8] = b"\x94\x00\x01\xa4once\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa3500\
-            \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
-        let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else {
-            panic!()
-        };
-        let begun = clock::now();
-        let busy = Gauge::default().hold(1);
-        router.take(Input::Client(ClientId(0), FromClient::Visit { id, asked, at: begun, busy }));
-        let mut went = false;
-        while !router.visits.is_empty() && clock::now() < begun + Span::millis(1_500) {
-            router.pull();
-            while let Some(input) = mailbox::next_within(&router.mailboxes, Duration::from_millis(2)) {
-                router.take(input);
-            }
-            router.fire();
-            let sent = host.1.try_recv();
-            went |= matches!(sent, Ok(Letter::For(_, ToHost::HandOff(sent))) if sent.way.begin());
-        }
-        assert!(router.visits.is_empty() && clock::now() - begun < Span::millis(600));
-        assert_eq!(went, goes);
-    }
-
-    #[test]
-    fn nothing_is_kept_for_a_host_that_has_gone() {
-        let (own, mailbox) = unbounded();
-        let mut router =
-            Router::new(Config::decode(SETTINGS.as_bytes()).unwrap(), own, [mailbox, unbounded().1]).unwrap();
-        for (seq, state) in ["in_service", "terminating", "terminated"].iter().enumerate() {
-            let entry = format!(
-                r#"{{"id":"s-a","addr":"127.0.0.1:1","zone":"edge","kind":"small","state":"{state}"}}"#
-            );
-            let text = format!(r#"{{"results":[{{"seq":{},"fleet":{{"servers":[{entry}]}}}}]}}"#, seq + 1);
-            let answer = serde_json::from_str(&text).unwrap();
-            let (changes, fault) =
-                crate::changes::decode(&answer, &router.config.names, &mut (seq as u64), None);
-            assert!(fault.is_none());
-            changes.into_iter().for_each(|change| router.changed(change));
-            assert_eq!(router.hosts.len(), usize::from(*state != "terminated"), "{state}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/dispatcher/src/router/tests.rs
@@ -0,0 +1,168 @@
+//! The router by plain calls: what no stand-in on a socket could force.
+use super::*;
+use crate::changes::host_id;
+use crate::ids::HostNo;
+use crate::keeping::Kept;
+use crate::letters::Letter;
+use crate::line::Line;
+use cherrypass_operator as operator;
+use cherrypass_store::engine::{Batch, Options};
+use cherrypass_store::simulated::{Call, Disk, Fate, Image};
+use cherrypass_store::store::Store;
+use crossbeam_channel::unbounded;
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+use test_case::test_case;
+
+const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"1","changelog":"127.0.0.1:1",
+    "limits":{"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"me":0,"zone":0,"zones":["edge"],
+    "services":[{"name":"video","aim":500000,"deadline":6000000,"effect":"idempotent"},
+     {"name":"once","aim":500000,"deadline":6000000,"effect":"at_most_once"}],
+    "models":["small"],
+    "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
+    "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
+
+fn known(letters: &Sender<Letter>) -> Known {
+    let mailbox = Mailbox { number: HostNo(0), letters: letters.clone() };
+    Known { name: String::new(), address: "127.0.0.1:1".parse().unwrap(), since: None, mailbox }
+}
+
+#[test_case(true; "one that is on its way")]
+#[test_case(false; "one that is not")]
+fn no_next_hand_off_before_the_host_is_told(begun: bool) {
+    let (own, mailbox) = unbounded();
+    let mut router = Router::new(
+        Config::decode(SETTINGS.as_bytes()).unwrap(),
+        own,
+        [mailbox, unbounded().1],
+        Arc::default(),
+    )
+    .unwrap();
+    let hosts = ["a", "b"].map(|name| (host_id(name), unbounded()));
+    let entry = |host, phase| Listing {
+        host,
+        location: LocationId(0),
+        kind: KindId(1),
+        cell: CellId(0),
+        weight: 9.0,
+        since: None,
+        phase,
+    };
+    let entries: Vec<Listing> = hosts.iter().map(|(id, _)| entry(*id, Phase::Ready)).collect();
+    router.brain.listed(clock::now(), &entries, true);
+    for (id, (letters, _)) in &hosts {
+        router.hosts.insert(*id, known(letters));
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+    let client = ClientId(0);
+    let line = Arc::new(line);
+    router.take(Input::Client(client, FromClient::Opened { line: line.clone() }));
+    let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
+        \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
+    let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else { panic!() };
+    let (busy, wanted) = (Gauge::default().hold(1), Wanted::new(line));
+    router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now(), busy, wanted }));
+    router.pull();
+    let sent = |(_, (_, sent)): &(HostId, (_, Receiver<Letter>))| match sent.try_recv() {
+        Ok(Letter::For(_, ToHost::HandOff(hand_off))) => Some(hand_off.way),
+        _ => None,
+    };
+    let found = hosts.iter().enumerate().find_map(|(place, host)| Some((place, sent(host)?)));
+    let (first, way) = found.unwrap();
+    let other = &hosts[1 - first];
+    assert!(!begun || way.begin());
+    router.brain.listed(clock::now(), &[entry(hosts[first].0, Phase::Gone)], false);
+    router.pull();
+    let Ok(Letter::For(_, ToHost::NeverMind(id))) = hosts[first].1 .1.try_recv() else {
+        panic!("not called off")
+    };
+    if begun {
+        assert!(sent(other).is_none(), "a second copy");
+        router.take(Input::HandOff(id, FromHost::GivenUp { at: clock::now() }));
+        router.pull();
+    }
+    assert!(sent(other).is_some());
+    assert!(!way.begin(), "written after it was called off");
+}
+
+/// On a disk that takes 2 s for a sync.
+#[test_case(operator::HandOffs::Synced, false; "a stalled store holds up hand-offs, never answers")]
+#[test_case(operator::HandOffs::Written, true; "what is written alone doesn't wait for the sync")]
+fn each_visit_has_its_answer_in_time(hand_offs: operator::HandOffs, goes: bool) {
+    let stalls = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let own = stalls.clone();
+    let watch = move |_: &Image, call: Call| {
+        if matches!(call, Call::Sync { .. }) && own.load(Relaxed) {
+            std::thread::sleep(Duration::from_millis(2_000));
+        }
+        Fate::Well
+    };
+    let disk = Disk::new(Image::default(), Some(Box::new(watch)));
+    let store = Store::on(Arc::new(disk), Options::default(), Arc::new(clock::now), None).unwrap();
+    // The first batch begins a segment, which takes a sync of its own.
+    store.write(Batch::new().put("s", "k", "v")).unwrap();
+    stalls.store(true, Relaxed);
+    let set = operator::Store { hand_offs, ..operator::Store::in_folder("none".into()) };
+    let (own, mailbox) = unbounded();
+    let config = Config::decode(SETTINGS.as_bytes()).unwrap();
+    let settings = config.settings.clone();
+    let mut router = Router::new(config, own.clone(), [mailbox, unbounded().1], Arc::default()).unwrap();
+    router.keep(Keeper::start(Kept::with(Some(Arc::new(store)), set), &settings, own));
+    let (id, host) = (host_id("a"), unbounded());
+    router.hosts.insert(id, known(&host.0));
+    let listing = Listing {
+        host: id,
+        location: LocationId(0),
+        kind: KindId(0),
+        cell: CellId(0),
+        weight: 9.0,
+        since: None,
+        phase: Phase::Ready,
+    };
+    router.brain.listed(clock::now(), &[listing], true);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+    let line = Arc::new(line);
+    router.take(Input::Client(ClientId(0), FromClient::Opened { line: line.clone() }));
+    let fields: &[u8] = b"\x94\x00\x01\xa4once\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa3500\
+        \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
+    let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else { panic!() };
+    let begun = clock::now();
+    let (busy, wanted) = (Gauge::default().hold(1), Wanted::new(line));
+    router.take(Input::Client(ClientId(0), FromClient::Visit { id, asked, at: begun, busy, wanted }));
+    let mut went = false;
+    while !router.visits.is_empty() && clock::now() < begun + Span::millis(1_500) {
+        router.pull();
+        while let Some(input) = mailbox::next_within(&router.mailboxes, Duration::from_millis(2)) {
+            router.take(input);
+        }
+        router.fire();
+        let sent = host.1.try_recv();
+        went |= matches!(sent, Ok(Letter::For(_, ToHost::HandOff(sent))) if sent.way.begin());
+    }
+    assert!(router.visits.is_empty() && clock::now() - begun < Span::millis(600));
+    assert_eq!(went, goes);
+}
+
+#[test]
+fn nothing_is_kept_for_a_host_that_has_gone() {
+    let (own, mailbox) = unbounded();
+    let mut router = Router::new(
+        Config::decode(SETTINGS.as_bytes()).unwrap(),
+        own,
+        [mailbox, unbounded().1],
+        Arc::default(),
+    )
+    .unwrap();
+    for (seq, state) in ["in_service", "terminating", "terminated"].iter().enumerate() {
+        let entry =
+            format!(r#"{{"id":"s-a","addr":"127.0.0.1:1","zone":"edge","kind":"small","state":"{state}"}}"#);
+        let text = format!(r#"{{"results":[{{"seq":{},"fleet":{{"servers":[{entry}]}}}}]}}"#, seq + 1);
+        let answer = serde_json::from_str(&text).unwrap();
+        let (changes, fault) = crate::changes::decode(&answer, &router.config.names, &mut (seq as u64), None);
+        assert!(fault.is_none());
+        changes.into_iter().for_each(|change| router.changed(change));
+        assert_eq!(router.hosts.len(), usize::from(*state != "terminated"), "{state}");
+    }
+}
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -1,17 +1,19 @@
 //! Starts all actors of one dispatcher.
+use crate::changes;
+use crate::clients::{self, Front, Tell};
 use crate::config::Config;
 use crate::keeping::{Keeper, Kept};
 use crate::line::spawn;
 use crate::router::Router;
 use crate::sharing::Sharing;
 use crate::signals::Signalled;
-use crate::{changes, clients};
 use cherrypass::time::Span;
 use cherrypass_operator::Fleet;
 use cherrypass_peers as peers;
 use crossbeam_channel::{bounded, unbounded};
 use std::io;
 use std::net::TcpListener;
+use std::sync::Arc;
 
 /// A dispatcher that listens; `run` serves until it is told to stop.
 pub struct Dispatcher {
@@ -41,7 +43,8 @@
             tracing::warn!("known changes: {fault}; taken up to change {last}");
         }
         tracing::info!("start: {} on {}, change {last}", config.name, listener.local_addr()?);
-        let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients])?;
+        let front = Arc::new(Front::default());
+        let mut router = Router::new(config.clone(), own.clone(), [mailbox, clients], front.clone())?;
         let store = kept.as_ref().and_then(Kept::store);
         if let Some(kept) = kept {
             router.keep(Keeper::start(kept, &config.settings, own.clone()));
@@ -52,9 +55,10 @@
         }
         known.into_iter().for_each(|change| router.changed(change));
         let changes_own = own.clone();
+        let tell = Tell { requests: clients_own, ends: own.clone() };
         let patience = config.longest().max(PATIENCE_LEAST);
         spawn("listener", move || {
-            if let Err(error) = clients::listen(listener, config.clients, patience, clients_own) {
+            if let Err(error) = clients::listen(listener, config.clients, patience, tell, front) {
                 tracing::error!("no clients are taken: {error}");
             }
         })?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -205,9 +205,9 @@
     fn decide(&mut self, now: Time, id: VisitId) {
         let Some(open) = self.visits.get(&id).filter(|open| open.out == 0) else { return };
         let (visit, again) = (open.visit, open.hand_offs > 0 && !open.looked);
-        let late = now + ANSWER_MARGIN >= visit.hard_limit;
+        let late = now >= self.may_go_until(open);
         let used_up = open.hand_offs >= self.set.max_hand_offs || (again && !self.may_repeat(now));
-        if late || used_up || !self.may_go_again(now, id) {
+        if late || used_up {
             return self.give_up(id);
         }
         let writes = self.band(visit.band).is_some_and(|band| band.writes);
@@ -219,14 +219,14 @@
         }
     }
 
-    /// The one place that says whether a visit may be handed off again after what is known of its effects.
-    fn may_go_again(&self, now: Time, id: VisitId) -> bool {
-        let Some(open) = self.visits.get(&id) else { return false };
-        let Some((first, _)) = open.may_have_run else { return true };
+    /// The one place that says until when a visit may be handed off (again), by what is known of its effects.
+    fn may_go_until(&self, open: &Open) -> Time {
+        let last = open.visit.hard_limit - ANSWER_MARGIN;
+        let Some((first, _)) = open.may_have_run else { return last };
         match self.band(open.visit.band).map(|band| band.effect) {
-            Some(Idempotent) => true,
-            Some(Deduplicated { memory, .. }) => now + ANSWER_MARGIN < first + memory,
-            _ => false,
+            Some(Idempotent) => last,
+            Some(Deduplicated { memory, .. }) => last.min(first + memory - ANSWER_MARGIN),
+            _ => Time::default(),
         }
     }
 
@@ -369,8 +369,9 @@
     }
 
     fn hand_off(&mut self, now: Time, id: VisitId, host: HostId, fill: Option<Fill>) {
-        let Some(visit) = self.visits.get(&id).map(|open| open.visit) else { return };
-        let copy = (visit.object, visit.part, host);
+        let Some(open) = self.visits.get(&id) else { return };
+        let (visit, latest) = (open.visit, self.may_go_until(open));
+        let (copy, until) = ((visit.object, visit.part, host), visit.hard_limit - ANSWER_MARGIN);
         let known = self.knows(now, &visit, host);
         let start = MISSES_START[usize::from(known)];
         let misses = self.hosts.get(&host).map_or(start, |h| h.misses[usize::from(known)].or(start));
@@ -401,8 +402,7 @@
             Sent { at: now, tried, host, source, band, copy, known, leads, fill_share, origin_share, held };
         self.count(&sent, 1);
         self.sent.insert((id, number), sent);
-        let until = visit.hard_limit - ANSWER_MARGIN;
-        self.ready.push_back(Decision::HandOff { visit: id, host, until, fill });
+        self.ready.push_back(Decision::HandOff { visit: id, host, until, latest, fill });
     }
 
     /// The oldest copy that will do. After a purge it is the time since, never zero (the default), until no
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -159,6 +159,8 @@
         visit: VisitId,
         host: HostId,
         until: Time,
+        /// It never begins past this, wherever it waits: by then its effects may not be told apart any more.
+        latest: Time,
         fill: Option<Fill>,
     },
     Cancel {
