A write's answer through a cache is whole without a copy's tag

A write that goes through a cache names the origin as its source, so router.rs took its answer for a copy (copy: fill.is_some()), and hosts.rs ended the connection for a DONE without a tag. No test saw it since the stand-in adds a tag to each DONE.

--- a/crates/dispatcher/src/letters.rs
+++ b/crates/dispatcher/src/letters.rs
@@ -56,7 +56,7 @@
     pub body: Bytes,
     /// The tag of the copy that the client holds.
     pub seen: Option<Bytes>,
-    /// What answers it is a copy.
+    /// What answers it is a copy; a write's answer is none, also where it goes through a cache.
     pub copy: bool,
     /// A miss is filled, from a source that gives what it lacks too.
     pub fills: bool,
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -551,6 +551,7 @@
         }
         let read = std::mem::replace(&mut open.read, now);
         let asked = &open.asked;
+        let writes = self.config.settings.bands.get(usize::from(open.band.0)).is_some_and(|band| band.writes);
         let source = fill.filter(|fill| fill.source != host).and_then(|fill| self.hosts.get(&fill.source));
         let hand_off = HandOff {
             id,
@@ -558,7 +559,7 @@
             fields: fields(asked, fill, source.map(|known| &known.name[..])),
             body: asked.body.clone(),
             seen: asked.cached.clone(),
-            copy: fill.is_some(),
+            copy: fill.is_some() && !writes,
             fills: source.is_some() && fill.is_some_and(|fill| !fill.held),
             until,
             latest,
