--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -6,7 +6,8 @@
 //! `each CLIENT FROM TO` (visits of as many objects one after another, each settled),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
-//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind|busy]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
+//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind|busy]`, `answer HOST WORD [FIELDS|bare] [bytes=N] [id=ID]`
+//! (bare: no fields at all, as what runs a write answers it),
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
 //! `shape` (the settings of the other shape of deployment), `came HOST` (something did by now),
@@ -551,7 +552,8 @@
         let name = if name == "it" { self.it.clone() } else { name.to_owned() };
         let last = self.hosts[&name].last.as_ref().expect("nothing was taken");
         let (mut id, mut fields, mut bytes) = (last.words[1].clone(), "-".to_owned(), 0);
-        for word in more {
+        let bare = more.contains(&"bare");
+        for word in more.iter().filter(|word| **word != "bare") {
             if let Some(size) = word.strip_prefix("bytes=") {
                 bytes = size.parse().unwrap();
             } else if let Some(other) = word.strip_prefix("id=") {
@@ -560,7 +562,7 @@
                 fields = (*word).into();
             }
         }
-        if matches!(word, "DONE" | "KEEP") && !fields.contains("ver") {
+        if matches!(word, "DONE" | "KEEP") && !bare && !fields.contains("ver") {
             fields = format!(
                 "ver=4be0c192,born=1764576000123{}",
                 if fields == "-" { "".into() } else { format!(",{fields}") }
