--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -14,20 +14,39 @@
 //! `store [SETTING …]` (what must last is kept in a folder of the test's own), `forget` (the change log knows the list alone),
 //! `spoil` (a byte of the store's first segment changes), `config TEXT` (so it reads at the next start),
 //! `move` (the change log goes on at another address, the old one is mute; SIGHUP), `reload TEXT` (so it reads then; SIGHUP),
-//! `exit CODE`, `log WORDS`, `wait MS`, `holds N M` (no more threads and open files than that, before long).
+//! `exit CODE [MS]` (within so many of `term`), `log WORDS`, `wait MS`, `holds N M` (no more threads and open files than that, before long).
+//! What forces an instant: `pause` and `resume` (the dispatcher stands still; what comes meanwhile comes at once),
+//! `hear HOST` (one that was deaf or down takes connections), `up HOST` (one has come up since), `still HOST` and
+//! `reads HOST` (it reads nothing, it reads again), `answer HOST WORD … twice` (a second copy in the same write),
+//! `again HOST` (one later), `answer HOST WORD … short=N` and `rest HOST` (all but the last bytes, and these),
+//! `drip HOST` (an answer that never ends), `reset HOST|CLIENT`, `half-close CLIENT`, `client NAME deaf narrow` (small
+//! buffers) and `hear CLIENT`, `host NAME SORT narrow`.
+//! What it comes to: `ended CLIENT` (a clean end after all that was expected, no reset), `either CLIENT ID OBJECT`
+//! (settled, or a clean end and no attempt), `count OBJECT N` (as many attempts came to all hosts, ever).
+//! Others: `set POINTER JSON` (in the configuration), `unknown MODE`, `auto HOST [BYTES]` (answers all at once),
+//! `crowd N asked`, `signal NAME`, `list NAME STATE anew` (its process started just now), `statuses CLIENT N` (so many at
+//! once), `usual N [beside MS]` (the times of usual clients, without and with bad ones beside them, and what 99 in 100 then take at most).
+//! `{1..9}` in words: the command once for each number.
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
-use std::thread::{sleep, spawn};
+use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant, SystemTime};
 use test_case::test_case;
 
 const PATIENCE: Duration = Duration::from_secs(5);
 const QUIET: Duration = Duration::from_millis(150);
+/// Of sockets whose buffers are to be full soon.
+const NARROW: usize = 4096;
+const BACKLOG: i32 = 128;
+/// What a copy has to be told by.
+const GOOD: &str = "ver=4be0c192,born=1764576000123";
+/// Of the usual clients that are measured.
+const USUAL: usize = 4;
 const SETTINGS: &str = r#"{"balancers": 2, "me": 0, "zone": 1, "zones": ["hub", "edge"], "weight_source": "rough",
  "models": ["small", "parent", "origin"],
  "services": [{"name": "video", "aim": 500000, "deadline": 6000000, "effect": "idempotent"},
@@ -53,15 +72,58 @@
     words: Vec<String>,
 }
 
+/// What comes in at a host's addresses, and how it is taken.
+#[derive(Clone)]
+struct Door {
+    tell: Sender<Seen>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+    shut: Arc<AtomicBool>,
+    /// Nothing is read.
+    still: Arc<AtomicBool>,
+    /// All is answered at once, with so many bytes.
+    auto: Arc<Mutex<Option<usize>>>,
+    /// How many connections were taken, and the objects of all attempts that came.
+    taken: Arc<AtomicUsize>,
+    objects: Arc<Mutex<Vec<String>>>,
+}
+
 /// A cache host, parent or origin: what comes to any of its addresses is noted, and answered on command.
 struct Host {
     sort: &'static str,
     addresses: Vec<SocketAddr>,
     seen: Receiver<Seen>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
-    shut: Arc<AtomicBool>,
+    door: Door,
     last: Option<Seen>,
     held: Vec<TcpStream>,
+    /// Those that nobody takes from.
+    deaf: Vec<TcpListener>,
+    /// So many connections are not the dispatcher's, or older than when it began to hear.
+    old: usize,
+    /// What was answered last, and what of it is left.
+    said: Option<(TcpStream, Vec<u8>)>,
+    left: Vec<u8>,
+}
+
+/// With small buffers where it is narrow; a full backlog is soon reached.
+fn listener(address: &str, narrow: bool, backlog: i32) -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    if narrow {
+        socket.set_recv_buffer_size(NARROW).unwrap();
+    }
+    socket.bind(&address.parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(backlog).unwrap();
+    socket.into()
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis()
+}
+
+fn written(id: &str, word: &str, fields: &str, bytes: usize) -> Vec<u8> {
+    let body = "x".repeat(bytes);
+    let parts = [id, word, fields, &body].map(|part| format!("${}\r\n{part}\r\n", part.len()));
+    format!("*4\r\n{}", parts.concat()).into_bytes()
 }
 
 fn bulk(reader: &mut impl BufRead) -> Option<Vec<String>> {
@@ -83,57 +145,103 @@
 }
 
 impl Host {
-    fn start(sort: &'static str) -> Host {
+    fn start(sort: &'static str, narrow: bool) -> Host {
         let (tell, seen) = channel();
-        let (streams, shut) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
-        let mut addresses = Vec::new();
-        for _ in 0..2 {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            addresses.push(listener.local_addr().unwrap());
-            let (tell, streams, shut) = (tell.clone(), streams.clone(), shut.clone());
-            spawn(move || accept(listener, tell, streams, shut));
-        }
-        Host { sort, addresses, seen, streams, shut, last: None, held: Vec::new() }
+        let (streams, shut, still, auto, taken, objects) = Default::default();
+        let door = Door { tell, streams, shut, still, auto, taken, objects };
+        let listeners = [0; 2].map(|_| listener("127.0.0.1:0", narrow, BACKLOG));
+        let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
+        let (last, held, deaf, old, said, left) = Default::default();
+        let host = Host { sort, addresses, seen, door, last, held, deaf, old, said, left };
+        listeners.into_iter().for_each(|listener| host.open(listener));
+        host
+    }
+
+    fn open(&self, listener: TcpListener) {
+        let door = self.door.clone();
+        spawn(move || door.accept(listener));
     }
 
     /// No more connections are taken; what waits to be taken stays so.
     fn stop(&self) {
-        self.shut.store(true, Ordering::SeqCst);
+        self.door.shut.store(true, Ordering::SeqCst);
         self.addresses.iter().for_each(|address| drop(TcpStream::connect(address)));
         sleep(Duration::from_millis(20));
     }
 
     fn cut(&self) {
-        let streams = std::mem::take(&mut *self.streams.lock().unwrap());
-        streams.iter().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+        let streams = std::mem::take(&mut *self.door.streams.lock().unwrap());
+        streams.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
+    /// Its connections end by a reset; what came there before has been taken.
+    fn reset(&mut self) {
+        (self.last, self.said) = (None, None);
+        for stream in std::mem::take(&mut *self.door.streams.lock().unwrap()) {
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            let _ = stream.shutdown(Shutdown::Read);
+        }
     }
 
     /// A backlog that is full: the machine drops what would connect.
     fn deafen(&mut self) {
         self.stop();
         for address in self.addresses.clone() {
-            let listener = TcpListener::bind(address).unwrap();
+            let listener = listener(&address.to_string(), false, 1);
             while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(40)) {
                 self.held.push(stream);
             }
-            std::mem::forget(listener);
+            self.deaf.push(listener);
+        }
+    }
+
+    /// One that was deaf or down takes connections again.
+    fn hear(&mut self) {
+        self.door.shut = Arc::default();
+        self.old = self.door.taken.load(Ordering::SeqCst) + self.held.len();
+        self.held.clear();
+        let mut listeners = std::mem::take(&mut self.deaf);
+        if listeners.is_empty() {
+            let anew = |address: &SocketAddr| listener(&address.to_string(), false, BACKLOG);
+            listeners = self.addresses.iter().map(anew).collect();
         }
+        listeners.into_iter().for_each(|listener| self.open(listener));
     }
 }
 
-fn accept(on: TcpListener, tell: Sender<Seen>, streams: Arc<Mutex<Vec<TcpStream>>>, shut: Arc<AtomicBool>) {
-    for stream in on.incoming().map_while(Result::ok) {
-        if shut.load(Ordering::SeqCst) {
-            return;
+impl Door {
+    fn accept(self, on: TcpListener) {
+        for stream in on.incoming().map_while(Result::ok) {
+            if self.shut.load(Ordering::SeqCst) {
+                return;
+            }
+            self.streams.lock().unwrap().push(stream.try_clone().unwrap());
+            self.taken.fetch_add(1, Ordering::SeqCst);
+            let door = self.clone();
+            spawn(move || door.read(stream));
         }
-        streams.lock().unwrap().push(stream.try_clone().unwrap());
-        let tell = tell.clone();
-        spawn(move || {
-            let mut reader = BufReader::new(stream.try_clone().unwrap());
-            while let Some(words) = bulk(&mut reader) {
-                let _ = tell.send(Seen { stream: stream.try_clone().unwrap(), words });
+    }
+
+    fn read(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        loop {
+            while self.still.load(Ordering::SeqCst) {
+                sleep(Duration::from_millis(1));
             }
-        });
+            let Some(words) = bulk(&mut reader) else { return };
+            if words[0] == "want" {
+                let object = words[2].split("k=").nth(1).unwrap().split(',').next().unwrap();
+                self.objects.lock().unwrap().push(object.to_owned());
+            }
+            let auto = *self.auto.lock().unwrap();
+            match auto {
+                Some(bytes) if words[0] == "want" => {
+                    drop((&stream).write_all(&written(&words[1], "DONE", GOOD, bytes)));
+                }
+                Some(_) => {}
+                None => drop(self.tell.send(Seen { stream: stream.try_clone().unwrap(), words })),
+            }
+        }
     }
 }
 
@@ -299,6 +407,21 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// All of its threads stand still.
+    fn pause(&self) {
+        self.signal("-STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let stands = |task: std::io::Result<std::fs::DirEntry>| {
+            let said = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
+            said.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        };
+        let end = Instant::now() + PATIENCE;
+        while !std::fs::read_dir(&tasks).unwrap().all(stands) {
+            assert!(Instant::now() < end, "it doesn't stand still");
+            sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Replaces the configuration and has it read anew.
     fn reload(&self, text: &str) {
         std::fs::write(&self.config.0, text).unwrap();
@@ -326,12 +449,23 @@
     word: String,
     bytes: usize,
     fields: BTreeMap<String, String>,
+    at: Instant,
+}
+
+enum Came {
+    Answer(Got),
+    /// The end of the stream, and whether it was a clean one.
+    End(bool),
 }
 
 struct Client {
     stream: TcpStream,
-    answers: Receiver<Got>,
+    answers: Receiver<Came>,
+    tell: Option<Sender<Came>>,
+    reader: Option<JoinHandle<()>>,
     early: VecDeque<Got>,
+    asked: BTreeMap<u32, Instant>,
+    end: Option<bool>,
 }
 
 fn string(from: &mut impl Read) -> String {
@@ -345,20 +479,23 @@
     (0..count).map(|_| (string(from), string(from))).collect()
 }
 
-/// One answer; a stream that ends within one is a failure of the test.
-fn got(from: &mut impl BufRead) -> Option<Got> {
+/// One answer, or the end; a stream that ends within one is a failure of the test.
+fn got(from: &mut impl BufRead) -> Came {
     use rmp::decode::*;
-    if from.fill_buf().map_or(true, <[u8]>::is_empty) {
-        return None;
+    match from.fill_buf() {
+        Ok([]) => return Came::End(true),
+        Ok(_) => {}
+        Err(_) => return Came::End(false),
     }
-    assert_eq!(read_array_len(from).ok()?, 4);
+    let at = Instant::now();
+    assert_eq!(read_array_len(from).unwrap(), 4);
     assert_eq!(read_int::<u8, _>(from).unwrap(), 1);
     let id = read_int(from).unwrap();
     let marker = read_marker(from).unwrap();
     if marker == rmp::Marker::FixArray(2) {
         let (word, fields) = (string(from), map(from));
         read_nil(from).unwrap();
-        return Some(Got { id, word, bytes: 0, fields });
+        return Came::Answer(Got { id, word, bytes: 0, fields, at });
     }
     assert_eq!(marker, rmp::Marker::Null);
     assert_eq!(read_array_len(from).unwrap(), 2);
@@ -373,67 +510,155 @@
     let mut body = vec![0; bytes];
     from.read_exact(&mut body).unwrap();
     assert!(body.iter().all(|byte| *byte == b'x'), "the body came changed");
-    Some(Got { id, word: word.into(), bytes, fields: map(from) })
+    Came::Answer(Got { id, word: word.into(), bytes, fields: map(from), at: Instant::now() })
+}
+
+fn asking(port: u16, id: u32, band: &str, object: &str, given: &[&str]) -> Vec<u8> {
+    use rmp::encode::*;
+    let mut fields: BTreeMap<&str, String> = BTreeMap::new();
+    fields.insert("txn", format!("{port:08x}{id:08x}"));
+    fields.insert("limit", "1000".into());
+    fields.insert("item", format!("{object:0>16}"));
+    fields.insert("block", "0".into());
+    fields.insert("family", "7".into());
+    let mut body = 0;
+    for (name, value) in given.iter().map(|word| word.split_once('=').unwrap()) {
+        match name {
+            "body" => body = value.parse().unwrap(),
+            _ if value.is_empty() => drop(fields.remove(name)),
+            _ => drop(fields.insert(name, value.into())),
+        }
+    }
+    let mut out = Vec::new();
+    write_array_len(&mut out, 4).unwrap();
+    write_uint(&mut out, 0).unwrap();
+    write_uint(&mut out, u64::from(id)).unwrap();
+    write_str(&mut out, band).unwrap();
+    write_array_len(&mut out, 2).unwrap();
+    write_map_len(&mut out, fields.len() as u32).unwrap();
+    for (name, value) in fields {
+        write_str(&mut out, name).unwrap();
+        write_str(&mut out, &value).unwrap();
+    }
+    write_bin(&mut out, &vec![b'y'; body]).unwrap();
+    out
+}
+
+/// Questions for the state, under these ids.
+fn statuses(ids: std::ops::RangeInclusive<u8>) -> Vec<u8> {
+    ids.flat_map(|id| [&[0x94, 0, id, 0xa6][..], b"status", &[0xc0]].concat()).collect()
 }
 
 impl Client {
-    fn start(listen: &str, deaf: bool) -> Client {
-        let stream = TcpStream::connect(listen).unwrap();
+    fn start(listen: &str, deaf: bool, narrow: bool) -> Client {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        if narrow {
+            socket.set_recv_buffer_size(NARROW).unwrap();
+        }
+        socket.connect(&listen.parse::<SocketAddr>().unwrap().into()).unwrap();
         let (tell, answers) = channel();
+        let (reader, early, asked, end) = Default::default();
+        let mut client =
+            Client { stream: socket.into(), answers, tell: Some(tell), reader, early, asked, end };
         if !deaf {
-            let mut reader = BufReader::new(stream.try_clone().unwrap());
-            spawn(move || {
-                while let Some(got) = got(&mut reader) {
-                    let _ = tell.send(got);
-                }
-            });
+            client.hear();
         }
-        Client { stream, answers, early: VecDeque::new() }
+        client
     }
 
-    fn ask(&mut self, id: u32, band: &str, object: &str, given: &[&str]) {
-        use rmp::encode::*;
-        let mut fields: BTreeMap<&str, String> = BTreeMap::new();
-        fields.insert("txn", format!("{:08x}{id:08x}", self.stream.local_addr().unwrap().port()));
-        fields.insert("limit", "1000".into());
-        fields.insert("item", format!("{object:0>16}"));
-        fields.insert("block", "0".into());
-        fields.insert("family", "7".into());
-        let mut body = 0;
-        for (name, value) in given.iter().map(|word| word.split_once('=').unwrap()) {
-            match name {
-                "body" => body = value.parse().unwrap(),
-                _ if value.is_empty() => drop(fields.remove(name)),
-                _ => drop(fields.insert(name, value.into())),
+    fn hear(&mut self) {
+        let (mut reader, tell) =
+            (BufReader::new(self.stream.try_clone().unwrap()), self.tell.take().unwrap());
+        self.reader = Some(spawn(move || loop {
+            let came = got(&mut reader);
+            let ends = matches!(came, Came::End(_));
+            if tell.send(came).is_err() || ends {
+                return;
             }
+        }));
+    }
+
+    fn ask(&mut self, id: u32, band: &str, object: &str, given: &[&str]) {
+        self.asked.insert(id, Instant::now());
+        let port = self.stream.local_addr().unwrap().port();
+        let _ = self.stream.write_all(&asking(port, id, band, object, given));
+    }
+
+    /// What comes next goes where it belongs; false once all has come, or nothing did in time.
+    fn next(&mut self, within: Duration) -> bool {
+        if self.end.is_some() {
+            return false;
         }
-        let mut out = Vec::new();
-        write_array_len(&mut out, 4).unwrap();
-        write_uint(&mut out, 0).unwrap();
-        write_uint(&mut out, u64::from(id)).unwrap();
-        write_str(&mut out, band).unwrap();
-        write_array_len(&mut out, 2).unwrap();
-        write_map_len(&mut out, fields.len() as u32).unwrap();
-        for (name, value) in fields {
-            write_str(&mut out, name).unwrap();
-            write_str(&mut out, &value).unwrap();
+        match self.answers.recv_timeout(within) {
+            Ok(Came::Answer(got)) => self.early.push_back(got),
+            Ok(Came::End(clean)) => self.end = Some(clean),
+            Err(std::sync::mpsc::RecvTimeoutError::Timeout) => return false,
+            // Its thread failed on what came.
+            Err(_) => self.end = Some(false),
         }
-        write_bin(&mut out, &vec![b'y'; body]).unwrap();
-        let _ = self.stream.write_all(&out);
+        true
     }
 
-    fn answer(&mut self, id: u32) -> Got {
-        if let Some(place) = self.early.iter().position(|got| got.id == id) {
-            return self.early.remove(place).unwrap();
-        }
+    fn answered(&mut self, id: u32) -> Option<Got> {
         loop {
-            let got = self.answers.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no answer to {id}"));
-            if got.id == id {
-                return got;
+            if let Some(place) = self.early.iter().position(|got| got.id == id) {
+                return self.early.remove(place);
+            }
+            if !self.next(PATIENCE) {
+                return None;
             }
-            self.early.push_back(got);
         }
     }
+
+    fn answer(&mut self, id: u32) -> Got {
+        let got = self.answered(id);
+        got.unwrap_or_else(|| panic!("no answer to {id}, end {:?} (whether clean)", self.end))
+    }
+
+    /// A clean end, also once what was sent has crossed it.
+    fn ended(&mut self) {
+        while self.next(PATIENCE) {}
+        assert_eq!(self.end, Some(true), "no end, or no clean one");
+        assert!(self.early.is_empty(), "more came: {:?}", self.early);
+        sleep(QUIET);
+        let error = self.stream.take_error().unwrap();
+        assert!(error.is_none(), "{error:?} after the end");
+    }
+
+    fn reset(mut self) {
+        let _ = self.stream.shutdown(Shutdown::Read);
+        self.reader.take().into_iter().for_each(|reader| drop(reader.join()));
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
+/// Clients that flood and go, break off in a message, reset under an answer, repeat ids and never read.
+fn rude(listen: &str, until: &AtomicBool) -> usize {
+    let mut standing = Vec::new();
+    let mut count = 0;
+    while !until.load(Ordering::SeqCst) {
+        count += 1;
+        let mut client = Client::start(listen, true, count % 5 == 4);
+        let port = client.stream.local_addr().unwrap().port();
+        let asks = |ids: std::ops::RangeInclusive<u32>| -> Vec<u8> {
+            ids.flat_map(|id| asking(port, id, "video", &format!("{port:x}{id:x}"), &[])).collect()
+        };
+        let sent = match count % 5 {
+            0 => asks(1..=300),
+            1 => [asks(1..=3), vec![0x94, 0]].concat(),
+            2 => asks(1..=5),
+            3 => [asks(1..=3), asks(2..=4)].concat(),
+            _ => asks(1..=32),
+        };
+        let _ = client.stream.write_all(&sent);
+        match count % 5 {
+            2 => client.reset(),
+            4 => standing.push(client),
+            _ => {}
+        }
+        sleep(Duration::from_millis(2));
+    }
+    count
 }
 
 #[derive(Default)]
@@ -444,19 +669,22 @@
     clients: BTreeMap<String, Client>,
     it: String,
     memory: u32,
-    unknown: bool,
+    unknown: Option<String>,
     many: Vec<(usize, String)>,
     descriptors: u32,
     crowd: Vec<TcpStream>,
     store: Option<tempfile::TempDir>,
     config: Option<String>,
     shape: bool,
+    set: Vec<(String, serde_json::Value)>,
+    ended: Option<Instant>,
+    anew: bool,
 }
 
 impl Play {
     fn run_all(&mut self) {
         let memory = if self.memory == 0 { 192 } else { self.memory };
-        let known = |feed: &Feed| if self.unknown { "null".to_owned() } else { feed.results(0) };
+        let known = |feed: &Feed| if self.unknown.is_some() { "null".to_owned() } else { feed.results(0) };
         let descriptors = if self.descriptors == 0 { 256 } else { self.descriptors };
         let operator = |folder: &tempfile::TempDir| {
             format!("--last-good --operator {}", folder.path().join("operator.jsonnet").display())
@@ -466,7 +694,15 @@
             let usual = || config("127.0.0.1:0", feed, &known(feed), memory);
             let text = self.config.clone().unwrap_or_else(usual);
             let changes = SHAPE.iter().filter(|_| self.shape);
-            changes.fold(text, |text, (from, to)| text.replacen(from, to, 1))
+            let text = changes.fold(text, |text, (from, to)| text.replacen(from, to, 1));
+            if self.set.is_empty() {
+                return text;
+            }
+            let mut all: serde_json::Value = serde_json::from_str(&text).unwrap();
+            for (pointer, value) in &self.set {
+                *all.pointer_mut(pointer).expect("no such setting") = value.clone();
+            }
+            all.to_string()
         };
         let start = |feed| Dispatcher::start(&text(feed), descriptors, &more);
         self.dispatchers = self.feeds.iter().map(start).collect();
@@ -484,8 +720,9 @@
         let host = &self.hosts[name];
         let (zone, kind) = if host.sort == "cache" { ("edge", "small") } else { ("hub", host.sort) };
         let address = host.addresses[number];
+        let started = if self.anew { unix_ms() } else { 0 };
         format!(
-            r#"{{"id":"s-{name}","addr":"{address}","zone":"{zone}","kind":"{kind}","cell":0,"state":"{state}","weight":20,"started_ms":0}}"#
+            r#"{{"id":"s-{name}","addr":"{address}","zone":"{zone}","kind":"{kind}","cell":0,"state":"{state}","weight":20,"started_ms":{started}}}"#
         )
     }
 
@@ -549,29 +786,31 @@
 
     fn answer(&mut self, name: &str, word: &str, more: &[&str]) {
         let name = if name == "it" { self.it.clone() } else { name.to_owned() };
-        let last = self.hosts[&name].last.as_ref().expect("nothing was taken");
+        let host = self.hosts.get_mut(&name).unwrap();
+        let last = host.last.as_ref().expect("nothing was taken");
         let (mut id, mut fields, mut bytes) = (last.words[1].clone(), "-".to_owned(), 0);
+        let (mut short, mut copies) = (0, 1);
         for word in more {
             if let Some(size) = word.strip_prefix("bytes=") {
                 bytes = size.parse().unwrap();
             } else if let Some(other) = word.strip_prefix("id=") {
                 id = other.into();
+            } else if let Some(size) = word.strip_prefix("short=") {
+                short = size.parse().unwrap();
+            } else if *word == "twice" {
+                copies = 2;
             } else {
                 fields = (*word).into();
             }
         }
         if matches!(word, "DONE" | "KEEP") && !fields.contains("ver") {
-            fields = format!(
-                "ver=4be0c192,born=1764576000123{}",
-                if fields == "-" { "".into() } else { format!(",{fields}") }
-            );
+            fields = format!("{GOOD}{}", if fields == "-" { "".into() } else { format!(",{fields}") });
         }
-        let body = "x".repeat(bytes);
-        let parts: Vec<String> = [&id[..], word, &fields, &body]
-            .iter()
-            .map(|part| format!("${}\r\n{part}\r\n", part.len()))
-            .collect();
-        (&last.stream).write_all(format!("*4\r\n{}", parts.concat()).as_bytes()).unwrap();
+        let whole = written(&id, word, &fields, bytes);
+        let mut out = whole.repeat(copies);
+        host.left = out.split_off(out.len() - short);
+        (&last.stream).write_all(&out).unwrap();
+        host.said = Some((last.stream.try_clone().unwrap(), whole));
     }
 
     fn expect(&mut self, client: &str, id: u32, word: &str, more: &[&str]) {
@@ -586,11 +825,43 @@
         for (name, value) in more.iter().map(|word| word.split_once('=').unwrap()) {
             match name {
                 "bytes" => assert_eq!(got.bytes.to_string(), value),
+                "within" => {
+                    let took = got.at - self.clients[client].asked[&id];
+                    assert!(took < Duration::from_millis(value.parse().unwrap()), "after {took:?}");
+                }
                 _ => assert_eq!(got.fields.get(name).map(|v| &v[..]), Some(value), "{got:?}"),
             }
         }
     }
 
+    /// So many attempts for an object came to hosts, ever.
+    fn count(&self, object: &str) -> usize {
+        let named = format!("{object:0>16}");
+        let count = |host: &Host| host.door.objects.lock().unwrap().iter().filter(|o| **o == named).count();
+        self.hosts.values().map(count).sum()
+    }
+
+    /// Usual clients one request after another, each settled in its time: half and the slowest hundredth take at most.
+    fn usual(&self, count: usize) -> [Duration; 2] {
+        let threads = (0..USUAL).map(|_| {
+            let mut client = Client::start(&self.dispatchers[0].listen, false, false);
+            spawn(move || {
+                let took = (1..=count as u32).map(|id| {
+                    let port = client.stream.local_addr().unwrap().port();
+                    client.ask(id, "video", &format!("{port:x}{id:x}"), &[]);
+                    let got = client.answer(id);
+                    assert_eq!(got.word, "settled", "{got:?}");
+                    got.at - client.asked[&id]
+                });
+                took.collect::<Vec<_>>()
+            })
+        });
+        let threads: Vec<_> = threads.collect();
+        let mut all: Vec<_> = threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect();
+        all.sort();
+        [all[all.len() / 2], all[all.len() * 99 / 100]]
+    }
+
     fn command(&mut self, words: &[&str]) {
         let host = |name: &str| self.hosts.get(name).unwrap();
         match words {
@@ -598,12 +869,15 @@
                 let known = self.hosts.remove(*other).unwrap();
                 self.hosts.insert((*name).into(), known);
             }
-            ["host", name, sort] => {
+            ["host", name, sort, more @ ..] => {
                 let sort = ["cache", "parent", "origin"].into_iter().find(|s| s == sort).unwrap();
-                self.hosts.insert((*name).into(), Host::start(sort));
+                self.hosts.insert((*name).into(), Host::start(sort, more == ["narrow"]));
             }
             ["many", count, name] => self.many.push((count.parse().unwrap(), (*name).into())),
-            ["unknown"] => self.unknown = true,
+            ["unknown", mode @ ..] => self.unknown = Some((*mode.first().unwrap_or(&"mute")).into()),
+            ["set", pointer, json] => {
+                self.set.push(((*pointer).into(), serde_json::from_str(json).unwrap()));
+            }
             ["descriptors", count] => self.descriptors = count.parse().unwrap(),
             ["each", client, from, to] => {
                 for id in from.parse::<u32>().unwrap()..=to.parse().unwrap() {
@@ -613,10 +887,14 @@
                     self.expect(client, id, "settled", &[]);
                 }
             }
-            ["crowd", count] => {
+            ["crowd", count, more @ ..] => {
                 let listen = &self.dispatchers[0].listen;
                 let count: usize = count.parse().unwrap();
                 self.crowd = (0..count).map(|_| TcpStream::connect(listen).unwrap()).collect();
+                if more == ["asked"] {
+                    let asks = |mut stream: &TcpStream| stream.write_all(&statuses(1..=1)).unwrap();
+                    self.crowd.iter().for_each(asks);
+                }
             }
             ["memory", mb] => self.memory = mb.parse().unwrap(),
             ["start", count @ ..] => {
@@ -625,8 +903,8 @@
                 let all: Vec<(&str, &str)> =
                     self.hosts.keys().map(|name| (&name[..], "in_service")).collect();
                 self.list(&all, true);
-                if self.unknown {
-                    self.feeds.iter().for_each(|feed| *feed.mode.lock().unwrap() = "mute".into());
+                if let Some(mode) = &self.unknown {
+                    self.feeds.iter().for_each(|feed| feed.mode.lock().unwrap().clone_from(mode));
                 }
                 self.run_all();
             }
@@ -636,13 +914,14 @@
             }
             ["list", name, state, more @ ..] => {
                 let odd = more.contains(&"odd").then_some((*name, "odd"));
+                self.anew |= more.contains(&"anew");
                 self.list(&[Some((*name, *state)), odd].into_iter().flatten().collect::<Vec<_>>(), false);
                 if more.is_empty() {
                     self.dispatchers.iter().for_each(|d| drop(d.log(&format!("is s-{name},"))));
                 }
             }
             ["purge", what] => {
-                let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis();
+                let now = unix_ms();
                 let named = if *what == "group" {
                     r#""bucket":7"#.into()
                 } else {
@@ -654,8 +933,8 @@
             ["feed", mode] => self.feeds.iter().for_each(|feed| *feed.mode.lock().unwrap() = (*mode).into()),
             ["client", name, more @ ..] => {
                 let number: usize = more.first().and_then(|n| n.parse().ok()).unwrap_or(1);
-                let deaf = more.contains(&"deaf");
-                let client = Client::start(&self.dispatchers[number - 1].listen, deaf);
+                let listen = &self.dispatchers[number - 1].listen;
+                let client = Client::start(listen, more.contains(&"deaf"), more.contains(&"narrow"));
                 self.clients.insert((*name).into(), client);
             }
             ["ask", client, id, band, object, given @ ..] => {
@@ -682,6 +961,10 @@
                 out.extend([0x91, id.parse().unwrap()]);
                 self.clients.get_mut(*client).unwrap().stream.write_all(&out).unwrap();
             }
+            ["statuses", client, count] => {
+                let asked = statuses(1..=count.parse().unwrap());
+                self.clients.get_mut(*client).unwrap().stream.write_all(&asked).unwrap();
+            }
             ["raw", name, hex] => {
                 let bytes: Vec<u8> = (0..hex.len() / 2)
                     .map(|at| u8::from_str_radix(&hex[2 * at..2 * at + 2], 16).unwrap())
@@ -694,7 +977,27 @@
             }
             ["close", client] => {
                 let client = self.clients.remove(*client).unwrap();
-                client.stream.shutdown(std::net::Shutdown::Both).unwrap();
+                client.stream.shutdown(Shutdown::Both).unwrap();
+            }
+            ["half-close", client] => self.clients[*client].stream.shutdown(Shutdown::Write).unwrap(),
+            ["reset", name] => match self.clients.remove(*name) {
+                Some(client) => client.reset(),
+                None => self.hosts.get_mut(*name).unwrap().reset(),
+            },
+            ["ended", client] => self.clients.get_mut(*client).unwrap().ended(),
+            ["either", client, id, object] => {
+                let known = self.clients.get_mut(*client).unwrap();
+                match known.answered(id.parse().unwrap()) {
+                    Some(got) => assert_eq!(got.word, "settled", "{got:?}"),
+                    None => {
+                        known.ended();
+                        assert_eq!(self.count(object), 0, "sent on, and not answered");
+                    }
+                }
+            }
+            ["count", object, count] => {
+                sleep(QUIET);
+                assert_eq!(self.count(object).to_string(), *count, "attempts for {object}");
             }
             ["take", name, wanted @ ..] => {
                 let name = if *name == "it" { self.it.clone() } else { (*name).into() };
@@ -704,9 +1007,15 @@
             ["expect", client, id, word, more @ ..] => self.expect(client, id.parse().unwrap(), word, more),
             ["nothing", name] => {
                 sleep(QUIET);
-                match self.clients.get(*name) {
-                    Some(client) => assert!(client.answers.try_recv().is_err() && client.early.is_empty()),
-                    None => assert!(host(name).seen.try_recv().is_err()),
+                match self.clients.get_mut(*name) {
+                    Some(client) => {
+                        while client.next(Duration::ZERO) {}
+                        assert!(client.early.is_empty(), "{:?}", client.early);
+                    }
+                    None => {
+                        let came = self.hosts[*name].seen.try_recv();
+                        assert!(came.is_err(), "{:?}", came.map(|seen| seen.words));
+                    }
                 }
             }
             ["shape"] => self.shape = true,
@@ -718,7 +1027,73 @@
                 host(name).cut();
             }
             ["deaf", name] => self.hosts.get_mut(*name).unwrap().deafen(),
-            ["term"] => self.dispatchers[0].signal("-TERM"),
+            ["hear", name] => match self.clients.get_mut(*name) {
+                Some(client) => client.hear(),
+                None => self.hosts.get_mut(*name).unwrap().hear(),
+            },
+            ["up", name] => {
+                let (end, host) = (Instant::now() + PATIENCE, host(name));
+                while host.door.taken.load(Ordering::SeqCst) <= host.old {
+                    assert!(Instant::now() < end, "no connection came up");
+                    sleep(Duration::from_millis(1));
+                }
+            }
+            ["still", name] => host(name).door.still.store(true, Ordering::SeqCst),
+            ["reads", name] => host(name).door.still.store(false, Ordering::SeqCst),
+            ["auto", name, bytes @ ..] => {
+                let bytes = bytes.first().map_or(1, |bytes| bytes.parse().unwrap());
+                *host(name).door.auto.lock().unwrap() = Some(bytes);
+            }
+            ["again", name] => {
+                let (stream, whole) = host(name).said.as_ref().unwrap();
+                { stream }.write_all(whole).unwrap();
+            }
+            ["rest", name] => {
+                let host = self.hosts.get_mut(*name).unwrap();
+                let left = std::mem::take(&mut host.left);
+                (&host.last.as_ref().unwrap().stream).write_all(&left).unwrap();
+            }
+            ["drip", name] => {
+                let last = host(name).last.as_ref().unwrap();
+                let mut stream = last.stream.try_clone().unwrap();
+                let mut whole = written(&last.words[1], "DONE", GOOD, 200_000);
+                whole.truncate(whole.len() - 199_000);
+                spawn(move || {
+                    while stream.write_all(&whole).is_ok() {
+                        whole = vec![b'x'];
+                        sleep(Duration::from_millis(20));
+                    }
+                });
+            }
+            ["pause"] => self.dispatchers[0].pause(),
+            ["resume"] => self.dispatchers[0].signal("-CONT"),
+            ["signal", name] => self.dispatchers[0].signal(&format!("-{name}")),
+            ["usual", count, beside @ ..] => {
+                let count = count.parse().unwrap();
+                let alone = self.usual(count);
+                println!("alone: half within {:?}, 99 in 100 within {:?}", alone[0], alone[1]);
+                if beside.is_empty() {
+                    return;
+                }
+                let (until, listen) = (Arc::new(AtomicBool::new(false)), self.dispatchers[0].listen.clone());
+                let own = until.clone();
+                let bad = spawn(move || rude(&listen, &own));
+                let with = self.usual(count);
+                until.store(true, Ordering::SeqCst);
+                let bad = bad.join().unwrap();
+                println!("beside {bad} bad ones: {:?}, {:?}", with[0], with[1]);
+                let most = Duration::from_millis(beside[1].parse().unwrap());
+                assert!(
+                    with[1] < most,
+                    "99 in 100 within {:?} beside bad ones, {:?} alone",
+                    with[1],
+                    alone[1]
+                );
+            }
+            ["term"] => {
+                self.ended = Some(Instant::now());
+                self.dispatchers[0].signal("-TERM");
+            }
             ["store", settings @ ..] => {
                 let folder = tempfile::tempdir().unwrap();
                 let text = format!(
@@ -748,9 +1123,20 @@
                 self.dispatchers[0].reload(&config("127.0.0.1:0", &self.feeds[0], "null", 192));
             }
             ["reload", words @ ..] => self.dispatchers[0].reload(&words.join(" ")),
-            ["exit", code] => {
-                let status = self.dispatchers[0].child.wait().unwrap();
-                assert_eq!(status.code(), Some(code.parse().unwrap()));
+            ["exit", code, most @ ..] => {
+                let end = Instant::now() + 2 * PATIENCE;
+                let status = loop {
+                    if let Some(status) = self.dispatchers[0].child.try_wait().unwrap() {
+                        break status;
+                    }
+                    assert!(Instant::now() < end, "it doesn't end");
+                    sleep(Duration::from_millis(5));
+                };
+                assert_eq!(status.code(), Some(code.parse().unwrap()), "{status}");
+                if let Some(most) = most.first() {
+                    let took = self.ended.unwrap().elapsed();
+                    assert!(took < Duration::from_millis(most.parse().unwrap()), "after {took:?}");
+                }
             }
             ["log", words @ ..] => drop(self.dispatchers[0].log(&words.join(" "))),
             ["holds", threads, files] => {
@@ -769,6 +1155,17 @@
     }
 }
 
+/// The command once for each number of the range in it.
+fn each(command: &str) -> Vec<String> {
+    let Some((_, rest)) = command.split_once('{').filter(|(_, rest)| rest.contains("..")) else {
+        return vec![command.into()];
+    };
+    let range = rest.split_once('}').unwrap().0;
+    let (from, to) = range.split_once("..").unwrap();
+    let numbers = from.parse::<u32>().unwrap()..=to.parse().unwrap();
+    numbers.map(|number| command.replace(&format!("{{{range}}}"), &number.to_string())).collect()
+}
+
 #[test_case(include_str!("sockets/outcomes.txt"); "outcomes")]
 #[test_case(include_str!("sockets/host_lost.txt"); "host_lost")]
 #[test_case(include_str!("sockets/client_leaves.txt"); "client_leaves")]
@@ -799,7 +1196,9 @@
         let line = line.split('#').next().unwrap();
         for command in line.split(';').map(str::trim).filter(|command| !command.is_empty()) {
             println!("line {}: {command}", number + 1);
-            play.command(&command.split_whitespace().collect::<Vec<_>>());
+            for command in each(command) {
+                play.command(&command.split_whitespace().collect::<Vec<_>>());
+            }
         }
     }
 }
