--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -25,7 +25,8 @@
 //! (an answer, or a clean end and no attempt), `count OBJECT N` (as many attempts came to all hosts, ever).
 //! `once CLIENT ID` (an answer, whichever). Others: `set POINTER JSON` (in the configuration), `unknown MODE`, `auto HOST [BYTES]` (answers all at once),
 //! `crowd N asked`, `signal NAME`, `list NAME STATE anew` (its process started just now), `statuses CLIENT N` (so many at
-//! once), `usual N [beside MS]` (the times of usual clients, without and with bad ones beside them, and what 99 in 100 then take at most).
+//! once), `babble CLIENT` (sends for as long as it can), `usual N [beside MS]` (the times of usual clients, without and with
+//! bad ones beside them, and what 99 in 100 then take at most).
 //! `{1..9}` in words: the command once for each number.
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -48,7 +49,7 @@
 /// Of the usual clients that are measured.
 const USUAL: usize = 4;
 /// Between one bad client and the next.
-const RUDE: Duration = Duration::from_millis(20);
+const RUDE: Duration = Duration::from_millis(5);
 const SETTINGS: &str = r#"{"balancers": 2, "me": 0, "zone": 1, "zones": ["hub", "edge"], "weight_source": "rough",
  "models": ["small", "parent", "origin"],
  "services": [{"name": "video", "aim": 500000, "deadline": 6000000, "effect": "idempotent"},
@@ -920,7 +921,13 @@
                 self.anew |= more.contains(&"anew");
                 self.list(&[Some((*name, *state)), odd].into_iter().flatten().collect::<Vec<_>>(), false);
                 if more.is_empty() {
-                    self.dispatchers.iter().for_each(|d| drop(d.log(&format!("is s-{name},"))));
+                    let phase = match *state {
+                        "in_service" => "Ready",
+                        "terminating" => "Draining",
+                        _ => "Gone",
+                    };
+                    let line = format!("is s-{name}, {phase}");
+                    self.dispatchers.iter().for_each(|d| drop(d.log(&line)));
                 }
             }
             ["purge", what] => {
@@ -1067,6 +1074,10 @@
                     }
                 });
             }
+            ["babble", client] => {
+                let mut stream = self.clients[*client].stream.try_clone().unwrap();
+                spawn(move || while stream.write_all(&statuses(1..=127)).is_ok() {});
+            }
             ["pause"] => self.dispatchers[0].pause(),
             ["resume"] => self.dispatchers[0].signal("-CONT"),
             ["signal", name] => self.dispatchers[0].signal(&format!("-{name}")),
@@ -1218,6 +1229,15 @@
 #[test_case(include_str!("sockets/stop_answers.txt"); "stop_answers")]
 #[test_case(include_str!("sockets/stop_crossing.txt"); "stop_crossing")]
 #[test_case(include_str!("sockets/stop_resting.txt"); "stop_resting")]
+#[test_case(include_str!("sockets/gone_late_at_once.txt"); "gone_late_at_once")]
+#[test_case(include_str!("sockets/host_closes.txt"); "host_closes")]
+#[test_case(include_str!("sockets/host_copies_late.txt"); "host_copies_late")]
+#[test_case(include_str!("sockets/late_deadline.txt"); "late_deadline")]
+#[test_case(include_str!("sockets/late_other_host.txt"); "late_other_host")]
+#[test_case(include_str!("sockets/late_purge_group.txt"); "late_purge_group")]
+#[test_case(include_str!("sockets/stop_flood.txt"); "stop_flood")]
+#[test_case(include_str!("sockets/stop_store.txt"); "stop_store")]
+#[test_case(include_str!("sockets/stop_unknown.txt"); "stop_unknown")]
 fn plays(text: &str) {
     let mut play = Play::default();
     for (number, line) in text.lines().enumerate() {
