--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -608,7 +608,7 @@
             match message {
                 Message::Visit(id, asked) => {
                     self.visits += 1;
-                    let (busy, wanted) = (self.busy.hold(1), Wanted::new(self.line.clone()));
+                    let (busy, wanted) = (self.busy.hold(1), Wanted::new(self.line.clone(), id));
                     if self.open.len() >= OPEN_KEPT {
                         self.open.retain(|_, withdraw| withdraw.is_open());
                     }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -170,8 +170,8 @@
     out: BTreeMap<Txn, Out>,
     /// Ids given up, and until when a late answer to them may come.
     given_up: BTreeMap<Txn, Time>,
-    /// Ids of requests that were answered here, and may be asked again, until when.
-    answered: BTreeMap<Txn, Time>,
+    /// Ids of requests that were answered here, and may be asked again: until when, and whether with a miss.
+    answered: BTreeMap<Txn, (Time, bool)>,
     /// Those of which the host is not told yet.
     untold: Vec<HandOffId>,
     used: Time,
@@ -184,7 +184,9 @@
 impl Pooled {
     fn may_take(&self, txn: Txn, streams: usize) -> bool {
         // Guards against an answer to a hand-off given up that is taken for one of the same visit's next.
-        let taken = self.out.contains_key(&txn) || self.given_up.contains_key(&txn);
+        // Nor is the second copy of an answer taken for the next one's; of a miss it can be told apart.
+        let answered = self.answered.get(&txn).is_some_and(|(_, miss)| !miss);
+        let taken = self.out.contains_key(&txn) || self.given_up.contains_key(&txn) || answered;
         self.stands() && !taken && self.out.len() < streams
     }
 
@@ -495,7 +497,7 @@
             return;
         };
         if answer.outcome != Outcome::Settled {
-            pooled.answered.insert(txn, out.until);
+            pooled.answered.insert(txn, (out.until, answer.outcome == Outcome::Miss));
         }
         // A copy that the client holds can only be the one where the answer names the one that the client told of.
         // Guards also against bytes of which it is not told what they are: neither reaches a client, nor does what
@@ -515,7 +517,7 @@
         let idle = self.common.reach.idle.times(0.8);
         for pooled in self.lines.values_mut() {
             pooled.given_up.retain(|_, until| now < *until + LATE);
-            pooled.answered.retain(|_, until| now < *until);
+            pooled.answered.retain(|_, (until, _)| now < *until);
             let Some(line) = pooled.line.as_ref().filter(|_| !pooled.ending) else { continue };
             // Guards against an answer that stops short or drips: nothing behind it can come through.
             if line.half_for(now).is_some_and(|span| span > self.common.reach.connect_limit) {
--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -83,6 +83,9 @@
     }
 }
 
+/// Of what waits to be read so much is looked at.
+const LOOKED_AT: usize = 4096;
+
 #[derive(Debug)]
 pub struct Line {
     stream: TcpStream,
@@ -148,16 +151,25 @@
         self.peer_left() || self.is_ended()
     }
 
-    /// The same as the machine knows it: guards against an end that stands behind bytes which are not read yet.
-    pub fn look_left(&self) -> bool {
-        let gone = || {
-            let mut polled = [PollFd::new(self.as_fd(), PollFlags::from_bits_retain(libc::POLLRDHUP))];
-            matches!(poll(&mut polled, PollTimeout::ZERO), Ok(found) if found > 0)
+    /// The same as the machine knows it, or that what waits to be read says so: guards against an end, or a word, that
+    /// stands behind bytes which are not read yet.
+    pub fn look_left(&self, says: impl Fn(&[u8]) -> bool) -> bool {
+        if self.has_left() {
+            return true;
+        }
+        let ends = PollFlags::from_bits_retain(libc::POLLRDHUP) | PollFlags::POLLHUP | PollFlags::POLLERR;
+        let mut polled = [PollFd::new(self.as_fd(), ends | PollFlags::POLLIN)];
+        let found = match poll(&mut polled, PollTimeout::ZERO) {
+            Ok(found) if found > 0 => polled[0].revents().unwrap_or(PollFlags::empty()),
+            _ => return false,
         };
-        if !self.has_left() && gone() {
+        if found.intersects(ends) {
             self.leave();
+            return true;
         }
-        self.has_left()
+        let mut waiting = [0; LOOKED_AT];
+        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        recv(self.stream.as_raw_fd(), &mut waiting, flags).is_ok_and(|length| says(&waiting[..length]))
     }
 
     pub fn code(&self) -> Code {
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -656,7 +656,7 @@
         for id in stale {
             let Some(out) = self.hand_offs.get(&id).filter(|out| out.way.call_off()) else { continue };
             let _ = out.mailbox.send(ToHost::NeverMind(id));
-            self.ended(id, Outcome::Moot, None, clock::now());
+            self.ended(id, Outcome::Unsent, None, clock::now());
         }
     }
 
--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -61,7 +61,7 @@
     let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
         \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
     let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else { panic!() };
-    let (busy, wanted) = (Gauge::default().hold(1), Wanted::new(line));
+    let (busy, wanted) = (Gauge::default().hold(1), Wanted::new(line, 1));
     router.take(Input::Client(client, FromClient::Visit { id, asked, at: clock::now(), busy, wanted }));
     router.pull();
     let sent = |(_, (_, sent)): &(HostId, (_, Receiver<Letter>))| match sent.try_recv() {
@@ -129,7 +129,7 @@
         \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
     let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else { panic!() };
     let begun = clock::now();
-    let (busy, wanted) = (Gauge::default().hold(1), Wanted::new(line));
+    let (busy, wanted) = (Gauge::default().hold(1), Wanted::new(line, 1));
     router.take(Input::Client(ClientId(0), FromClient::Visit { id, asked, at: begun, busy, wanted }));
     let mut went = false;
     while !router.visits.is_empty() && clock::now() < begun + Span::millis(1_500) {
--- a/crates/dispatcher/src/wanted.rs
+++ b/crates/dispatcher/src/wanted.rs
@@ -1,12 +1,15 @@
 //! Whether a request's answer is still wanted. The thread that reads its client says so at once, past all that waits
 //! for the router: guards against attempts that begin long after the client left.
 use crate::line::Line;
+use crate::msgpack;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Weak};
 
 #[derive(Clone, Debug)]
 pub struct Wanted {
     line: Arc<Line>,
+    /// The request's number on its connection.
+    id: u32,
     withdrawn: Arc<AtomicBool>,
 }
 
@@ -15,8 +18,8 @@
 pub struct Withdraw(Weak<AtomicBool>);
 
 impl Wanted {
-    pub fn new(line: Arc<Line>) -> Wanted {
-        Wanted { line, withdrawn: Arc::default() }
+    pub fn new(line: Arc<Line>, id: u32) -> Wanted {
+        Wanted { line, id, withdrawn: Arc::default() }
     }
 
     pub fn withdraw(&self) -> Withdraw {
@@ -28,9 +31,10 @@
         !self.withdrawn.load(Relaxed) && !self.line.has_left()
     }
 
-    /// And as the machine knows: asked in the moment in which an attempt is to begin.
+    /// And as the machine knows, of what is not read yet: asked in the moment in which an attempt is to begin.
     pub fn look(&self) -> bool {
-        self.is() && !self.line.look_left()
+        let withdrawn = |waiting: &[u8]| msgpack::withdraws(waiting, self.id);
+        self.is() && !self.line.look_left(withdrawn)
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -127,7 +127,7 @@
         }
         open.lacks = end.outcome == Outcome::Miss && sent.held;
         open.looked = open.lacks || end.outcome == Outcome::Miss && sent.source.is_none();
-        if !open.looked {
+        if !open.looked && end.outcome != Outcome::Unsent {
             let source = sent.source.filter(|_| source_at_fault(&end));
             open.avoid.push(source.unwrap_or(sent.host));
         }
@@ -544,7 +544,7 @@
         }
         self.learn_of_source(now, sent, end, filled);
         self.count(sent, -1);
-        if !matches!(end.outcome, Cancelled | Moot) && !again {
+        if !matches!(end.outcome, Cancelled | Moot | Unsent) && !again {
             self.judge(now, sent.tried, sent.host, failed && !source_at_fault(end), BAD_WEIGHT[0]);
         }
     }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -42,13 +42,15 @@
     Cancelled,
     Moot,
     Miss,
+    /// It never went out, and by no fault of the host: what was told meanwhile asks for another decision.
+    Unsent,
 }
 
 impl Outcome {
     /// Whether the outcome proves that the hand-off had no effect.
     pub fn never_ran(self) -> bool {
         use Outcome::*;
-        matches!(self, Full | ConnectFailed | Moot | Miss)
+        matches!(self, Full | ConnectFailed | Moot | Miss | Unsent)
     }
 }
 
