--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -6,7 +6,7 @@
 //! `each CLIENT FROM TO` (visits of as many objects one after another, each settled),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
-//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind|busy]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
+//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|!FIELD=VALUE|never_mind|busy]`, `answer HOST WORD [FIELDS] [bytes=N] [id=ID]`,
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
 //! `shape` (the settings of the other shape of deployment), `came HOST` (something did by now),
@@ -27,6 +27,7 @@
 //! `crowd N asked`, `signal NAME`, `list NAME STATE anew` (its process started just now), `statuses CLIENT N` (so many at
 //! once), `babble CLIENT` (sends for as long as it can), `usual N [beside MS]` (the times of usual clients, without and with
 //! bad ones beside them, and what 99 in 100 then take at most).
+//! `lap` and `lap MS` (so soon after the one before).
 //! `{1..9}` in words: the command once for each number.
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -681,6 +682,7 @@
     shape: bool,
     set: Vec<(String, serde_json::Value)>,
     ended: Option<Instant>,
+    lap: Option<Instant>,
     anew: bool,
 }
 
@@ -771,7 +773,9 @@
             seen.words[2].split(',').filter_map(|f| f.split_once('=')).collect();
         for word in wanted {
             let said = &seen.words[2];
-            if let Some(name) = word.strip_prefix('!') {
+            if let Some((name, value)) = word.strip_prefix('!').and_then(|word| word.split_once('=')) {
+                assert_ne!(fields.get(name), Some(&value), "{word}, but {said}");
+            } else if let Some(name) = word.strip_prefix('!') {
                 assert!(!fields.contains_key(name), "{name} in {said}");
             } else if let Some((name, most)) = word.split_once('<') {
                 let value: u64 =
@@ -1159,6 +1163,12 @@
                     sleep(QUIET);
                 }
             }
+            ["lap", most @ ..] => {
+                let took = self.lap.replace(Instant::now()).map(|lap| lap.elapsed());
+                if let Some(most) = most.first() {
+                    assert!(took.unwrap() < Duration::from_millis(most.parse().unwrap()), "after {took:?}");
+                }
+            }
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())),
             other => panic!("no such command: {other:?}"),
         }
@@ -1238,6 +1248,8 @@
 #[test_case(include_str!("sockets/stop_flood.txt"); "stop_flood")]
 #[test_case(include_str!("sockets/stop_store.txt"); "stop_store")]
 #[test_case(include_str!("sockets/stop_unknown.txt"); "stop_unknown")]
+#[test_case(include_str!("sockets/close_room.txt"); "close_room")]
+#[test_case(include_str!("sockets/late_source_gone.txt"); "late_source_gone")]
 fn plays(text: &str) {
     let mut play = Play::default();
     for (number, line) in text.lines().enumerate() {
