--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -6,7 +6,7 @@
 //! `each CLIENT FROM TO` (visits of as many objects one after another, each settled),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
-//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|never_mind|busy]`, `answer HOST WORD [FIELDS|bare] [bytes=N] [id=ID]`
+//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|!FIELD=VALUE|never_mind|busy]`, `answer HOST WORD [FIELDS|bare] [bytes=N] [id=ID]`
 //! (bare: no fields at all, as what runs a write answers it),
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
@@ -28,6 +28,7 @@
 //! `crowd N asked`, `signal NAME`, `list NAME STATE anew` (its process started just now), `statuses CLIENT N` (so many at
 //! once), `babble CLIENT` (sends for as long as it can), `usual N [beside MS]` (the times of usual clients, without and with
 //! bad ones beside them, and what 99 in 100 then take at most).
+//! `lap` and `lap MS` (so soon after the one before).
 //! `{1..9}` in words: the command once for each number.
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -458,8 +459,8 @@
 
 enum Came {
     Answer(Got),
-    /// The end of the stream, and whether it was a clean one.
-    End(bool),
+    /// The end of the stream, when it came and whether it was a clean one.
+    End(Instant, bool),
 }
 
 struct Client {
@@ -469,7 +470,7 @@
     reader: Option<JoinHandle<()>>,
     early: VecDeque<Got>,
     asked: BTreeMap<u32, Instant>,
-    end: Option<bool>,
+    end: Option<(Instant, bool)>,
 }
 
 fn string(from: &mut impl Read) -> String {
@@ -487,9 +488,9 @@
 fn got(from: &mut impl BufRead) -> Came {
     use rmp::decode::*;
     match from.fill_buf() {
-        Ok([]) => return Came::End(true),
+        Ok([]) => return Came::End(Instant::now(), true),
         Ok(_) => {}
-        Err(_) => return Came::End(false),
+        Err(_) => return Came::End(Instant::now(), false),
     }
     let at = Instant::now();
     assert_eq!(read_array_len(from).unwrap(), 4);
@@ -575,7 +576,7 @@
             (BufReader::new(self.stream.try_clone().unwrap()), self.tell.take().unwrap());
         self.reader = Some(spawn(move || loop {
             let came = got(&mut reader);
-            let ends = matches!(came, Came::End(_));
+            let ends = matches!(came, Came::End(..));
             if tell.send(came).is_err() || ends {
                 return;
             }
@@ -595,10 +596,10 @@
         }
         match self.answers.recv_timeout(within) {
             Ok(Came::Answer(got)) => self.early.push_back(got),
-            Ok(Came::End(clean)) => self.end = Some(clean),
+            Ok(Came::End(at, clean)) => self.end = Some((at, clean)),
             Err(std::sync::mpsc::RecvTimeoutError::Timeout) => return false,
             // Its thread failed on what came.
-            Err(_) => self.end = Some(false),
+            Err(_) => self.end = Some((Instant::now(), false)),
         }
         true
     }
@@ -616,15 +617,17 @@
 
     fn answer(&mut self, id: u32) -> Got {
         let got = self.answered(id);
-        got.unwrap_or_else(|| panic!("no answer to {id}, end {:?} (whether clean)", self.end))
+        got.unwrap_or_else(|| panic!("no answer to {id}, end {:?}", self.end))
     }
 
     /// A clean end, also once what was sent has crossed it.
     fn ended(&mut self) {
         while self.next(PATIENCE) {}
-        assert_eq!(self.end, Some(true), "no end, or no clean one");
+        let (at, clean) = self.end.expect("no end");
+        assert!(clean, "no clean end");
         assert!(self.early.is_empty(), "more came: {:?}", self.early);
-        sleep(QUIET);
+        let last = self.asked.values().copied().max().map_or(at, |asked| asked.max(at));
+        sleep(QUIET.saturating_sub(last.elapsed()));
         let error = self.stream.take_error().unwrap();
         assert!(error.is_none(), "{error:?} after the end");
     }
@@ -682,6 +685,7 @@
     shape: bool,
     set: Vec<(String, serde_json::Value)>,
     ended: Option<Instant>,
+    lap: Option<Instant>,
     anew: bool,
 }
 
@@ -772,7 +776,9 @@
             seen.words[2].split(',').filter_map(|f| f.split_once('=')).collect();
         for word in wanted {
             let said = &seen.words[2];
-            if let Some(name) = word.strip_prefix('!') {
+            if let Some((name, value)) = word.strip_prefix('!').and_then(|word| word.split_once('=')) {
+                assert_ne!(fields.get(name), Some(&value), "{word}, but {said}");
+            } else if let Some(name) = word.strip_prefix('!') {
                 assert!(!fields.contains_key(name), "{name} in {said}");
             } else if let Some((name, most)) = word.split_once('<') {
                 let value: u64 =
@@ -1162,6 +1168,12 @@
                     sleep(QUIET);
                 }
             }
+            ["lap", most @ ..] => {
+                let took = self.lap.replace(Instant::now()).map(|lap| lap.elapsed());
+                if let Some(most) = most.first() {
+                    assert!(took.unwrap() < Duration::from_millis(most.parse().unwrap()), "after {took:?}");
+                }
+            }
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())),
             other => panic!("no such command: {other:?}"),
         }
@@ -1241,6 +1253,8 @@
 #[test_case(include_str!("sockets/stop_flood.txt"); "stop_flood")]
 #[test_case(include_str!("sockets/stop_store.txt"); "stop_store")]
 #[test_case(include_str!("sockets/stop_unknown.txt"); "stop_unknown")]
+#[test_case(include_str!("sockets/close_room.txt"); "close_room")]
+#[test_case(include_str!("sockets/late_source_gone.txt"); "late_source_gone")]
 fn plays(text: &str) {
     let mut play = Play::default();
     for (number, line) in text.lines().enumerate() {
