--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -458,8 +458,8 @@
 
 enum Came {
     Answer(Got),
-    /// The end of the stream, and whether it was a clean one.
-    End(bool),
+    /// The end of the stream, when it came and whether it was a clean one.
+    End(Instant, bool),
 }
 
 struct Client {
@@ -469,7 +469,7 @@
     reader: Option<JoinHandle<()>>,
     early: VecDeque<Got>,
     asked: BTreeMap<u32, Instant>,
-    end: Option<bool>,
+    end: Option<(Instant, bool)>,
 }
 
 fn string(from: &mut impl Read) -> String {
@@ -487,9 +487,9 @@
 fn got(from: &mut impl BufRead) -> Came {
     use rmp::decode::*;
     match from.fill_buf() {
-        Ok([]) => return Came::End(true),
+        Ok([]) => return Came::End(Instant::now(), true),
         Ok(_) => {}
-        Err(_) => return Came::End(false),
+        Err(_) => return Came::End(Instant::now(), false),
     }
     let at = Instant::now();
     assert_eq!(read_array_len(from).unwrap(), 4);
@@ -575,7 +575,7 @@
             (BufReader::new(self.stream.try_clone().unwrap()), self.tell.take().unwrap());
         self.reader = Some(spawn(move || loop {
             let came = got(&mut reader);
-            let ends = matches!(came, Came::End(_));
+            let ends = matches!(came, Came::End(..));
             if tell.send(came).is_err() || ends {
                 return;
             }
@@ -595,10 +595,10 @@
         }
         match self.answers.recv_timeout(within) {
             Ok(Came::Answer(got)) => self.early.push_back(got),
-            Ok(Came::End(clean)) => self.end = Some(clean),
+            Ok(Came::End(at, clean)) => self.end = Some((at, clean)),
             Err(std::sync::mpsc::RecvTimeoutError::Timeout) => return false,
             // Its thread failed on what came.
-            Err(_) => self.end = Some(false),
+            Err(_) => self.end = Some((Instant::now(), false)),
         }
         true
     }
@@ -616,15 +616,17 @@
 
     fn answer(&mut self, id: u32) -> Got {
         let got = self.answered(id);
-        got.unwrap_or_else(|| panic!("no answer to {id}, end {:?} (whether clean)", self.end))
+        got.unwrap_or_else(|| panic!("no answer to {id}, end {:?}", self.end))
     }
 
     /// A clean end, also once what was sent has crossed it.
     fn ended(&mut self) {
         while self.next(PATIENCE) {}
-        assert_eq!(self.end, Some(true), "no end, or no clean one");
+        let (at, clean) = self.end.expect("no end");
+        assert!(clean, "no clean end");
         assert!(self.early.is_empty(), "more came: {:?}", self.early);
-        sleep(QUIET);
+        let last = self.asked.values().copied().max().map_or(at, |asked| asked.max(at));
+        sleep(QUIET.saturating_sub(last.elapsed()));
         let error = self.stream.take_error().unwrap();
         assert!(error.is_none(), "{error:?} after the end");
     }
