--- a/crates/dispatcher/src/line.rs
+++ b/crates/dispatcher/src/line.rs
@@ -3,11 +3,12 @@
 use crate::config::HOST_MESSAGE;
 use cherrypass::time::{Span, Time};
 use nix::errno::Errno;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use nix::sys::socket::{recv, MsgFlags};
 use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::OnceLock;
 use std::thread::{Builder, JoinHandle};
 use std::time::Duration;
@@ -82,10 +83,15 @@
     }
 }
 
+/// Of what waits to be read so much is looked at.
+const LOOKED_AT: usize = 4096;
+
 #[derive(Debug)]
 pub struct Line {
     stream: TcpStream,
     end: OnceLock<Code>,
+    /// The peer has ended its side.
+    left: AtomicBool,
     /// When something last came, and since when a message is here in part (0: none is).
     heard: AtomicU64,
     half: AtomicU64,
@@ -100,7 +106,7 @@
 impl Line {
     pub fn new(stream: TcpStream) -> Line {
         let heard = AtomicU64::new(clock::now().0);
-        Line { stream, end: OnceLock::new(), heard, half: AtomicU64::new(0) }
+        Line { stream, end: OnceLock::new(), left: AtomicBool::new(false), heard, half: AtomicU64::new(0) }
     }
 
     /// Messages go out at once; with a limit, a write stands still no longer. Reads have none, as each time the
@@ -119,10 +125,53 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// Ends this side alone: what was written still goes out, and the peer sees a whole stream. Guards against a
+    /// reset that takes the last answers with it: who reads has to take in, unused, what still comes, and to close then.
+    pub fn finish(&self, code: Code) {
+        let _ = self.end.set(code);
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    /// Whether this side has ended it.
     pub fn is_ended(&self) -> bool {
         self.end.get().is_some()
     }
 
+    pub fn leave(&self) {
+        self.left.store(true, Relaxed);
+    }
+
+    /// Whether the peer has ended its side, as far as was read.
+    pub fn peer_left(&self) -> bool {
+        self.left.load(Relaxed)
+    }
+
+    /// Whether nobody is there any more.
+    pub fn has_left(&self) -> bool {
+        self.peer_left() || self.is_ended()
+    }
+
+    /// The same as the machine knows it, or that what waits to be read says so: guards against an end, or a word, that
+    /// stands behind bytes which are not read yet.
+    pub fn look_left(&self, says: impl Fn(&[u8]) -> bool) -> bool {
+        if self.has_left() {
+            return true;
+        }
+        let ends = PollFlags::from_bits_retain(libc::POLLRDHUP) | PollFlags::POLLHUP | PollFlags::POLLERR;
+        let mut polled = [PollFd::new(self.as_fd(), ends | PollFlags::POLLIN)];
+        let found = match poll(&mut polled, PollTimeout::ZERO) {
+            Ok(found) if found > 0 => polled[0].revents().unwrap_or(PollFlags::empty()),
+            _ => return false,
+        };
+        if found.intersects(ends) {
+            self.leave();
+            return true;
+        }
+        let mut waiting = [0; LOOKED_AT];
+        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        recv(self.stream.as_raw_fd(), &mut waiting, flags).is_ok_and(|length| says(&waiting[..length]))
+    }
+
     pub fn code(&self) -> Code {
         *self.end.get_or_init(|| Code::ClosedByPeer)
     }
@@ -152,8 +201,10 @@
         let found = recv(self.stream.as_raw_fd(), &mut into[held..], MsgFlags::MSG_DONTWAIT);
         into.truncate(held + found.unwrap_or(0));
         match found {
-            Ok(0) if held > 0 => Err(Code::CutInMessage),
-            Ok(0) => Err(Code::ClosedByPeer),
+            Ok(0) => {
+                self.leave();
+                Err(if held > 0 { Code::CutInMessage } else { Code::ClosedByPeer })
+            }
             Ok(_) => {
                 let now = clock::now();
                 self.heard.store(now.0, Relaxed);
@@ -161,7 +212,20 @@
                 Ok(Some(now))
             }
             Err(Errno::EAGAIN | Errno::EINTR) => Ok(None),
-            Err(_) => Err(Code::Reset),
+            Err(_) => {
+                self.leave();
+                Err(Code::Reset)
+            }
+        }
+    }
+
+    /// Takes in what has come, and drops it; how much that was, none once the peer has ended its side.
+    pub fn pass_over(&self, piece: &mut [u8]) -> Option<usize> {
+        match recv(self.stream.as_raw_fd(), piece, MsgFlags::MSG_DONTWAIT) {
+            Ok(0) => None,
+            Ok(found) => Some(found),
+            Err(Errno::EAGAIN | Errno::EINTR) => Some(0),
+            Err(_) => None,
         }
     }
 
--- a/crates/dispatcher/src/msgpack.rs
+++ b/crates/dispatcher/src/msgpack.rs
@@ -53,6 +53,18 @@
     read(&message).map(Some)
 }
 
+/// Whether bytes that are not taken yet withdraw a request. They may begin anywhere in a message, so it is looked for by
+/// its method's name; a body that holds the same is its client's own.
+pub fn withdraws(waiting: &[u8], id: u32) -> bool {
+    const NAME: &[u8] = b"\xa8withdraw";
+    let named = waiting.windows(NAME.len()).enumerate().filter(|(_, word)| *word == NAME);
+    named.into_iter().any(|(at, _)| {
+        let mut cut = Cursor::new(&waiting[at + NAME.len()..]);
+        let count = decode::read_array_len(&mut cut).unwrap_or(0);
+        (0..count).map_while(|_| decode::read_int::<u32, _>(&mut cut).ok()).any(|other| other == id)
+    })
+}
+
 enum Stop {
     Short,
     Fault(Code),
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -42,13 +42,15 @@
     Cancelled,
     Moot,
     Miss,
+    /// It never went out, and by no fault of the host: what was told meanwhile asks for another decision.
+    Unsent,
 }
 
 impl Outcome {
     /// Whether the outcome proves that the hand-off had no effect.
     pub fn never_ran(self) -> bool {
         use Outcome::*;
-        matches!(self, Full | ConnectFailed | Moot | Miss)
+        matches!(self, Full | ConnectFailed | Moot | Miss | Unsent)
     }
 }
 
@@ -159,6 +161,8 @@
         visit: VisitId,
         host: HostId,
         until: Time,
+        /// It never begins past this, wherever it waits: by then its effects may not be told apart any more.
+        latest: Time,
         fill: Option<Fill>,
     },
     Cancel {
