--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -545,6 +545,9 @@
 
     /// Why it is to end. Guards against connections that stay mute, break off in a message or are not used.
     fn fault(&self, now: Time, leaving: bool) -> Option<Code> {
+        if self.line.is_ended() {
+            return Some(self.line.code());
+        }
         let mute = (!self.asked).then(|| now - self.opened);
         let half = self.line.half_for(now);
         let unused = self.unused_for(now).filter(|_| half.is_none());
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -6,8 +6,8 @@
 //! `each CLIENT FROM TO` (visits of as many objects one after another, each settled),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
-//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|!FIELD=VALUE|never_mind|busy]`, `answer HOST WORD [FIELDS|bare] [bytes=N] [id=ID]`
-//! (bare: no fields at all, as what runs a write answers it),
+//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|!FIELD=VALUE|never_mind|busy]`, `answer HOST WORD [FIELDS|bare]
+//! [bytes=N] [id=ID]` (bare: no fields at all, as what runs a write answers it),
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
 //! `shape` (the settings of the other shape of deployment), `came HOST` (something did by now),
