Bad input: each file that can't be used is one line with file, key and what to do, exit code 2

Faults of the settings are a type (Missing) in place of text. A start with a `known` that can't be used goes on as before and asks the change log; `check` says so with change, key and place, code 2. The operators' file's line says what to do; it had place and code already.

The assertions of ends_at_start and of the reload scenario stand as they were.

--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -153,7 +153,8 @@
 }
 
 fn check(files: Files) -> ExitCode {
-    let config = match files.config.ok_or(Error::Unnamed).and_then(|path| Config::load(&path)) {
+    let config = files.config.ok_or(Error::Unnamed).and_then(|path| Config::load(&path));
+    let config = match config.and_then(|config| config.check_known().map(|()| config)) {
         Ok(config) => config,
         Err(error) => return bad(error),
     };
--- /dev/null
+++ b/crates/dispatcher/tests/bad_input.rs
@@ -0,0 +1,134 @@
+//! A file that can't be read or used: one line with its place and what to do, and exit code 2.
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use tempfile::TempDir;
+use test_case::test_case;
+
+const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"00f1","changelog":"127.0.0.1:1",
+ "limits":{"memory_mb":64,"sockets":256},
+ "known":{"seq":1,"results":[{"seq":1,"fleet":{"full":true,"servers":[
+  {"id":"s-a","addr":"127.0.0.1:2","zone":"edge","kind":"small","state":"in_service"}]}}]},
+ "settings":{"balancers":1,"me":0,"zone":0,"zones":["edge"],"models":["small"],
+  "services":[{"name":"video","aim":500000,"deadline":6000000,"effect":"idempotent"}],
+  "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1},
+  "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
+
+struct Files(TempDir);
+
+impl Files {
+    fn new() -> Files {
+        Files(tempfile::tempdir().unwrap())
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.0.path().join(name)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        std::fs::write(self.path(name), text).unwrap();
+        self.path(name)
+    }
+}
+
+/// The only line that is said, by a program that ends with that code.
+fn said(command: &str, code: i32, config: &Path, operator: Option<&Path>) -> String {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_cherrypass"));
+    program.arg(command).arg("--config").arg(config).stdin(Stdio::null());
+    program.args(operator.iter().flat_map(|path| [Path::new("--operator"), path]));
+    let output = program.output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(code), "{said}");
+    let lines: Vec<&str> = said.lines().filter(|line| line.starts_with("cherrypass: ")).collect();
+    assert_eq!(lines.len(), 1, "{said}");
+    lines[0].to_owned()
+}
+
+/// Where, in what words, and what to do.
+fn has(said: &str, words: &[&str]) {
+    words.iter().for_each(|word| assert!(said.contains(word), "'{word}' in {said}"));
+}
+
+#[test_case("serve"; "serve")]
+#[test_case("check"; "check")]
+fn no_such_file(command: &str) {
+    let files = Files::new();
+    let path = files.path("none.json");
+    let said = said(command, 2, &path, None);
+    has(&said, &[path.to_str().unwrap(), "can't be read", "name a file that is there and may be read"]);
+}
+
+#[test_case("serve"; "serve")]
+#[test_case("check"; "check")]
+fn a_folder(command: &str) {
+    let files = Files::new();
+    let said = said(command, 2, files.0.path(), None);
+    has(
+        &said,
+        &[files.0.path().to_str().unwrap(), "can't be read", "name a file that is there and may be read"],
+    );
+}
+
+#[test_case("serve"; "serve")]
+#[test_case("check"; "check")]
+fn an_operators_file_that_is_missing(command: &str) {
+    let files = Files::new();
+    let (config, path) = (files.write("c.json", GOOD), files.path("none.jsonnet"));
+    let said = said(command, 2, &config, Some(&path));
+    has(&said, &[path.to_str().unwrap(), "can't be read", "name one that is there and may be read, or none"]);
+}
+
+#[test_case(|_| String::new(), &["line 1 column 0", "it is empty or cut short, write it whole"]; "empty")]
+#[test_case(|good| good[..good.len() - 2].to_owned(), &["line 8 column", "it is empty or cut short, write it whole"]; "cut")]
+#[test_case(|good| good.replacen("\"limits\":", "limits:", 1), &["line 2 column 2", "mend it there"]; "not JSON")]
+#[test_case(|_| "[".repeat(200_000), &["over 16 levels deep"]; "too deep")]
+#[test_case(|_| "[1]".to_owned(), &["lacks settings: add it"]; "a list")]
+#[test_case(|good| good.replacen("\"name\":\"n0\",", "", 1), &["lacks name: add it"]; "no name")]
+#[test_case(|good| good.replacen("\"n0\"", "7", 1), &["name can't be used: 7", "has to be a text"]; "a name that is none")]
+#[test_case(|good| good.replacen("64", "\"64\"", 1), &["limits/memory_mb can't be used: \"64\"", "has to be a number"]; "memory as a text")]
+#[test_case(|good| good.replacen("64", "-64", 1), &["limits/memory_mb can't be used: -64", "has to be a number, 1 at least"]; "negative memory")]
+#[test_case(|good| good.replacen("256", "72", 1), &["limits/sockets can't be used: 72", "a number, 73 at least"]; "few descriptors")]
+#[test_case(|good| good.replacen("127.0.0.1:1", "discovery", 1), &["changelog can't be used: \"discovery\"", "an address and a port, as in"]; "an address that is none")]
+#[test_case(|good| good.replacen("00f1", "x", 1), &["seed can't be used: \"x\"", "hex digits"]; "a seed that is none")]
+#[test_case(|good| good.replacen("\"aim\":500000,", "", 1), &["lack the number /services/0/aim: add it"]; "no aim")]
+#[test_case(|good| good.replacen("\"deadline\":6000000,", "", 1), &["lacks settings/services/0/deadline: add it"]; "no deadline")]
+#[test_case(|good| good.replacen("\"name\":\"video\",", "", 1), &["lacks settings/services/0/name: add it"]; "a class without a name")]
+#[test_case(|good| good.replacen("idempotent", "often", 1), &["settings/services/0/effect has to be one of idempotent"]; "an unknown effect")]
+#[test_case(|good| good.replacen(",\"effect\":\"idempotent\"", "", 1), &["/services/0/effect", "idempotent, deduplicated or at_most_once: add it"]; "no effect")]
+#[test_case(|good| good.replacen("\"cold_from\":0.2", "\"cold_from\":2", 1), &["settings/rules/cold_from is out of range: 2; it has to be from 0 to 1"]; "out of range")]
+#[test_case(|good| good.replacen("\"connect_timeout\":1", "\"connect_timeout\":-1", 1), &["settings/bounds/connect_timeout is out of range: -1; it has to be from 0 on"]; "below 0")]
+fn what_can_t_be_used(spoil: fn(&str) -> String, words: &[&str]) {
+    let files = Files::new();
+    let path = files.write("c.json", &spoil(GOOD));
+    assert_ne!(spoil(GOOD), GOOD, "nothing was changed");
+    for command in ["serve", "check"] {
+        let said = said(command, 2, &path, None);
+        has(&said, words);
+        has(&said, &[path.to_str().unwrap()]);
+    }
+}
+
+/// A list with what can't be used: a dispatcher starts all the same and asks the change log; `check` tells.
+#[test_case("\"in_service\"", "\"odd\"", "change 1: state can't be used (servers/0)"; "a state")]
+#[test_case("127.0.0.1:2", "host", "change 1: addr can't be used (servers/0)"; "an address")]
+#[test_case("\"id\":\"s-a\",", "", "change 1: id can't be used (servers/0)"; "no id")]
+#[test_case("\"edge\",\"kind\"", "\"north\",\"kind\"", "change 1: zone can't be used (servers/0)"; "an unknown zone")]
+#[test_case("\"kind\":\"small\"", "\"kind\":7", "change 1: kind can't be used (servers/0)"; "a kind that is none")]
+#[test_case("[{\"seq\":1", "[{\"seq\":4", "change 4 follows on 0"; "a gap")]
+#[test_case("\"results\"", "\"result\"", "known: not JSON"; "no results")]
+fn a_list_that_can_t_be_used(part: &str, by: &str, words: &str) {
+    let files = Files::new();
+    let text = GOOD.replacen(part, by, 1);
+    assert_ne!(text, GOOD, "nothing was changed");
+    has(
+        &said("check", 2, &files.write("c.json", &text), None),
+        &["the configuration's known", words, "look at who writes it"],
+    );
+}
+
+#[test]
+fn all_is_well() {
+    let files = Files::new();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_cherrypass"));
+    let output = program.arg("check").arg("--config").arg(files.write("c.json", GOOD)).output().unwrap();
+    assert!(output.status.success() && output.stderr.is_empty(), "{output:?}");
+}
--- a/crates/dispatcher/tests/discovery.rs
+++ b/crates/dispatcher/tests/discovery.rs
@@ -518,6 +518,18 @@
     play.dispatcher.log("is s-a, Draining");
 }
 
+/// And so in a new configuration: the one in force stays.
+#[test]
+fn deep_json_on_a_reload() {
+    let play = Play::start();
+    let deep = format!("{}{}", "[".repeat(120), "]".repeat(120));
+    std::fs::write(&play.dispatcher.config.0, deep).unwrap();
+    play.dispatcher.signal("-HUP");
+    play.dispatcher.log("reload: the configuration goes over 16 levels deep");
+    play.log.next_since(1).answer(&[list(2, false, &[("a", play.a, DRAINS)])]);
+    play.only("b");
+}
+
 /// Comes in pieces that end after each of so many bytes.
 struct Pieces<'a>(&'a [u8], usize);
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,7 +18,7 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    #[error("the operators' file {0} can't be read: {1}")]
+    #[error("the operators' file {0} can't be read: {1}; name one that is there and may be read, or none")]
     Unread(String, std::io::Error),
     #[error("the operators' file {0} can't be evaluated: {1}")]
     Unevaluated(String, String),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -65,7 +65,8 @@
     ("domain/zone_link_kb_per_s", Form::Numbers),
 ];
 
-const OF_BAND: [(&str, Form); 5] = [
+const OF_BAND: [(&str, Form); 6] = [
+    ("effect", Form::Word(&["idempotent", "deduplicated", "at_most_once"])),
     ("aim", ANY),
     ("aim_stretch", ANY),
     ("deadline", ANY),
@@ -104,7 +105,8 @@
         Form::Flag => (value.is_boolean(), "true or false"),
         Form::Number(least, most) => match value.as_f64() {
             Some(number) if !(least..=most).contains(&number) => {
-                return fault(key, format!("is out of range: {number}"));
+                let most = if most < f64::MAX { format!(" to {most}") } else { " on".to_owned() };
+                return fault(key, format!("is out of range: {number}; it has to be from {least}{most}"));
             }
             number => (number.is_some(), "a number"),
         },
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,12 +9,29 @@
 use cherrypass::time::Span;
 use serde_json::Value;
 
+/// What the settings have to name.
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub enum Missing {
+    #[error("the settings lack the number {0}")]
+    Number(String),
+    #[error("the settings lack the list {0}")]
+    List(&'static str),
+    #[error("the settings lack the word /services/{0}/effect, idempotent, deduplicated or at_most_once")]
+    Effect(usize),
+}
+
+impl From<Missing> for String {
+    fn from(missing: Missing) -> String {
+        missing.to_string()
+    }
+}
+
 pub fn number(value: &Value, path: &str) -> Option<f64> {
     value.pointer(path)?.as_f64()
 }
 
-pub fn need(value: &Value, path: &str) -> Result<f64, String> {
-    number(value, path).ok_or_else(|| format!("the settings lack the number {path}"))
+pub fn need(value: &Value, path: &str) -> Result<f64, Missing> {
+    number(value, path).ok_or_else(|| Missing::Number(path.to_owned()))
 }
 
 fn span(value: &Value, path: &str) -> Span {
@@ -38,7 +55,7 @@
     number(value, path).filter(|n| (0.0..256.0).contains(n)).map(|n| KindId(n as u8))
 }
 
-fn band(all: &Value, own: &Value, place: usize) -> Result<Band, String> {
+fn band(all: &Value, own: &Value, place: usize) -> Result<Band, Missing> {
     let group = match text(own, "/group") {
         "zone" => Group::Location,
         "cell" => Group::Cell,
@@ -48,11 +65,11 @@
         "idempotent" => Effect::Idempotent,
         "deduplicated" => Effect::Deduplicated { group, memory: span(own, "/memory_span") },
         "at_most_once" => Effect::Unrepeatable,
-        other => return Err(format!("the settings name an unknown effect '{other}'")),
+        _ => return Err(Missing::Effect(place)),
     };
     Ok(Band {
         effect,
-        quoted: Span(need(own, "/aim")? as u64),
+        quoted: Span(need(all, &format!("/services/{place}/aim"))? as u64),
         stretch: number(own, "/aim_stretch").unwrap_or(0.0),
         fresh: span(all, &format!("/domain/class_fresh/{place}")),
         grace: span(all, &format!("/domain/stale_for/{place}")),
@@ -71,11 +88,11 @@
 /// The value that tells how much of what a host can do is in use, as the bench names it and as hosts do.
 pub const BUSY: [&str; 2] = ["load_share", "util"];
 
-pub fn read(all: &Value) -> Result<Settings, String> {
+pub fn read(all: &Value) -> Result<Settings, Missing> {
     let services = all.pointer("/services").and_then(Value::as_array);
-    let services = services.ok_or("the settings lack the list /services")?;
+    let services = services.ok_or(Missing::List("/services"))?;
     let bands = services.iter().enumerate().map(|(place, own)| band(all, own, place));
-    let bands = bands.collect::<Result<Vec<Band>, String>>()?;
+    let bands = bands.collect::<Result<Vec<Band>, Missing>>()?;
     let dispatchers = need(all, "/balancers")? as u32;
     let location = need(all, "/zone")? as u8;
     let by_location = number(all, &format!("/domain/count_by_zone/{location}"));
