Repeat windows: a scenario holds further attempts to the span from the first that may have run

By reading, `may_go_again` counts from the earliest hand-off that may have run, at its decision, which is no later than its run; one that provably never ran does not begin the span. Seen to fail with the span counted from the last hand-off, and with no span. Late connects after the decision are not the module's: latest begin belongs to attempts.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -422,6 +422,7 @@
 #[test_case(include_str!("scenarios/popular.txt"); "popular")]
 #[test_case(include_str!("scenarios/purge.txt"); "purge")]
 #[test_case(include_str!("scenarios/ran_before.txt"); "ran_before")]
+#[test_case(include_str!("scenarios/repeat_window.txt"); "repeat_window")]
 #[test_case(include_str!("scenarios/restart.txt"); "restart")]
 #[test_case(include_str!("scenarios/silent_host.txt"); "silent_host")]
 #[test_case(include_str!("scenarios/half_look_bad.txt"); "half_look_bad")]
