Messages are told without a wait between clients' turns; the end waits for a last look

Found by reading again: the thread of clients told one message of each a round and then waited up to 3 ms for events, so a client with ten in one piece beside another waited for each; Front::is_empty held the count of the last look before leaving, so the process could end with connections in the backlog; a connection let go while the router still held it stayed in epoll and woke the thread for nothing. Library, discovery (35) and sockets (79) tests pass.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering::Relaxed};
 use std::sync::Arc;
 
 /// What is read at once, which an open visit may keep.
@@ -63,7 +63,7 @@
 #[derive(Debug, Default)]
 pub struct Front {
     stage: AtomicU8,
-    standing: AtomicUsize,
+    left: AtomicBool,
 }
 
 impl Front {
@@ -75,9 +75,9 @@
         self.stage.load(Relaxed) >= stage as u8
     }
 
-    /// Whether no connection stands any more, at the last look.
+    /// Whether no connection stands any more, at the last look since leaving.
     pub fn is_empty(&self) -> bool {
-        self.standing.load(Relaxed) == 0
+        self.left.load(Relaxed)
     }
 }
 
@@ -277,7 +277,9 @@
     }
 
     fn look_after(&mut self, now: Time, leaving: bool) -> io::Result<()> {
-        self.lingering.retain(|_, lingering| now < lingering.until);
+        let over = |(number, lingering): (&u64, &Lingering)| (now >= lingering.until).then_some(*number);
+        let over: Vec<u64> = self.lingering.iter().filter_map(over).collect();
+        over.into_iter().for_each(|number| self.let_go(number));
         if self.resting.take_if(|until| now >= *until).is_some() {
             self.hear_listener(true)?;
         }
@@ -295,7 +297,9 @@
             }
         }
         let standing = self.taken.len() + self.lingering.len() + usize::from(self.newcomer.is_some());
-        self.front.standing.store(standing, Relaxed);
+        if leaving {
+            self.front.left.store(standing == 0, Relaxed);
+        }
         Ok(())
     }
 
@@ -333,32 +337,30 @@
     /// Tells what was read, a message of each client in turn, until the router has enough; whoever is left over is not
     /// read from meanwhile.
     fn tell_in_turn(&mut self) -> Result<(), Code> {
-        for _ in 0..self.waiting.len() {
-            let Some(number) = self.waiting.pop_front() else { break };
+        while let Some(number) = self.waiting.pop_front() {
             let Some(client) = self.taken.get_mut(&number) else { continue };
             if client.line.has_left() {
                 client.untold.clear();
             }
-            while let Some(what) = client.untold.pop_front() {
+            if let Some(what) = client.untold.pop_front() {
                 match self.tell.requests.try_send(Input::Client(client.id, what)) {
-                    Ok(()) if self.waiting.is_empty() => {}
-                    Ok(()) => break,
+                    Ok(()) => {}
                     Err(TrySendError::Full(Input::Client(_, what))) => {
                         client.untold.push_front(what);
+                        self.waiting.push_front(number);
                         break;
                     }
                     Err(_) => return Err(Code::Stopped),
                 }
             }
-            let held = !client.untold.is_empty();
-            if held {
+            if client.untold.is_empty() {
+                client.hold(false, &self.epoll);
+            } else {
                 self.waiting.push_back(number);
             }
-            if held != client.held {
-                client.held = held;
-                let flags = if held { EpollFlags::EPOLLRDHUP } else { reads() };
-                let _ = self.epoll.modify(&*client.line, &mut EpollEvent::new(flags, number));
-            }
+        }
+        for number in &self.waiting {
+            self.taken.get_mut(number).into_iter().for_each(|client| client.hold(true, &self.epoll));
         }
         Ok(())
     }
@@ -397,7 +399,9 @@
             tracing::warn!("accept fails: {error}");
             self.most = self.most.min(self.taken.len().saturating_sub(SPARE)).max(1);
         }
-        self.lingering.clear();
+        while let Some(number) = self.lingering.keys().next().copied() {
+            self.let_go(number);
+        }
         self.resting = Some(clock::now() + LOOK);
         self.hear_listener(false)
     }
@@ -475,17 +479,24 @@
     fn linger(&mut self, number: u64, line: Arc<Line>) {
         self.lingering.insert(number, Lingering { line, until: clock::now() + LINGER, bytes: 0 });
         if self.lingering.len() > LINGER_MOST {
-            self.lingering.pop_first();
+            self.lingering.keys().next().copied().into_iter().for_each(|first| self.let_go(first));
         }
         self.pass_over(number);
     }
 
+    /// Looked after no more, whoever holds it still.
+    fn let_go(&mut self, number: u64) {
+        if let Some(lingering) = self.lingering.remove(&number) {
+            let _ = self.epoll.delete(&*lingering.line);
+        }
+    }
+
     fn pass_over(&mut self, number: u64) {
         let Some(lingering) = self.lingering.get_mut(&number) else { return };
         let passed = lingering.line.pass_over(&mut [0; PIECE]);
         lingering.bytes += passed.unwrap_or(0);
         if passed.is_none() || lingering.bytes > LINGER_BYTES {
-            self.lingering.remove(&number);
+            self.let_go(number);
         }
     }
 }
@@ -534,6 +545,14 @@
         }
     }
 
+    /// Whether it is not read from, but for its end.
+    fn hold(&mut self, held: bool, epoll: &Epoll) {
+        if std::mem::replace(&mut self.held, held) != held {
+            let flags = if held { EpollFlags::EPOLLRDHUP } else { reads() };
+            let _ = epoll.modify(&*self.line, &mut EpollEvent::new(flags, self.id.0));
+        }
+    }
+
     /// Whether something is open on it, or read and not told.
     fn is_used(&self) -> bool {
         self.busy.amount() > 0 || !self.untold.is_empty()
