Kept requests: a retry beside the first try counts from the first; a record is of the first that may have run

Found by a probe: hand_off looked for an earlier try among those that are over alone, so a client's retry while the first was open wrote its own, later time and host over the record, and the first's close took it away while the second was out; and where the first attempt never ran, the record kept that one's host (crates/keep/src/visits.rs).

--- a/crates/keep/src/visits.rs
+++ b/crates/keep/src/visits.rs
@@ -56,6 +56,12 @@
     ran: bool,
 }
 
+impl Open {
+    fn may_have_run(&self) -> bool {
+        self.ran || self.out > 0
+    }
+}
+
 /// What is known of such visits: open ones, and those that may have run and are over.
 #[derive(Debug, Default)]
 pub struct Visits {
@@ -90,30 +96,40 @@
     /// What the module is to be told as a visit comes: an earlier try of it that may have run.
     pub fn arrived(&self, now: Time, name: &[u8]) -> Option<(Time, HostId)> {
         let told = self.over.get(name).filter(|told| now < end(told, self.remember));
-        let open = || self.open.values().find(|open| open.name == name && (open.ran || open.out > 0));
-        told.or_else(|| open().map(|open| &open.told)).map(MayHaveRun::first)
+        told.or_else(|| self.beside(name).map(|open| &open.told)).map(MayHaveRun::first)
     }
 
-    /// A hand-off is about to go out. Only a visit's first needs a record: where that went, its repeats are dropped.
+    /// Another try of the same that is open and may have run.
+    fn beside(&self, name: &[u8]) -> Option<&Open> {
+        self.open.values().find(|open| open.name == name && open.may_have_run())
+    }
+
+    /// A hand-off is about to go out. Only the first that may run needs a record: where that went, repeats are dropped.
     pub fn hand_off(&mut self, id: VisitId, name: &[u8], effect: Effect, told: MayHaveRun) -> Before {
         let memory = match effect {
             Effect::Idempotent => return Before::Go,
             Effect::Deduplicated { memory, .. } => Some(memory.0),
             Effect::Unrepeatable => None,
         };
+        let told = MayHaveRun { memory, ..told };
         if let Some(open) = self.open.get_mut(&id) {
+            // What went out before never ran: from here on it counts.
+            if !open.may_have_run() {
+                (open.told, open.kept) = (told, false);
+            }
             open.out += 1;
             if open.kept {
                 return Before::Go;
             }
             return Before::Record(record(&open.name, &open.told, self.remember));
         }
-        // An earlier try's hand-off is the first, and its record stands.
-        let earlier = self.over.remove(name);
-        let told = earlier.clone().unwrap_or(MayHaveRun { memory, ..told });
-        let kept = earlier.is_some();
+        // An earlier try's hand-off is the first, and its record stands, also while that try is open.
+        let earlier = self.over.remove(name).map(|told| (told, true));
+        let earlier = earlier.or_else(|| self.beside(name).map(|open| (open.told.clone(), open.kept)));
+        let ran = earlier.is_some();
+        let (told, kept) = earlier.unwrap_or((told, false));
         let before = if kept { Before::Go } else { Before::Record(record(name, &told, self.remember)) };
-        let open = Open { name: name.to_vec(), told, kept, out: 1, ran: kept };
+        let open = Open { name: name.to_vec(), told, kept, out: 1, ran };
         self.open.insert(id, open);
         before
     }
@@ -146,7 +162,12 @@
     /// stays for as long as a repeat could do harm.
     pub fn closed(&mut self, id: VisitId, settled: bool) -> Option<Record> {
         let open = self.open.remove(&id)?;
-        if settled || !open.ran && open.out == 0 {
+        // While another try is open the record is that one's.
+        if let Some(other) = self.open.values_mut().find(|other| other.name == open.name) {
+            other.ran |= open.may_have_run();
+            return None;
+        }
+        if settled || !open.may_have_run() {
             return Some(Record { space: SPACE, key: open.name, value: None, until: None });
         }
         self.over.insert(open.name, open.told);
--- a/crates/keep/tests/keep.rs
+++ b/crates/keep/tests/keep.rs
@@ -74,6 +74,34 @@
     assert_eq!(visits.arrived(Time(11), NAME), Some((Time(10), HostId(7))));
 }
 
+#[test]
+fn a_retry_beside_the_first_try_counts_from_the_first_and_keeps_its_record() {
+    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    assert!(hand_off(&mut visits, &mut disk, 1, 10));
+    assert!(!hand_off(&mut visits, &mut disk, 2, 50), "a later time written over the first one's");
+    assert_eq!(visits.arrived(Time(60), NAME), Some((Time(10), HostId(7))));
+    // The first settles while the second is out: a crash now must still tell of it.
+    visits.ended(VisitId(1), false);
+    assert_eq!(visits.closed(VisitId(1), true), None);
+    assert_eq!(start(Time(70), &disk).arrived(Time(70), NAME), Some((Time(10), HostId(7))));
+    visits.ended(VisitId(2), false);
+    apply(&mut disk, visits.closed(VisitId(2), true).unwrap());
+    assert!(disk.is_empty());
+}
+
+#[test]
+fn a_record_is_of_the_first_that_may_have_run() {
+    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    assert!(hand_off(&mut visits, &mut disk, 1, 10));
+    visits.ended(VisitId(1), true);
+    let other = MayHaveRun { host: 9, host_name: "s-b".into(), ..told(50) };
+    let Before::Record(record) = visits.hand_off(VisitId(1), NAME, keyed(), other) else {
+        panic!("no record")
+    };
+    apply(&mut disk, record);
+    assert_eq!(start(Time(70), &disk).arrived(Time(70), NAME), Some((Time(50), HostId(9))));
+}
+
 #[test]
 fn after_a_crash_the_first_hand_off_stands_also_past_the_groups_memory() {
     let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
