--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -27,17 +27,25 @@
     Known { name: String::new(), address: "127.0.0.1:1".parse().unwrap(), since: None, mailbox }
 }
 
+/// One that was told of nothing yet, and its own mailbox.
+fn router() -> (Router, Sender<Input>) {
+    let (own, mailbox) = unbounded();
+    let config = Config::decode(SETTINGS.as_bytes()).unwrap();
+    let router = Router::new(config, own.clone(), [mailbox, unbounded().1], Arc::default());
+    (router.unwrap(), own)
+}
+
+/// A client's connection, which the router was told of.
+fn opened(router: &mut Router, listener: &TcpListener, client: ClientId) -> Arc<Line> {
+    let line = Arc::new(Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap()));
+    router.take(Input::Client(client, FromClient::Opened { line: line.clone() }));
+    line
+}
+
 #[test_case(true; "one that is on its way")]
 #[test_case(false; "one that is not")]
 fn no_next_hand_off_before_the_host_is_told(begun: bool) {
-    let (own, mailbox) = unbounded();
-    let mut router = Router::new(
-        Config::decode(SETTINGS.as_bytes()).unwrap(),
-        own,
-        [mailbox, unbounded().1],
-        Arc::default(),
-    )
-    .unwrap();
+    let (mut router, _own) = router();
     let hosts = ["a", "b"].map(|name| (host_id(name), unbounded()));
     let entry = |host, phase| Listing {
         host,
@@ -54,10 +62,8 @@
         router.hosts.insert(*id, known(letters));
     }
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
     let client = ClientId(0);
-    let line = Arc::new(line);
-    router.take(Input::Client(client, FromClient::Opened { line: line.clone() }));
+    let line = opened(&mut router, &listener, client);
     let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
         \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
     let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else { panic!() };
@@ -104,10 +110,8 @@
     store.write(Batch::new().put("s", "k", "v")).unwrap();
     stalls.store(true, Relaxed);
     let set = operator::Store { hand_offs, ..operator::Store::in_folder("none".into()) };
-    let (own, mailbox) = unbounded();
-    let config = Config::decode(SETTINGS.as_bytes()).unwrap();
-    let settings = config.settings.clone();
-    let mut router = Router::new(config, own.clone(), [mailbox, unbounded().1], Arc::default()).unwrap();
+    let (mut router, own) = router();
+    let settings = router.config.settings.clone();
     router.keep(Keeper::start(Kept::with(Some(Arc::new(store)), set), &settings, own));
     let (id, host) = (host_id("a"), unbounded());
     router.hosts.insert(id, known(&host.0));
@@ -122,9 +126,7 @@
     };
     router.brain.listed(clock::now(), &[listing], true);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let line = Line::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-    let line = Arc::new(line);
-    router.take(Input::Client(ClientId(0), FromClient::Opened { line: line.clone() }));
+    let line = opened(&mut router, &listener, ClientId(0));
     let fields: &[u8] = b"\x94\x00\x01\xa4once\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa3500\
         \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
     let Ok(Some(msgpack::Message::Visit(id, asked))) = msgpack::next(&mut fields.into()) else { panic!() };
@@ -147,14 +149,7 @@
 
 #[test]
 fn nothing_is_kept_for_a_host_that_has_gone() {
-    let (own, mailbox) = unbounded();
-    let mut router = Router::new(
-        Config::decode(SETTINGS.as_bytes()).unwrap(),
-        own,
-        [mailbox, unbounded().1],
-        Arc::default(),
-    )
-    .unwrap();
+    let (mut router, _own) = router();
     for (seq, state) in ["in_service", "terminating", "terminated"].iter().enumerate() {
         let entry =
             format!(r#"{{"id":"s-a","addr":"127.0.0.1:1","zone":"edge","kind":"small","state":"{state}"}}"#);
