Failing test: after a purge a host that stood still is asked without an age limit

A real dispatcher and a stand-in cache that reads nothing from before a purge until purge_done and the grace are over: the read that it then takes has no 'oldest' (seen: 'no oldest in c=video,k=,p=0,from=s-o,rank=1,w=971'), so any copy will do. Lines at fault: src/brain.rs, oldest(), 'now < *at + purge_memory()', and each_second(), which forgets the purge.

--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -1453,6 +1453,7 @@
 #[test_case(include_str!("sockets/bad_entries.txt"); "bad_entries")]
 #[test_case(include_str!("sockets/late_source_anew.txt"); "late_source_anew")]
 #[test_case(include_str!("sockets/known_twice.txt"); "known_twice")]
+#[test_case(include_str!("sockets/purge_host_stood_still.txt"); "purge_host_stood_still")]
 fn plays(text: &str) {
     let mut play = Play::default();
     for (number, line) in text.lines().enumerate() {
