Log lines for purges heard, and for attempts that took most of their request's time

Of the incident nothing told when a purge was heard, nor which age was asked for with the read that was served too old. A purge heard is a line; so is an attempt that took half of its request's time or more, with the request's id, host, age asked for, and the times of decision, write and end, ten a second at most.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the module that decides between them.
 #![forbid(unsafe_code)]
 
+pub mod attempt_log;
 pub mod bounds;
 pub mod carried;
 pub mod changes;
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -1,5 +1,6 @@
 //! The module's actor, the only owner of the module, of open visits and of hand-offs: turns messages into
 //! calls, pulls decisions, and sends them out. It decides nothing itself.
+use crate::attempt_log::{AttemptLog, EndedAttempt};
 use crate::bounds::{Gauge, Held, Room};
 use crate::clients::{Front, Outlet, Stage, ToClient, PIECE};
 use crate::clock;
@@ -140,6 +141,7 @@
     keeper: Option<Keeper>,
     /// Where other dispatchers are known.
     sharing: Option<Sharing>,
+    attempt_log: AttemptLog,
 }
 
 impl Asked {
@@ -188,6 +190,7 @@
             done: false,
             keeper: None,
             sharing: None,
+            attempt_log: AttemptLog::default(),
         })
     }
 
@@ -208,7 +211,24 @@
         if let Some(keeper) = &self.keeper {
             keeper.purged(now, purge);
         }
-        self.brain.purged(now, purge.group, purge.object, now - purge.at);
+        let age = now - purge.at;
+        match purge.object {
+            Some(object) => {
+                tracing::info!(
+                    change = purge.change,
+                    "purge: object {:016x}, heard {} ms after it",
+                    object.0,
+                    age.0 / 1000
+                )
+            }
+            None => tracing::info!(
+                change = purge.change,
+                "purge: group {}, heard {} ms after it",
+                purge.group.0,
+                age.0 / 1000
+            ),
+        }
+        self.brain.purged(now, purge.group, purge.object, age);
         let visits = &self.visits;
         let asks = |id: &HandOffId| {
             let asked = visits.get(&id.0).map(|open| &open.asked);
@@ -471,15 +491,18 @@
             self.spent.inward.push(written - out.read);
         }
         let HandOffId(visit, number) = id;
-        tracing::debug!(
-            "attempt {}/{} at host {:x}: decided at {} us, written at {:?} us, {outcome:?} at {} us",
-            visit.0,
-            number.0,
-            out.host.0,
-            out.decided.0,
-            out.way.written_at().map(|at| at.0),
-            at.0
-        );
+        let open = self.visits.get(&visit);
+        self.attempt_log.ended(&EndedAttempt {
+            id,
+            request: open.map(|open| &open.asked.txn[..]),
+            host: self.hosts.get(&out.host).map_or("a host that has gone", |known| &known.name),
+            came: open.map(|open| (open.came, open.asked.limit)),
+            decided: out.decided,
+            written: out.way.written_at(),
+            ended: at,
+            outcome,
+            fill: out.fill,
+        });
         if let Some(keeper) = &mut self.keeper {
             keeper.visits.ended(visit, outcome.never_ran());
         }
