A purge binds for as long as the process runs, not until hosts have to have dropped copies

Cause, seen with a stand-in cache that reads nothing while an object is purged: the age limit ended purge_done + purge_grace after the purge (src/brain.rs, oldest() and each_second()), so a cache that stood still meanwhile was asked for a copy of any age.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -411,14 +411,15 @@
         self.ready.push_back(Decision::HandOff { visit: id, host, until, latest, fill });
     }
 
-    /// The oldest copy that will do. After a purge it is the time since, never zero (the default), until no
-    /// older one is left; where purges may be unheard, the time in which one counts. Guards rule 5.
+    /// The oldest copy that will do. After a purge it is the time since, never zero (the default), from then on: a
+    /// host that stood still has not dropped older ones. Where purges may be unheard, the time in which one
+    /// counts. Guards rule 5.
     fn oldest(&self, now: Time, visit: &Visit, filled: bool) -> Span {
         let Some(band) = self.band(visit.band) else { return Span::ZERO };
         let most = if filled { band.fresh } else { band.fresh + band.grace };
         let most = Some(most).filter(|_| band.fresh > Span::ZERO);
         let purge = self.purges.last(visit.group, visit.object);
-        let since = purge.filter(|at| now < *at + self.set.purge_memory()).map(|at| (now - at).max(Span(1)));
+        let since = purge.map(|at| (now - at).max(Span(1)));
         since.into_iter().chain(most).chain(self.unproven).min().unwrap_or(Span::ZERO)
     }
 
@@ -743,7 +744,6 @@
     }
 
     fn each_second(&mut self, now: Time) {
-        self.purges.forget(now - self.set.purge_memory());
         self.hosts.retain(|_, host| !host.is_gone() || host.in_flight > 0);
         for host in self.hosts.values_mut() {
             host.carried.push(std::mem::take(&mut host.settled_work), 0.2);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod containers;
 pub mod ids;
 pub mod popularity;
+pub mod purges;
 pub mod settings;
 pub mod shared;
 pub mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::containers::{rendezvous, Bucket, DueTimes, Gradient, Mean};
 use crate::ids::{BandId, GroupId, HandOffNo, HostId, ObjectId, VisitId};
 use crate::popularity::Popularity;
+use crate::purges::Purges;
 use crate::settings::{Band, Effect, Settings};
 use crate::shared::{Part, Told, Use};
 use crate::time::{Span, Time};
@@ -309,32 +310,6 @@
     }
 }
 
-/// When objects and whole groups were last purged.
-#[derive(Debug, Default)]
-pub struct Purges {
-    objects: BTreeMap<ObjectId, Time>,
-    groups: BTreeMap<GroupId, Time>,
-}
-
-impl Purges {
-    pub fn note(&mut self, group: GroupId, object: Option<ObjectId>, at: Time) {
-        let known = match object {
-            Some(object) => self.objects.entry(object).or_insert(at),
-            None => self.groups.entry(group).or_insert(at),
-        };
-        *known = (*known).max(at);
-    }
-
-    pub fn last(&self, group: GroupId, object: ObjectId) -> Option<Time> {
-        self.objects.get(&object).max(self.groups.get(&group)).copied()
-    }
-
-    pub fn forget(&mut self, before: Time) {
-        self.objects.retain(|_, at| *at >= before);
-        self.groups.retain(|_, at| *at >= before);
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 pub enum Due {
     Deadline(VisitId),
