Failing tests: the wall clock of a dispatcher is stepped or wrong; a shim for system calls

crates/shim and crates/shim-library (the one crate with unsafe code, each use with its reason): a library that tests load into a process by LD_PRELOAD, a control file that sets faults while it runs, and a count of what was delivered. Its own tests show that a step moves the wall clock alone, that rates hold, that short counts lose nothing and that files fail. Cause, by reading: crates/dispatcher/src/clock.rs is the wall clock, and the only clock of the dispatcher.

--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -8,7 +8,7 @@
 //! another host's address, with other values, or without a key),
 //! `list NAME STATE [unheard|odd]` (odd: with an entry that can't be used), `purge OBJECT|group`, `feed MODE` (well, refuse, mute, prose, gap, repeat, state, cut, stop, drip), `client NAME [N] [deaf]`,
 //! `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`, `close CLIENT`,
-//! `take HOST|any|it [FIELD=VALUE|FIELD<N|!FIELD|!FIELD=VALUE|never_mind|busy]`, `answer HOST WORD [FIELDS|bare]
+//! `take HOST|any|it [FIELD=VALUE|FIELD<N|FIELD>N|!FIELD|!FIELD=VALUE|never_mind|busy]`, `answer HOST WORD [FIELDS|bare]
 //! [bytes=N] [id=ID]` (bare: no fields at all, as what runs a write answers it),
 //! `flood CLIENT HOST` (visits with large answers until the client's connection ends),
 //! `expect CLIENT ID settled|turned-back|written-off|ready|not-ready|bad [FIELD=VALUE] [bytes=N]`, `nothing HOST|CLIENT`,
@@ -35,7 +35,13 @@
 //! part of the share of all), `pipe CLIENT FROM TO BYTES` (all these requests, written in pieces of so many bytes).
 //! `lap` and `lap MS` (so soon after the one before), `stands N MS` (so soon there are no more open files and connections
 //! that wait at its listener than that).
+//! What the machine does to the dispatchers alone (`cherrypass-shim`; `shim` comes before `start`): `step MS` (their wall
+//! clock is so far ahead from now on, or behind; hosts, clients and the change log keep the true one), `fault CALL ERRNO
+//! PER_MILLION` (so many of its calls fail so; `short-read` and `short-write` take bytes for the error), `delivered CALL N`
+//! (so many did, at least).
 //! `{1..9}` in words: the command once for each number.
+use cherrypass_shim::control::Call;
+use cherrypass_shim::{Fault, Shim};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -63,6 +69,7 @@
 const SIZES: [(char, usize); 3] = [('a', 240_000), ('b', 120_000), ('c', 4_000)];
 /// Between one bad client and the next.
 const RUDE: Duration = Duration::from_millis(5);
+const SHIM_SEED: u64 = 43;
 const SETTINGS: &str = r#"{"balancers": 2, "me": 0, "zone": 1, "zones": ["hub", "edge"], "weight_source": "rough",
  "models": ["small", "parent", "origin"],
  "services": [{"name": "video", "aim": 500000, "deadline": 6000000, "effect": "idempotent"},
@@ -419,12 +426,17 @@
 }
 
 /// Starts a dispatcher that may hold so many descriptors.
-fn run(config: &str, descriptors: u32, more: &str) -> (Child, ConfigFile) {
+fn run(config: &str, descriptors: u32, more: &str, shim: Option<&Shim>) -> (Child, ConfigFile) {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("cherrypass-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let serve = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\" {more}");
+    let environment = shim.map(|shim| shim.environment().unwrap()).into_iter().flatten();
+    let environment: Vec<String> = environment.map(|(name, value)| format!("{name}={value}")).collect();
+    // The library is for the dispatcher alone, not for the shell that starts it.
+    let environment = environment.join(" ");
+    let serve =
+        format!("ulimit -n {descriptors}; exec env {environment} \"$0\" serve --config \"$1\" {more}");
     let mut command = Command::new("/bin/sh");
     let command = command.arg("-c").arg(serve).arg(env!("CARGO_BIN_EXE_cherrypass")).arg(&path);
     let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
@@ -440,8 +452,8 @@
 }
 
 impl Dispatcher {
-    fn start(config: &str, descriptors: u32, more: &str) -> Dispatcher {
-        let (mut child, config) = run(config, descriptors, more);
+    fn start(config: &str, descriptors: u32, more: &str, shim: Option<&Shim>) -> Dispatcher {
+        let (mut child, config) = run(config, descriptors, more, shim);
         let (tell, lines) = channel();
         let errors = BufReader::new(child.stderr.take().unwrap());
         spawn(move || errors.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
@@ -749,6 +761,25 @@
     ended: Option<Instant>,
     lap: Option<Instant>,
     anew: bool,
+    shim: Option<Shim>,
+}
+
+/// An error by its name, or a plain number.
+fn errno(name: &str) -> i32 {
+    match name {
+        "ECONNABORTED" => libc::ECONNABORTED,
+        "ENFILE" => libc::ENFILE,
+        "EMFILE" => libc::EMFILE,
+        "ENOBUFS" => libc::ENOBUFS,
+        "EADDRNOTAVAIL" => libc::EADDRNOTAVAIL,
+        "ENETUNREACH" => libc::ENETUNREACH,
+        "EHOSTUNREACH" => libc::EHOSTUNREACH,
+        "ETIMEDOUT" => libc::ETIMEDOUT,
+        "EINTR" => libc::EINTR,
+        "ENOSPC" => libc::ENOSPC,
+        "EIO" => libc::EIO,
+        number => number.parse().expect("no such error"),
+    }
 }
 
 impl Play {
@@ -774,7 +805,7 @@
             }
             all.to_string()
         };
-        let start = |feed| Dispatcher::start(&text(feed), descriptors, &more);
+        let start = |feed| Dispatcher::start(&text(feed), descriptors, &more, self.shim.as_ref());
         self.dispatchers = self.feeds.iter().map(start).collect();
     }
 
@@ -878,6 +909,9 @@
                 let value: u64 =
                     fields.get(name).unwrap_or_else(|| panic!("no {name} in {said}")).parse().unwrap();
                 assert!((1..most.parse().unwrap()).contains(&value), "{word}, but {said}");
+            } else if let Some((name, least)) = word.split_once('>') {
+                let value: Option<u64> = fields.get(name).map(|value| value.parse().unwrap());
+                assert!(value > Some(least.parse().unwrap()), "{word}, but {said}");
             } else if let Some(size) = word.strip_prefix("body=") {
                 assert_eq!(seen.words[3], "y".repeat(size.parse().unwrap()));
             } else {
@@ -1260,6 +1294,23 @@
                 let mut stream = self.clients[*client].stream.try_clone().unwrap();
                 spawn(move || while stream.write_all(&statuses(1..=127)).is_ok() {});
             }
+            ["shim"] => self.shim = Some(Shim::new(SHIM_SEED).unwrap()),
+            ["step", ms] => {
+                let ms: i64 = ms.parse().unwrap();
+                let span = Duration::from_millis(ms.unsigned_abs());
+                let (ahead, behind) = if ms > 0 { (span, Duration::ZERO) } else { (Duration::ZERO, span) };
+                self.shim.as_ref().unwrap().step_wall_clock(ahead, behind).unwrap();
+            }
+            ["fault", call, how, per_million] => {
+                let fault = Fault { per_million: per_million.parse().unwrap(), how: errno(how) };
+                let call = Call::named(call).expect("no such call");
+                self.shim.as_ref().unwrap().set(call, fault).unwrap();
+            }
+            ["delivered", call, least] => {
+                let call = Call::named(call).expect("no such call");
+                let [made, delivered] = self.shim.as_ref().unwrap().delivered(call).unwrap();
+                assert!(delivered >= least.parse().unwrap(), "{delivered} of {made} calls");
+            }
             ["pause"] => self.dispatchers[0].pause(),
             ["resume"] => self.dispatchers[0].signal("-CONT"),
             ["signal", name] => self.dispatchers[0].signal(&format!("-{name}")),
@@ -1454,6 +1505,9 @@
 #[test_case(include_str!("sockets/late_source_anew.txt"); "late_source_anew")]
 #[test_case(include_str!("sockets/known_twice.txt"); "known_twice")]
 #[test_case(include_str!("sockets/purge_host_stood_still.txt"); "purge_host_stood_still")]
+#[test_case(include_str!("sockets/clock_forward.txt"); "clock_forward")]
+#[test_case(include_str!("sockets/clock_back.txt"); "clock_back")]
+#[test_case(include_str!("sockets/clock_start.txt"); "clock_start")]
 fn plays(text: &str) {
     let mut play = Play::default();
     for (number, line) in text.lines().enumerate() {
@@ -1487,7 +1541,7 @@
     let by = by.replace("TAKEN", &taken.local_addr().unwrap().to_string());
     let text = config("127.0.0.1:0", &Feed::start(), "null", 192).replacen(part, &by, 1);
     assert!(text.contains(&by), "nothing was replaced");
-    let (child, _file) = run(&text, 256, "");
+    let (child, _file) = run(&text, 256, "", None);
     let output = child.wait_with_output().unwrap();
     let said = String::from_utf8(output.stderr).unwrap();
     assert_eq!(output.status.code(), Some(code), "{said}");
--- /dev/null
+++ b/crates/shim/tests/shim.rs
@@ -0,0 +1,126 @@
+//! The shim delivers what is ordered, at about the rate that is ordered, counts it, and leaves all else as it is.
+//! Each case runs this test's own program once more with the library loaded.
+use cherrypass_shim::control::Call;
+use cherrypass_shim::{Fault, Shim};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant, SystemTime};
+
+const INSIDE: &str = "CHERRYPASS_SHIM_INSIDE";
+const TRIES: usize = 400;
+
+/// What the process with the shim does; the parent reads what it prints.
+fn inside(what: &str) {
+    match what {
+        "clock" => {
+            let monotonic = Instant::now();
+            let unix = || SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis();
+            let before = unix();
+            println!("wall {before}");
+            std::io::stdin().read_exact(&mut [0]).unwrap();
+            println!("wall {}", unix());
+            println!("monotonic {}", monotonic.elapsed().as_millis());
+        }
+        "connect" => {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let failed = (0..TRIES).filter(|_| {
+                let refused = TcpStream::connect(address)
+                    .is_err_and(|error| error.raw_os_error() == Some(libc::ENETUNREACH));
+                if !refused {
+                    drop(listener.accept().unwrap());
+                }
+                refused
+            });
+            println!("failed {}", failed.count());
+        }
+        "short" => {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let mut to = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let (mut from, _) = listener.accept().unwrap();
+            let sent: Vec<u8> = (0..TRIES).map(|number| number as u8).collect();
+            to.write_all(&sent).unwrap();
+            let mut got = vec![0; TRIES];
+            from.read_exact(&mut got).unwrap();
+            assert_eq!(sent, got);
+            println!("same");
+        }
+        "sync" => {
+            let file = tempfile::tempfile().unwrap();
+            let error = file.sync_data().unwrap_err();
+            assert_eq!(error.raw_os_error(), Some(libc::EIO));
+            assert_eq!((&file).write(b"x").unwrap_err().kind(), ErrorKind::StorageFull);
+            println!("failed");
+        }
+        other => panic!("no such case: {other}"),
+    }
+}
+
+/// The entry for the process with the shim; a plain run of it does nothing.
+#[test]
+fn child() {
+    if let Ok(what) = std::env::var(INSIDE) {
+        inside(&what);
+    }
+}
+
+fn run(shim: &Shim, what: &str, meanwhile: impl FnOnce(&Shim)) -> String {
+    let mut command = Command::new(std::env::current_exe().unwrap());
+    command.args(["--exact", "child", "--nocapture"]).envs(shim.environment().unwrap()).env(INSIDE, what);
+    let mut child = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    meanwhile(shim);
+    // Only the case that waits for it reads this.
+    let _ = child.stdin.take().unwrap().write_all(b"x");
+    let output = child.wait_with_output().unwrap();
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+fn numbers(said: &str, word: &str) -> Vec<i64> {
+    let lines = said.lines().filter_map(|line| line.split_once(&format!("{word} ")));
+    lines.map(|(_, number)| number.trim().parse().unwrap()).collect()
+}
+
+#[test]
+fn the_wall_clock_is_stepped_and_the_monotonic_one_is_not() {
+    let shim = Shim::new(1).unwrap();
+    let said = run(&shim, "clock", |shim| {
+        shim.step_wall_clock(Duration::ZERO, Duration::from_secs(3600)).unwrap();
+    });
+    let wall = numbers(&said, "wall");
+    let monotonic = numbers(&said, "monotonic")[0];
+    assert!((wall[1] - wall[0] - monotonic + 3_600_000).abs() < 100, "{said}");
+    assert!(monotonic < 60_000, "{said}");
+    let [made, delivered] = shim.delivered(Call::WallClock).unwrap();
+    assert!(made > delivered && delivered > 0, "{made} {delivered}");
+}
+
+#[test]
+fn calls_fail_at_the_rate_and_are_counted() {
+    let shim = Shim::new(7).unwrap();
+    shim.set(Call::Connect, Fault { per_million: 300_000, how: libc::ENETUNREACH }).unwrap();
+    let failed = numbers(&run(&shim, "connect", |_| {}), "failed")[0] as usize;
+    assert!(failed > TRIES / 5 && failed < TRIES * 2 / 5, "{failed}");
+    assert_eq!(shim.delivered(Call::Connect).unwrap(), [TRIES as u64, failed as u64]);
+}
+
+#[test]
+fn short_reads_and_writes_lose_nothing() {
+    let shim = Shim::new(7).unwrap();
+    shim.set(Call::ShortRead, Fault { per_million: 1_000_000, how: 3 }).unwrap();
+    shim.set(Call::ShortWrite, Fault { per_million: 1_000_000, how: 7 }).unwrap();
+    assert!(run(&shim, "short", |_| {}).contains("same"));
+    assert!(shim.delivered(Call::ShortRead).unwrap()[1] >= TRIES as u64 / 3);
+    assert!(shim.delivered(Call::ShortWrite).unwrap()[1] >= TRIES as u64 / 7);
+}
+
+#[test]
+fn files_fail() {
+    let shim = Shim::new(7).unwrap();
+    shim.set(Call::FileSync, Fault { per_million: 1_000_000, how: libc::EIO }).unwrap();
+    shim.set(Call::FileWrite, Fault { per_million: 1_000_000, how: libc::ENOSPC }).unwrap();
+    assert!(run(&shim, "sync", |_| {}).contains("failed"));
+    assert_eq!(shim.delivered(Call::FileSync).unwrap()[1], 1);
+}
