--- a/crates/dispatcher/src/inbox.rs
+++ b/crates/dispatcher/src/inbox.rs
@@ -7,7 +7,7 @@
 use crate::resp::Answer;
 use crate::wanted::Wanted;
 use cherrypass::calls::{Listing, Outcome, Report};
-use cherrypass::time::Time;
+use cherrypass::time::{Time, UnixTime};
 use cherrypass_keep::purges::Purge;
 use cherrypass_keep::visits::Taken;
 use cherrypass_peers::FromFleet;
@@ -70,7 +70,10 @@
 /// A host of the list, with the address at which this dispatcher reaches it.
 #[derive(Clone, Debug)]
 pub struct Listed {
+    /// Its `since` follows from `started` as the entry is taken into the list.
     pub listing: Listing,
+    /// When its process started, as the change log tells it; none where that was long ago.
+    pub started: Option<UnixTime>,
     pub name: String,
     pub address: Option<SocketAddr>,
 }
--- a/crates/dispatcher/src/keeping.rs
+++ b/crates/dispatcher/src/keeping.rs
@@ -4,7 +4,7 @@
 use crate::inbox::Input;
 use cherrypass::ids::VisitId;
 use cherrypass::settings::Settings;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::Span;
 use cherrypass_background::schedule::Whole;
 use cherrypass_keep::purges::{self, Purge};
 use cherrypass_keep::records::Record;
@@ -35,20 +35,20 @@
 
 /// A store that is written to, its salts not those of any run before.
 pub fn options(segment_kb: u64) -> Options {
-    let seed = clock::now().0 ^ u64::from(std::process::id()) << 40;
+    let seed = clock::unix().0 ^ u64::from(std::process::id()) << 40;
     Options { segment_bytes: segment_kb * 1024, seed, ..Options::default() }
 }
 
 #[cfg(not(feature = "faults"))]
 fn open(dir: &Path, options: Options, budget: Whole) -> Result<Store, Error> {
-    Store::open(dir, options, Arc::new(clock::now), Some(budget))
+    Store::open(dir, options, Arc::new(clock::unix), Some(budget))
 }
 
 /// Over a disk that lies where the environment orders it.
 #[cfg(feature = "faults")]
 fn open(dir: &Path, options: Options, budget: Whole) -> Result<Store, Error> {
     let disk = cherrypass_peers::disk::over(cherrypass_store::disk::Folder::lock(dir)?);
-    Store::on(disk, options, Arc::new(clock::now), Some(budget))
+    Store::on(disk, options, Arc::new(clock::unix), Some(budget))
 }
 
 impl Kept {
@@ -128,7 +128,7 @@
         let Some(values) = self.values(versions::SPACE) else { return };
         let known = versions::known(values.iter().map(|(_, value)| &value[..]));
         let source = source.display().to_string();
-        let records = versions::in_force(&known, &source, text, clock::now(), self.set.configurations);
+        let records = versions::in_force(&known, &source, text, clock::unix(), self.set.configurations);
         if !records.is_empty() {
             self.submit(Outlasts::Machine, records, |_| {});
         }
@@ -141,6 +141,24 @@
     }
 }
 
+/// What a start knows of the purges before it.
+pub enum Replayed {
+    Purges(Vec<Purge>),
+    /// There may have been any; each of so many groups counts as purged now.
+    Unknown {
+        groups: u32,
+    },
+}
+
+impl Replayed {
+    fn count(&self) -> usize {
+        match self {
+            Replayed::Purges(purges) => purges.len(),
+            Replayed::Unknown { groups } => *groups as usize,
+        }
+    }
+}
+
 /// The router's part of it.
 pub struct Keeper {
     kept: Kept,
@@ -151,25 +169,27 @@
 
 impl Keeper {
     /// What is known from before, and the purges that the module is to be told.
-    pub fn start(kept: Kept, settings: &Settings, own: Sender<Input>) -> (Keeper, Vec<Purge>) {
-        let (now, memory) = (clock::now(), settings.purge_memory());
+    pub fn start(kept: Kept, settings: &Settings, own: Sender<Input>) -> (Keeper, Replayed) {
+        let (now, memory) = (clock::unix(), settings.purge_memory().max(purges::KEPT_LEAST));
         let known = kept.values(purges::SPACE);
         let purges = match &known {
-            Some(values) => purges::replay(now, values.iter().map(|(_, value)| &value[..]), memory),
+            Some(values) => {
+                Replayed::Purges(purges::replay(now, values.iter().map(|(_, value)| &value[..]), memory))
+            }
             None if kept.set.unknown_purges == operator::UnknownPurges::Distrust => {
                 tracing::warn!(
                     "store: the purges before this start are unknown; every copy counts as purged"
                 );
-                purges::everything(now, GROUPS).collect()
+                Replayed::Unknown { groups: GROUPS }
             }
-            None => Vec::new(),
+            None => Replayed::Purges(Vec::new()),
         };
         let records = kept.values(visits::SPACE).unwrap_or_default();
         let records = records.iter().map(|(key, value)| (&key[..], &value[..]));
         let go_on = kept.set.without_record == operator::WithoutRecord::GoOn;
         let visits = Visits::start(now, records, kept.set.remember_visits, go_on);
         let may_have_run = visits.over().count();
-        tracing::info!("store: {} purges told anew, {may_have_run} visits may have run", purges.len());
+        tracing::info!("store: {} purges told anew, {may_have_run} visits may have run", purges.count());
         for (name, told) in visits.over().filter(|(_, told)| told.memory.is_none()) {
             let name = String::from_utf8_lossy(name);
             tracing::warn!(
@@ -186,8 +206,8 @@
         self.kept.set.hand_offs != operator::HandOffs::Off
     }
 
-    pub fn purged(&self, now: Time, purge: &Purge) {
-        if let Some(record) = purges::record(now, purge, self.memory) {
+    pub fn purged(&self, purge: &Purge) {
+        if let Some(record) = purges::record(clock::unix(), purge, self.memory) {
             self.kept.submit(Outlasts::Machine, vec![record], |_| {});
         }
     }
@@ -211,8 +231,8 @@
         }
     }
 
-    pub fn sweep(&mut self, now: Time) {
-        self.visits.forget(now);
+    pub fn sweep(&mut self) {
+        self.visits.forget(clock::unix());
         let refused = self.visits.refused();
         if refused > 0 {
             tracing::warn!("store: {refused} hand-offs had no record");
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt_log;
 pub mod bounds;
 pub mod carried;
+pub mod change_clock;
 pub mod changes;
 pub mod clients;
 pub mod clock;
--- a/crates/dispatcher/src/list.rs
+++ b/crates/dispatcher/src/list.rs
@@ -1,9 +1,10 @@
 //! The list of hosts in force. An entry that can't stand as it is told has one log line and a meaning by which no
 //! host is warmer, or is given more, than by a sound one (docs/sockets.md, "Bad entries of the list").
+use crate::change_clock::ChangeClock;
 use crate::inbox::Listed;
 use cherrypass::calls::{Listing, Phase};
 use cherrypass::ids::HostId;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, Time, UnixTime};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -23,6 +24,13 @@
     AddressTaken { address: SocketAddr, holder: String },
 }
 
+/// By what starts are dated.
+pub struct Clocks<'a> {
+    pub now: Time,
+    pub wall: UnixTime,
+    pub change_clock: &'a ChangeClock,
+}
+
 /// What of an event is in force.
 pub struct Applied {
     /// The event's entries in their order, as they count.
@@ -36,6 +44,7 @@
 /// A host that is listed and not gone.
 struct Row {
     listing: Listing,
+    started: Option<UnixTime>,
     name: String,
     address: SocketAddr,
     /// Counts up with each entry.
@@ -45,15 +54,22 @@
 impl Row {
     /// Who has an address is one process: the one that started last. Where the list tells of no difference it is
     /// one that does not drain, then the one told last.
-    fn claim(&self) -> (Option<Time>, bool, u64) {
-        (self.listing.since, self.listing.phase == Phase::Ready, self.told)
+    fn claim(&self) -> (Option<UnixTime>, bool, u64) {
+        (self.started, self.listing.phase == Phase::Ready, self.told)
     }
 }
 
+/// A start as it was told, and as it was dated when it was told first: the same start is the same point ever after.
+#[derive(Clone, Copy)]
+struct Start {
+    told: UnixTime,
+    at: Time,
+}
+
 pub struct List {
     rows: BTreeMap<HostId, Row>,
     /// The latest start told of each name; of one that has gone, until it would be warm.
-    starts: BTreeMap<HostId, Time>,
+    starts: BTreeMap<HostId, Start>,
     told: u64,
     /// The longest time from a start until a host is warm.
     ramp: Span,
@@ -65,8 +81,8 @@
         List { rows: BTreeMap::new(), starts: BTreeMap::new(), told: 0, ramp, weights_told }
     }
 
-    /// Takes an event's entries in; hosts missing from a whole list are gone.
-    pub fn apply(&mut self, now: Time, mut hosts: Vec<Listed>, whole: bool) -> Applied {
+    /// Takes an event's entries in, whose starts the clock has heard; hosts missing from a whole list are gone.
+    pub fn apply(&mut self, clocks: &Clocks, mut hosts: Vec<Listed>, whole: bool) -> Applied {
         if whole {
             let kept: BTreeSet<HostId> = hosts.iter().map(|host| host.listing.host).collect();
             self.rows.retain(|id, _| kept.contains(id));
@@ -74,15 +90,15 @@
         let mut faults = Vec::new();
         for place in 0..hosts.len() {
             let weight = self.weight(&hosts[place].listing, &hosts);
-            let Listed { listing, name, .. } = &mut hosts[place];
-            faults.extend(self.weigh(listing, weight).map(|fault| (name.clone(), fault)));
-            faults.extend(self.date(now, listing).map(|fault| (name.clone(), fault)));
+            let host = &mut hosts[place];
+            faults.extend(self.weigh(&mut host.listing, weight).map(|fault| (host.name.clone(), fault)));
+            faults.extend(self.date(clocks, host).map(|fault| (host.name.clone(), fault)));
         }
         hosts.iter().for_each(|host| self.put(host));
         let lost = self.settle(&hosts, &mut faults);
         hosts.retain(|host| lost.iter().all(|lost| lost.host != host.listing.host));
         let (rows, ramp) = (&self.rows, self.ramp);
-        self.starts.retain(|id, start| rows.contains_key(id) || now < *start + ramp);
+        self.starts.retain(|id, start| rows.contains_key(id) || clocks.now < start.at + ramp);
         Applied { hosts, lost, faults }
     }
 
@@ -104,30 +120,35 @@
     }
 
     /// A start earlier than one known, or none, changes nothing of that.
-    fn date(&mut self, now: Time, listing: &mut Listing) -> Option<Fault> {
-        let (told, known) = (listing.since, self.starts.get(&listing.host).copied());
-        listing.since = told.max(known);
-        if let Some(start) = listing.since {
-            self.starts.insert(listing.host, start);
+    fn date(&mut self, clocks: &Clocks, host: &mut Listed) -> Option<Fault> {
+        let id = host.listing.host;
+        let (told, known) = (host.started, self.starts.get(&id).map(|start| start.told));
+        let later = told.filter(|told| Some(*told) > known);
+        if let Some(told) = later {
+            let at = clocks.change_clock.time(clocks.now, clocks.wall, told);
+            self.starts.insert(id, Start { told, at });
         }
-        let ms = |start: Option<Time>| start.map_or(0, |start| start.0 / 1000);
+        let start = self.starts.get(&id);
+        (host.started, host.listing.since) = (start.map(|start| start.told), start.map(|start| start.at));
+        let ms = |start: Option<UnixTime>| start.map_or(0, UnixTime::as_millis);
         let fault = if told < known {
             Fault::EarlierStart { told: ms(told), known: ms(known) }
-        } else if told > known && told > Some(now) {
+        } else if later.is_some() && host.listing.since > Some(clocks.now) {
             Fault::FutureStart(ms(told))
         } else {
             return None;
         };
-        (listing.phase == Phase::Ready).then_some(fault)
+        (host.listing.phase == Phase::Ready).then_some(fault)
     }
 
     fn put(&mut self, host: &Listed) {
         self.told += 1;
-        let Listed { listing, name, address } = host;
+        let Listed { listing, started, name, address } = host;
         match address.filter(|_| listing.phase != Phase::Gone) {
             Some(address) => {
-                let row = Row { listing: *listing, name: name.clone(), address, told: self.told };
-                self.rows.insert(listing.host, row);
+                let (listing, started, name) = (*listing, *started, name.clone());
+                let row = Row { listing, started, name, address, told: self.told };
+                self.rows.insert(host.listing.host, row);
             }
             None => drop(self.rows.remove(&listing.host)),
         }
--- a/crates/dispatcher/src/log_changes.rs
+++ b/crates/dispatcher/src/log_changes.rs
@@ -3,7 +3,7 @@
 use crate::inbox::{Change, Listed};
 use cherrypass::calls::{Listing, Phase};
 use cherrypass::ids::*;
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use cherrypass_keep::purges::Purge;
 use serde_json::Value;
 use std::io;
@@ -159,7 +159,7 @@
     if object.is_none() && bucket.is_none() {
         return Err("object or bucket".into());
     }
-    Ok(Some(Change::Purge(Purge { group, object, at: Time(at.saturating_mul(1000)), change: number })))
+    Ok(Some(Change::Purge(Purge { group, object, at: UnixTime::millis(at), change: number })))
 }
 
 fn listed(entry: &Value, names: &Names) -> Result<Listed, &'static str> {
@@ -188,9 +188,10 @@
                 entry.get("cell").and_then(Value::as_u64).unwrap_or(0).try_into().map_err(|_| "cell")?,
             ),
             weight: entry.get("weight").and_then(Value::as_f64).unwrap_or(0.0),
-            since: Some(started).filter(|ms| *ms > 0).map(|ms| Time(ms.saturating_mul(1000))),
+            since: None,
             phase,
         },
+        started: Some(started).filter(|ms| *ms > 0).map(UnixTime::millis),
         name: name.to_owned(),
         address: Some(address).filter(|address| address.is_some() || gone).ok_or("addr")?,
     })
--- a/crates/dispatcher/src/logger.rs
+++ b/crates/dispatcher/src/logger.rs
@@ -28,11 +28,11 @@
 }
 
 /// Unix time in seconds, to the microsecond.
-struct UnixTime;
+struct WallClock;
 
-impl FormatTime for UnixTime {
+impl FormatTime for WallClock {
     fn format_time(&self, to: &mut Writer) -> fmt::Result {
-        let now = clock::now().0;
+        let now = clock::wall().0;
         write!(to, "{}.{:06}", now / 1_000_000, now % 1_000_000)
     }
 }
@@ -55,7 +55,7 @@
     N: for<'a> FormatFields<'a> + 'static,
 {
     fn format_event(&self, _: &FmtContext<S, N>, mut to: Writer, event: &Event) -> fmt::Result {
-        UnixTime.format_time(&mut to)?;
+        WallClock.format_time(&mut to)?;
         write!(to, " {} ", event.metadata().level().as_str().to_ascii_lowercase())?;
         let mut message = Message(&mut to, Ok(()));
         event.record(&mut message);
@@ -98,7 +98,7 @@
     let dispatch = match format {
         Format::Text => Dispatch::new(base.event_format(Text).finish()),
         Format::Json => {
-            let json = base.json().flatten_event(true).with_timer(UnixTime).with_target(false);
+            let json = base.json().flatten_event(true).with_timer(WallClock).with_target(false);
             Dispatch::new(json.with_current_span(false).with_span_list(false).finish())
         }
     };
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -2,16 +2,17 @@
 //! calls, pulls decisions, and sends them out. It decides nothing itself.
 use crate::attempt_log::{AttemptLog, EndedAttempt};
 use crate::bounds::{Gauge, Held, Room};
+use crate::change_clock::ChangeClock;
 use crate::clients::{Front, Outlet, Stage, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
 use crate::hosts::Hosts;
 use crate::ids::{ClientId, HandOffId, HostNo, ProbeNo, Txn};
 use crate::inbox::{Change, FromClient, FromHost, Input, Listed};
-use crate::keeping::Keeper;
+use crate::keeping::{Keeper, Replayed};
 use crate::letters::{HandOff, Mailbox, ToHost, Way};
 use crate::line::Code;
-use crate::list::{Applied, List};
+use crate::list::{Applied, Clocks, List};
 use crate::mailbox;
 use crate::msgpack::{self, Asked, Parts};
 use crate::resp::Answer;
@@ -24,7 +25,7 @@
 use cherrypass::containers::DueTimes;
 use cherrypass::ids::*;
 use cherrypass::settings::Effect;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, Time, UnixTime};
 use cherrypass_keep::purges::Purge;
 use cherrypass_keep::visits::{Before, MayHaveRun, Taken};
 use crossbeam_channel::{Receiver, Sender};
@@ -142,6 +143,7 @@
     /// Where other dispatchers are known.
     sharing: Option<Sharing>,
     attempt_log: AttemptLog,
+    change_clock: ChangeClock,
 }
 
 impl Asked {
@@ -191,16 +193,43 @@
             keeper: None,
             sharing: None,
             attempt_log: AttemptLog::default(),
+            change_clock: ChangeClock::default(),
         })
     }
 
     /// From here on what must last is kept, and the module hears of what was known before.
-    pub fn keep(&mut self, (keeper, purges): (Keeper, Vec<Purge>)) {
+    pub fn keep(&mut self, (keeper, replayed): (Keeper, Replayed)) {
         let now = clock::now();
-        purges.iter().for_each(|purge| self.purged(now, purge));
+        match replayed {
+            Replayed::Purges(purges) => {
+                purges.iter().for_each(|purge| self.change_clock.heard(now, purge.at));
+                purges.iter().for_each(|purge| self.purged(now, purge));
+            }
+            Replayed::Unknown { groups } => {
+                (0..groups).for_each(|group| self.brain.purged(now, GroupId(group), None, Span::ZERO));
+            }
+        }
         self.keeper = Some(keeper);
     }
 
+    /// The changes that are known at the start, each of which may date the others.
+    pub fn known(&mut self, changes: Vec<Change>) {
+        changes.iter().for_each(|change| self.hear_stamps(change));
+        changes.into_iter().for_each(|change| self.changed(change));
+    }
+
+    /// The clock of the change log goes by all that it says of times.
+    fn hear_stamps(&mut self, change: &Change) {
+        let now = clock::now();
+        match change {
+            Change::Purge(purge) => self.change_clock.heard(now, purge.at),
+            Change::List { hosts, .. } => {
+                let started = hosts.iter().filter_map(|host| host.started);
+                started.for_each(|started| self.change_clock.heard(now, started));
+            }
+        }
+    }
+
     /// From here on limits and what is found of hosts are shared.
     pub fn share(&mut self, mut sharing: Sharing) {
         sharing.begin(&mut self.brain);
@@ -209,9 +238,10 @@
 
     fn purged(&mut self, now: Time, purge: &Purge) {
         if let Some(keeper) = &self.keeper {
-            keeper.purged(now, purge);
+            keeper.purged(purge);
         }
-        let age = now - purge.at;
+        // Not by the wall clock: one that is ahead would have older copies served.
+        let age = self.change_clock.age(now, purge.at);
         match purge.object {
             Some(object) => {
                 tracing::info!(
@@ -443,13 +473,14 @@
             busy,
             wanted,
         };
-        let before = self.keeper.as_ref().and_then(|keeper| keeper.visits.arrived(at, open.name()));
+        let before =
+            self.keeper.as_ref().and_then(|keeper| keeper.visits.arrived(clock::unix_at(at), open.name()));
         self.visits.insert(visit, open);
         self.spent.open_most.fetch_max(self.visits.len(), Relaxed);
         self.spent.mailbox.push(clock::now() - at);
         self.brain.arrived(at, call);
         if let Some((sent, host)) = before {
-            self.brain.ran_before(visit, sent, host);
+            self.brain.ran_before(visit, clock::time_of(sent), host);
         }
     }
 
@@ -630,7 +661,7 @@
             let effect = self.config.settings.bands.get(usize::from(open.band.0)).map(|band| band.effect);
             let told = MayHaveRun {
                 band: String::from_utf8_lossy(&open.asked.band).into_owned(),
-                at: now.0,
+                at: clock::unix_at(now).0,
                 host: host.0,
                 host_name: host_name.clone(),
                 memory: None,
@@ -691,6 +722,7 @@
     }
 
     pub fn changed(&mut self, change: Change) {
+        self.hear_stamps(&change);
         let now = clock::now();
         match change {
             Change::List { whole, hosts } => self.relisted(now, hosts, whole),
@@ -699,10 +731,13 @@
     }
 
     fn relisted(&mut self, now: Time, told: Vec<Listed>, whole: bool) {
-        let Applied { hosts, lost, faults } = self.list.apply(now, told, whole);
+        let clocks = Clocks { now, wall: clock::wall(), change_clock: &self.change_clock };
+        let Applied { hosts, lost, faults } = self.list.apply(&clocks, told, whole);
         for (name, fault) in faults {
             tracing::warn!(host = &name[..], "list: host {name}: {fault}");
         }
+        let started: BTreeMap<HostId, Option<UnixTime>> =
+            hosts.iter().map(|host| (host.listing.host, host.started)).collect();
         let entries: Vec<Listing> =
             hosts.iter().map(|host| host.listing).chain(lost.iter().copied()).collect();
         let kept: BTreeSet<HostId> = hosts.iter().map(|host| host.listing.host).collect();
@@ -716,7 +751,9 @@
         let stale = self.hand_offs.iter().filter(|(_, out)| fills(out));
         self.decide_anew(stale.map(|(id, _)| *id).collect());
         if let Some(sharing) = &mut self.sharing {
-            entries.iter().for_each(|entry| sharing.listed(&mut self.brain, entry));
+            for entry in &entries {
+                sharing.listed(&mut self.brain, entry, started.get(&entry.host).copied().flatten());
+            }
         }
     }
 
@@ -748,7 +785,7 @@
     }
 
     fn listed(&mut self, host: Listed) {
-        let Listed { listing, name, address } = host;
+        let Listed { listing, name, address, .. } = host;
         let (id, since) = (listing.host, listing.since);
         tracing::info!(host = &name[..], phase = ?listing.phase, "list: host {:x} is {name}, {:?}, weight {:.1}", id.0, listing.phase, listing.weight);
         let known = self.hosts.get(&id);
@@ -772,7 +809,7 @@
         self.sweeps += 1;
         if self.sweeps.is_multiple_of(TOLD) {
             if let Some(keeper) = &mut self.keeper {
-                keeper.sweep(now);
+                keeper.sweep();
             }
             self.tell_spent();
         }
--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -105,7 +105,7 @@
         Fate::Well
     };
     let disk = Disk::new(Image::default(), Some(Box::new(watch)));
-    let store = Store::on(Arc::new(disk), Options::default(), Arc::new(clock::now), None).unwrap();
+    let store = Store::on(Arc::new(disk), Options::default(), Arc::new(clock::unix), None).unwrap();
     // The first batch begins a segment, which takes a sync of its own.
     store.write(Batch::new().put("s", "k", "v")).unwrap();
     stalls.store(true, Relaxed);
--- a/crates/dispatcher/src/serve.rs
+++ b/crates/dispatcher/src/serve.rs
@@ -57,7 +57,7 @@
             delivery = sharing.delivery();
             router.share(sharing);
         }
-        known.into_iter().for_each(|change| router.changed(change));
+        router.known(known);
         let changes_own = own.clone();
         let tell = Tell { requests: clients_own, ends: own.clone() };
         let patience = config.longest().max(PATIENCE_LEAST);
--- a/crates/dispatcher/src/sharing.rs
+++ b/crates/dispatcher/src/sharing.rs
@@ -10,7 +10,7 @@
 use cherrypass::calls::{Bad, Found, Listing, Phase, Shared, Wanted, Word};
 use cherrypass::ids::{BandId, HostId, LocationId};
 use cherrypass::settings::Settings;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, Time, UnixTime};
 use cherrypass_fleet::{house, limits, members, rollout, verdicts};
 use cherrypass_operator::fleet::{self as operator, Fleet, Unproven};
 use cherrypass_operator::rules::{self, Rules};
@@ -110,7 +110,7 @@
 }
 
 struct Told {
-    since: Option<Time>,
+    since: Option<UnixTime>,
     until: Instant,
     /// The fleet has heard that own hand-offs went well.
     refuted: bool,
@@ -133,8 +133,10 @@
     parts: BTreeMap<Key, Part>,
     told: BTreeMap<HostId, Told>,
     /// Hosts that others found to be new, and which start of theirs the list told then.
-    new: BTreeMap<HostId, Option<Time>>,
-    found: BTreeMap<(HostId, bool), (Kind, u32, Option<Time>)>,
+    new: BTreeMap<HostId, Option<UnixTime>>,
+    found: BTreeMap<(HostId, bool), (Kind, u32, Option<UnixTime>)>,
+    /// The start that the list tells of a host, by which members name its process, and as the module knows it.
+    starts: BTreeMap<HostId, (Option<UnixTime>, Option<Time>)>,
     shut: BTreeMap<HostId, bool>,
     recent: BTreeMap<Key, VecDeque<Wanted>>,
     next: Instant,
@@ -207,6 +209,7 @@
             told: BTreeMap::new(),
             new: BTreeMap::new(),
             found: BTreeMap::new(),
+            starts: BTreeMap::new(),
             shut: BTreeMap::new(),
             recent: BTreeMap::new(),
             next: Instant::now(),
@@ -267,10 +270,17 @@
         }
     }
 
+    /// The module's name of the process that members name by this start; of one that the list does not tell here, a start
+    /// that no host has.
+    fn start_of(&self, host: HostId, since: Option<UnixTime>) -> Option<Time> {
+        let known = self.starts.get(&host).filter(|known| known.0 == since);
+        known.map_or(Some(Time::default()), |known| known.1)
+    }
+
     fn withdraw(&mut self, brain: &mut Brain, host: HostId) {
         if let Some(told) = self.told.remove(&host) {
             let now = clock::now();
-            brain.hearsay(now, host, told.since, Word::Bad, now);
+            brain.hearsay(now, host, self.start_of(host, told.since), Word::Bad, now);
         }
     }
 
@@ -290,13 +300,14 @@
             FromFleet::Hearsay { host, since, kind: Kind::JustStarted, until, .. } => {
                 // Once for a start: the list's next word on it stands, whatever is told of the time before.
                 if self.new.insert(host, since) != Some(since) {
-                    brain.hearsay(clock::now(), host, since, Word::Anew, at(until));
+                    let start = self.start_of(host, since);
+                    brain.hearsay(clock::now(), host, start, Word::Anew, at(until));
                 }
             }
             FromFleet::Hearsay { host, since, until, .. } => {
                 let refuted = self.told.get(&host).is_some_and(|told| told.refuted && told.since == since);
                 self.told.insert(host, Told { since, until, refuted });
-                brain.hearsay(clock::now(), host, since, Word::Bad, at(until));
+                brain.hearsay(clock::now(), host, self.start_of(host, since), Word::Bad, at(until));
             }
             FromFleet::Withdraw { host } => self.withdraw(brain, host),
             FromFleet::Delivered(Delivered::KnownUpTo(at)) => {
@@ -330,14 +341,15 @@
     }
 
     /// The list's word on a host.
-    pub fn listed(&mut self, brain: &mut Brain, entry: &Listing) {
+    pub fn listed(&mut self, brain: &mut Brain, entry: &Listing, started: Option<UnixTime>) {
+        self.starts.insert(entry.host, (started, entry.since));
         if entry.phase != Phase::Ready {
             return self.unlisted(entry.host, entry.phase == Phase::Gone);
         }
         let kind = Some(entry.kind);
         let for_all = kind == self.settings.parent_kind || kind == self.settings.origin_kind;
         let used_by = if for_all { UsedBy::All } else { UsedBy::Location(entry.location) };
-        (self.tell)(ToFleet::Listed { host: entry.host, since: entry.since, used_by });
+        (self.tell)(ToFleet::Listed { host: entry.host, since: started, used_by });
         if entry.since.is_some() {
             self.new_cold(brain, entry.host);
         }
@@ -347,6 +359,7 @@
         (self.tell)(ToFleet::Unlisted(host));
         self.told.remove(&host);
         if gone {
+            self.starts.remove(&host);
             self.parts.remove(&Key::Cold(host));
             self.new.remove(&host);
         }
@@ -371,7 +384,7 @@
         self.parts.keys().copied().collect::<Vec<_>>().into_iter().for_each(|key| self.allot(brain, key));
         self.told.retain(|_, told| instant < told.until);
         for (host, told) in &self.told {
-            brain.hearsay(now, *host, told.since, Word::Bad, at(told.until));
+            brain.hearsay(now, *host, self.start_of(*host, told.since), Word::Bad, at(told.until));
         }
         if self.fleet.verdicts.is_some() {
             self.tell_found(brain, now);
@@ -392,9 +405,10 @@
                 Found::Shut { .. } => Kind::ShutOut,
             };
             let place = (one.host, kind == Kind::JustStarted);
-            let holds = (kind, one.evidence, one.since);
+            let since = self.starts.get(&one.host).and_then(|known| known.0);
+            let holds = (kind, one.evidence, since);
             if self.found.get(&place) != Some(&holds) {
-                let (host, since, evidence, age) = (one.host, one.since, one.evidence, now - one.at);
+                let (host, evidence, age) = (one.host, one.evidence, now - one.at);
                 (self.tell)(ToFleet::Found(Finding { host, since, kind, evidence, age }));
             }
             found.insert(place, holds);
@@ -517,7 +531,7 @@
         sharing.begin(&mut brain);
         let entries: Vec<Listing> = (1..=CACHES).map(HostId).chain([ORIGIN]).map(entry).collect();
         brain.listed(clock::now(), &entries, true);
-        entries.iter().for_each(|entry| sharing.listed(&mut brain, entry));
+        entries.iter().for_each(|entry| sharing.listed(&mut brain, entry, entry.since.map(clock::unix_at)));
         (brain, sharing, told)
     }
 
--- a/crates/dispatcher/src/store_commands.rs
+++ b/crates/dispatcher/src/store_commands.rs
@@ -103,11 +103,11 @@
 }
 
 fn open(dir: &Path, segment_kb: u64) -> Result<Store, Error> {
-    Store::open(dir, options(segment_kb), Arc::new(clock::now), Some(BUDGET))
+    Store::open(dir, options(segment_kb), Arc::new(clock::unix), Some(BUDGET))
 }
 
 fn look(dir: &Path) -> Result<Store, Error> {
-    Store::open(dir, Options { read_only: true, ..Options::default() }, Arc::new(clock::now), None)
+    Store::open(dir, Options { read_only: true, ..Options::default() }, Arc::new(clock::unix), None)
 }
 
 fn carry_out(command: Command) -> Result<(), Failure> {
--- a/crates/dispatcher/tests/list.rs
+++ b/crates/dispatcher/tests/list.rs
@@ -1,13 +1,15 @@
 //! The list of hosts in force, by plain calls: what an entry that can't stand as it is told counts as.
 use cherrypass::calls::{Listing, Phase};
 use cherrypass::ids::{CellId, KindId, LocationId};
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, Time, UnixTime};
+use cherrypass_dispatcher::change_clock::ChangeClock;
 use cherrypass_dispatcher::changes::host_id;
 use cherrypass_dispatcher::inbox::Listed;
-use cherrypass_dispatcher::list::{Applied, Fault, List};
+use cherrypass_dispatcher::list::{Applied, Clocks, Fault, List};
 use std::net::SocketAddr;
 use test_case::test_case;
 
+/// The process's clock and the change log's show the same here.
 const NOW: Time = Time(1_764_576_000_000_000);
 const RAMP: Span = Span::millis(20_000);
 
@@ -27,9 +29,22 @@
 /// A cache at that port.
 fn host(name: &str, port: u16, since: Option<Time>) -> Listed {
     let (host, kind, cell) = (host_id(name), KindId(0), CellId(0));
-    let listing =
-        Listing { host, location: LocationId(0), kind, cell, weight: 20.0, since, phase: Phase::Ready };
-    Listed { listing, name: name.into(), address: Some(at(port)) }
+    let (location, phase, started) = (LocationId(0), Phase::Ready, since.map(|since| UnixTime(since.0)));
+    let listing = Listing { host, location, kind, cell, weight: 20.0, since: None, phase };
+    Listed { listing, started, name: name.into(), address: Some(at(port)) }
+}
+
+trait ApplyAt {
+    /// At that time, which two changes and the wall clock tell.
+    fn apply_at(&mut self, now: Time, hosts: Vec<Listed>, whole: bool) -> Applied;
+}
+
+impl ApplyAt for List {
+    fn apply_at(&mut self, now: Time, hosts: Vec<Listed>, whole: bool) -> Applied {
+        let mut change_clock = ChangeClock::default();
+        [now.0, now.0 + 1].into_iter().for_each(|stamp| change_clock.heard(now, UnixTime(stamp)));
+        self.apply(&Clocks { now, wall: UnixTime(now.0), change_clock: &change_clock }, hosts, whole)
+    }
 }
 
 fn phase(phase: Phase, host: Listed) -> Listed {
@@ -70,11 +85,11 @@
     let holder = if loser == "a" { "n" } else { "a" };
     // In two events, in one, and in a whole list that comes again.
     let mut two = list();
-    assert!(two.apply(NOW, hosts().drain(..1).collect(), false).faults.is_empty());
-    assert_eq!(lost(&two.apply(NOW, hosts().drain(1..).collect(), false)), [(loser, holder)]);
+    assert!(two.apply_at(NOW, hosts().drain(..1).collect(), false).faults.is_empty());
+    assert_eq!(lost(&two.apply_at(NOW, hosts().drain(1..).collect(), false)), [(loser, holder)]);
     let mut one = list();
     for _ in 0..2 {
-        let applied = one.apply(NOW, hosts(), true);
+        let applied = one.apply_at(NOW, hosts(), true);
         assert_eq!(lost(&applied), [(loser, holder)]);
         assert_eq!(applied.hosts.len(), 2);
     }
@@ -83,7 +98,7 @@
 #[test]
 fn of_three_at_an_address_one_has_it() {
     let applied =
-        list().apply(NOW, vec![host("a", 1, ago(3)), host("b", 1, ago(1)), host("c", 1, ago(2))], false);
+        list().apply_at(NOW, vec![host("a", 1, ago(3)), host("b", 1, ago(1)), host("c", 1, ago(2))], false);
     let mut found = lost(&applied);
     found.sort_unstable();
     assert_eq!(found, [("a", "b"), ("c", "b")]);
@@ -92,8 +107,8 @@
 #[test]
 fn another_address_brings_it_back() {
     let mut list = list();
-    list.apply(NOW, vec![host("a", 1, None), host("n", 1, ago(1))], false);
-    let applied = list.apply(NOW, vec![host("a", 2, None)], false);
+    list.apply_at(NOW, vec![host("a", 1, None), host("n", 1, ago(1))], false);
+    let applied = list.apply_at(NOW, vec![host("a", 2, None)], false);
     assert!(applied.lost.is_empty() && applied.faults.is_empty());
     assert_eq!(applied.hosts[0].listing.phase, Phase::Ready);
 }
@@ -102,20 +117,20 @@
 #[test]
 fn the_holders_end_brings_nobody_back_but_a_later_entry_does() {
     let mut list = list();
-    list.apply(NOW, vec![host("a", 1, None), host("n", 1, ago(1))], false);
-    let applied = list.apply(NOW, vec![phase(Phase::Gone, host("n", 1, ago(1)))], false);
+    list.apply_at(NOW, vec![host("a", 1, None), host("n", 1, ago(1))], false);
+    let applied = list.apply_at(NOW, vec![phase(Phase::Gone, host("n", 1, ago(1)))], false);
     assert_eq!(applied.hosts.len(), 1);
-    assert_eq!(list.apply(NOW, vec![host("a", 1, None)], false).hosts.len(), 1);
+    assert_eq!(list.apply_at(NOW, vec![host("a", 1, None)], false).hosts.len(), 1);
 }
 
 /// The usual order, and a drain that is told late.
 #[test]
 fn one_that_drains_takes_no_address_of_one_that_is_ready() {
     let mut list = list();
-    list.apply(NOW, vec![host("a", 1, None)], true);
-    let applied = list.apply(NOW, vec![phase(Phase::Gone, host("a", 1, None)), host("n", 1, None)], false);
+    list.apply_at(NOW, vec![host("a", 1, None)], true);
+    let applied = list.apply_at(NOW, vec![phase(Phase::Gone, host("a", 1, None)), host("n", 1, None)], false);
     assert!(lost(&applied).is_empty() && applied.hosts.len() == 2);
-    let applied = list.apply(NOW, vec![phase(Phase::Draining, host("a", 1, None))], false);
+    let applied = list.apply_at(NOW, vec![phase(Phase::Draining, host("a", 1, None))], false);
     assert_eq!(lost(&applied), [("a", "n")]);
 }
 
@@ -123,7 +138,7 @@
 #[test]
 fn the_same_name_twice_in_an_event_is_taken_in_its_order() {
     let entries = vec![phase(Phase::Gone, host("a", 1, None)), host("a", 1, None)];
-    let applied = list().apply(NOW, entries, false);
+    let applied = list().apply_at(NOW, entries, false);
     let phases: Vec<Phase> = applied.hosts.iter().map(|host| host.listing.phase).collect();
     assert_eq!(phases, [Phase::Gone, Phase::Ready]);
     assert!(applied.faults.is_empty());
@@ -133,17 +148,17 @@
 #[test_case(None; "none")]
 fn the_latest_start_stays(told: Option<Time>) {
     let mut list = list();
-    list.apply(NOW, vec![host("a", 1, ago(5))], false);
+    list.apply_at(NOW, vec![host("a", 1, ago(5))], false);
     let earlier =
         [("a".to_owned(), Fault::EarlierStart { told: told.map_or(0, |_| ms(told)), known: ms(ago(5)) })];
-    let applied = list.apply(NOW, vec![host("a", 1, told)], false);
+    let applied = list.apply_at(NOW, vec![host("a", 1, told)], false);
     assert_eq!((applied.hosts[0].listing.since, &applied.faults[..]), (ago(5), &earlier[..]));
     // Also of one that was gone meanwhile, and past an own address of another one.
-    list.apply(NOW, vec![phase(Phase::Gone, host("a", 1, told))], false);
-    let applied = list.apply(NOW, vec![host("a", 1, told)], false);
+    list.apply_at(NOW, vec![phase(Phase::Gone, host("a", 1, told))], false);
+    let applied = list.apply_at(NOW, vec![host("a", 1, told)], false);
     assert_eq!((applied.hosts[0].listing.since, &applied.faults[..]), (ago(5), &earlier[..]));
     // A drain or an end counts, whatever start it tells, and needs no line.
-    let applied = list.apply(NOW, vec![phase(Phase::Draining, host("a", 1, told))], false);
+    let applied = list.apply_at(NOW, vec![phase(Phase::Draining, host("a", 1, told))], false);
     assert!(applied.faults.is_empty() && applied.hosts[0].listing.phase == Phase::Draining);
 }
 
@@ -151,10 +166,10 @@
 #[test]
 fn a_start_is_forgotten_once_it_would_be_warm() {
     let mut list = list();
-    list.apply(NOW, vec![phase(Phase::Gone, host("a", 1, ago(5)))], false);
-    let applied = list.apply(NOW + RAMP, vec![host("b", 2, None)], false);
+    list.apply_at(NOW, vec![phase(Phase::Gone, host("a", 1, ago(5)))], false);
+    let applied = list.apply_at(NOW + RAMP, vec![host("b", 2, None)], false);
     assert!(applied.faults.is_empty());
-    let applied = list.apply(NOW + RAMP, vec![host("a", 1, None)], false);
+    let applied = list.apply_at(NOW + RAMP, vec![host("a", 1, None)], false);
     assert!(applied.faults.is_empty() && applied.hosts[0].listing.since.is_none());
 }
 
@@ -162,11 +177,11 @@
 fn a_start_in_the_future_counts_from_then() {
     let mut list = list();
     let then = Some(NOW + Span::millis(60_000));
-    let applied = list.apply(NOW, vec![host("a", 1, then)], false);
+    let applied = list.apply_at(NOW, vec![host("a", 1, then)], false);
     assert_eq!(applied.hosts[0].listing.since, then);
     assert_eq!(applied.faults, [("a".to_owned(), Fault::FutureStart(ms(then)))]);
     // Told again it is no news.
-    assert!(list.apply(NOW, vec![host("a", 1, then)], false).faults.is_empty());
+    assert!(list.apply_at(NOW, vec![host("a", 1, then)], false).faults.is_empty());
 }
 
 #[test_case(0.0; "zero")]
@@ -175,7 +190,7 @@
 #[test_case(f64::INFINITY; "infinite")]
 fn a_weight_that_can_t_be_used_is_never_more_than_a_listed_one(told: f64) {
     let taken = |others: Vec<Listed>| {
-        let applied = list().apply(NOW, [vec![weight(told, host("a", 1, None))], others].concat(), true);
+        let applied = list().apply_at(NOW, [vec![weight(told, host("a", 1, None))], others].concat(), true);
         assert_eq!(applied.faults.len(), 1);
         assert!(matches!(applied.faults[0].1, Fault::Weight { .. }));
         applied.hosts[0].listing.weight
@@ -192,8 +207,8 @@
 #[test]
 fn a_weight_that_is_not_wanted_is_no_fault() {
     let mut untold = List::new(RAMP, false);
-    let applied = untold.apply(NOW, vec![weight(0.0, host("a", 1, None))], true);
+    let applied = untold.apply_at(NOW, vec![weight(0.0, host("a", 1, None))], true);
     assert!(applied.faults.is_empty() && applied.hosts[0].listing.weight == 1.0);
-    let applied = list().apply(NOW, vec![phase(Phase::Draining, weight(0.0, host("a", 1, None)))], true);
+    let applied = list().apply_at(NOW, vec![phase(Phase::Draining, weight(0.0, host("a", 1, None)))], true);
     assert!(applied.faults.is_empty());
 }
--- a/crates/keep/src/records.rs
+++ b/crates/keep/src/records.rs
@@ -1,5 +1,5 @@
 //! Records as they stand in the store: a space, a key, a value and an end. What can't be read is none.
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use serde::{de::DeserializeOwned, Serialize};
 
 /// One change to what is kept.
@@ -9,7 +9,7 @@
     pub key: Vec<u8>,
     /// None: it goes.
     pub value: Option<Vec<u8>>,
-    pub until: Option<Time>,
+    pub until: Option<UnixTime>,
 }
 
 pub(crate) fn bytes<T: Serialize>(value: &T) -> Vec<u8> {
--- a/crates/keep/src/versions.rs
+++ b/crates/keep/src/versions.rs
@@ -1,6 +1,6 @@
 //! Configurations that were in force, the newest last.
 use crate::records::{bytes, read, Record};
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use serde::{Deserialize, Serialize};
 
 pub const SPACE: &str = "configurations";
@@ -25,7 +25,7 @@
 
 /// What changes as a text comes into force: the one before ends, and the oldest go past so many. Nothing where it is
 /// the one in force.
-pub fn in_force(known: &[Version], source: &str, text: &[u8], now: Time, most: usize) -> Vec<Record> {
+pub fn in_force(known: &[Version], source: &str, text: &[u8], now: UnixTime, most: usize) -> Vec<Record> {
     let last = known.last();
     if last.is_some_and(|last| last.text == text && last.source == source) {
         return Vec::new();
--- a/crates/keep/src/visits.rs
+++ b/crates/keep/src/visits.rs
@@ -3,7 +3,7 @@
 use crate::records::{bytes, read, Record};
 use cherrypass::ids::{HostId, VisitId};
 use cherrypass::settings::Effect;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -25,8 +25,8 @@
 }
 
 impl MayHaveRun {
-    pub fn first(&self) -> (Time, HostId) {
-        (Time(self.at), HostId(self.host))
+    pub fn first(&self) -> (UnixTime, HostId) {
+        (UnixTime(self.at), HostId(self.host))
     }
 }
 
@@ -75,7 +75,7 @@
 impl Visits {
     /// What the store told at the start; what is over is dropped. A time still to come counts as now.
     pub fn start<'a>(
-        now: Time,
+        now: UnixTime,
         records: impl Iterator<Item = (&'a [u8], &'a [u8])>,
         remember: Span,
         go_on: bool,
@@ -94,7 +94,7 @@
     }
 
     /// What the module is to be told as a visit comes: an earlier try of it that may have run.
-    pub fn arrived(&self, now: Time, name: &[u8]) -> Option<(Time, HostId)> {
+    pub fn arrived(&self, now: UnixTime, name: &[u8]) -> Option<(UnixTime, HostId)> {
         let told = self.over.get(name).filter(|told| now < end(told, self.remember));
         told.or_else(|| self.beside(name).map(|open| &open.told)).map(MayHaveRun::first)
     }
@@ -175,15 +175,15 @@
     }
 
     /// Drops what is over for good.
-    pub fn forget(&mut self, now: Time) {
+    pub fn forget(&mut self, now: UnixTime) {
         let remember = self.remember;
         self.over.retain(|_, told| now < end(told, remember));
     }
 }
 
 /// Past its group's memory a repeat would run again, so the record has to outlast that.
-fn end(told: &MayHaveRun, remember: Span) -> Time {
-    Time(told.at) + remember.max(told.memory.map_or(Span::ZERO, Span))
+fn end(told: &MayHaveRun, remember: Span) -> UnixTime {
+    UnixTime(told.at) + remember.max(told.memory.map_or(Span::ZERO, Span))
 }
 
 fn record(name: &[u8], told: &MayHaveRun, remember: Span) -> Record {
--- a/crates/keep/tests/keep.rs
+++ b/crates/keep/tests/keep.rs
@@ -1,7 +1,7 @@
 //! What is written before what, what is replayed, and what is too old.
 use cherrypass::ids::{GroupId, HostId, ObjectId, VisitId};
 use cherrypass::settings::{Effect, Group};
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use cherrypass_keep::purges::{self, Purge};
 use cherrypass_keep::versions;
 use cherrypass_keep::visits::{Before, MayHaveRun, Taken, Visits};
@@ -29,7 +29,7 @@
     }
 }
 
-fn start(now: Time, disk: &Disk) -> Visits {
+fn start(now: UnixTime, disk: &Disk) -> Visits {
     Visits::start(now, disk.iter().map(|(key, value)| (&key[..], &value[..])), DAY, false)
 }
 
@@ -45,7 +45,7 @@
 
 #[test]
 fn a_record_before_the_first_hand_off_and_none_before_the_next() {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     assert_eq!(visits.hand_off(VisitId(9), b"x", Effect::Idempotent, told(1)), Before::Go);
     assert!(hand_off(&mut visits, &mut disk, 1, 10) && disk.len() == 1);
     visits.ended(VisitId(1), false);
@@ -59,31 +59,31 @@
 #[test_case(false, true, true; "never ran")]
 #[test_case(false, false, false; "may have run")]
 fn a_record_goes_only_where_no_repeat_can_do_harm(settled: bool, never_ran: bool, goes: bool) {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     hand_off(&mut visits, &mut disk, 1, 10);
     visits.ended(VisitId(1), never_ran);
     assert_eq!(visits.closed(VisitId(1), settled).is_some(), goes);
-    assert_eq!(visits.arrived(Time(11), NAME).is_none(), goes);
+    assert_eq!(visits.arrived(UnixTime(11), NAME).is_none(), goes);
 }
 
 #[test]
 fn one_whose_client_left_while_it_was_out_may_have_run() {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     hand_off(&mut visits, &mut disk, 1, 10);
     assert_eq!(visits.closed(VisitId(1), false), None);
-    assert_eq!(visits.arrived(Time(11), NAME), Some((Time(10), HostId(7))));
+    assert_eq!(visits.arrived(UnixTime(11), NAME), Some((UnixTime(10), HostId(7))));
 }
 
 #[test]
 fn a_retry_beside_the_first_try_counts_from_the_first_and_keeps_its_record() {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     assert!(hand_off(&mut visits, &mut disk, 1, 10));
     assert!(!hand_off(&mut visits, &mut disk, 2, 50), "a later time written over the first one's");
-    assert_eq!(visits.arrived(Time(60), NAME), Some((Time(10), HostId(7))));
+    assert_eq!(visits.arrived(UnixTime(60), NAME), Some((UnixTime(10), HostId(7))));
     // The first settles while the second is out: a crash now must still tell of it.
     visits.ended(VisitId(1), false);
     assert_eq!(visits.closed(VisitId(1), true), None);
-    assert_eq!(start(Time(70), &disk).arrived(Time(70), NAME), Some((Time(10), HostId(7))));
+    assert_eq!(start(UnixTime(70), &disk).arrived(UnixTime(70), NAME), Some((UnixTime(10), HostId(7))));
     visits.ended(VisitId(2), false);
     apply(&mut disk, visits.closed(VisitId(2), true).unwrap());
     assert!(disk.is_empty());
@@ -91,7 +91,7 @@
 
 #[test]
 fn a_record_is_of_the_first_that_may_have_run() {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     assert!(hand_off(&mut visits, &mut disk, 1, 10));
     visits.ended(VisitId(1), true);
     let other = MayHaveRun { host: 9, host_name: "s-b".into(), ..told(50) };
@@ -99,37 +99,37 @@
         panic!("no record")
     };
     apply(&mut disk, record);
-    assert_eq!(start(Time(70), &disk).arrived(Time(70), NAME), Some((Time(50), HostId(9))));
+    assert_eq!(start(UnixTime(70), &disk).arrived(UnixTime(70), NAME), Some((UnixTime(50), HostId(9))));
 }
 
 #[test]
 fn after_a_crash_the_first_hand_off_stands_also_past_the_groups_memory() {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     hand_off(&mut visits, &mut disk, 1, 10);
-    let mut visits = start(Time(20), &disk);
-    assert_eq!(visits.arrived(Time(20), NAME), Some((Time(10), HostId(7))));
+    let mut visits = start(UnixTime(20), &disk);
+    assert_eq!(visits.arrived(UnixTime(20), NAME), Some((UnixTime(10), HostId(7))));
     // A try through the new dispatcher goes out under the first one's record.
     assert!(!hand_off(&mut visits, &mut disk, 1, 30));
     visits.ended(VisitId(1), true);
     assert_eq!(visits.closed(VisitId(1), false), None);
-    let visits = start(Time(40), &disk);
-    assert_eq!(visits.arrived(Time(9_000_000), NAME), Some((Time(10), HostId(7))));
-    assert!(start(Time(10) + DAY, &disk).arrived(Time(10) + DAY, NAME).is_none());
+    let visits = start(UnixTime(40), &disk);
+    assert_eq!(visits.arrived(UnixTime(9_000_000), NAME), Some((UnixTime(10), HostId(7))));
+    assert!(start(UnixTime(10) + DAY, &disk).arrived(UnixTime(10) + DAY, NAME).is_none());
 }
 
 #[test]
 fn a_clock_set_back_lets_no_record_last_for_ever() {
-    let (mut visits, mut disk) = (start(Time(0), &Disk::new()), Disk::new());
+    let (mut visits, mut disk) = (start(UnixTime(0), &Disk::new()), Disk::new());
     hand_off(&mut visits, &mut disk, 1, 10 * DAY.0);
-    let visits = start(Time(50), &disk);
-    assert_eq!(visits.arrived(Time(60), NAME), Some((Time(50), HostId(7))));
-    assert!(visits.arrived(Time(50) + DAY, NAME).is_none());
+    let visits = start(UnixTime(50), &disk);
+    assert_eq!(visits.arrived(UnixTime(60), NAME), Some((UnixTime(50), HostId(7))));
+    assert!(visits.arrived(UnixTime(50) + DAY, NAME).is_none());
 }
 
 #[test_case(false, false; "held back")]
 #[test_case(true, true; "goes on")]
 fn a_record_that_is_refused(go_on: bool, goes: bool) {
-    let mut visits = Visits::start(Time(0), std::iter::empty(), DAY, go_on);
+    let mut visits = Visits::start(UnixTime(0), std::iter::empty(), DAY, go_on);
     assert!(matches!(visits.hand_off(VisitId(1), NAME, keyed(), told(1)), Before::Record(_)));
     assert_eq!(visits.taken(VisitId(1), Taken::Refused), goes);
     assert_eq!((visits.refused(), visits.refused()), (1, 0));
@@ -141,18 +141,18 @@
 #[test]
 fn purges_hold_as_long_as_an_older_copy_can_turn_up() {
     let memory = Span::millis(7_000);
-    let purge = |object, at| Purge { group: GroupId(3), object, at: Time(at), change: 5 };
+    let purge = |object, at| Purge { group: GroupId(3), object, at: UnixTime(at), change: 5 };
     let (one, all) = (purge(Some(ObjectId(8)), 1_000_000), purge(None, 2_000_000));
-    let records = [one, all].map(|purge| purges::record(Time(2_000_000), &purge, memory).unwrap());
-    assert!(records[0].key != records[1].key && records[0].until == Some(Time(8_000_000)));
+    let records = [one, all].map(|purge| purges::record(UnixTime(2_000_000), &purge, memory).unwrap());
+    assert!(records[0].key != records[1].key && records[0].until == Some(UnixTime(8_000_000)));
     let values = || records.iter().map(|record| record.value.as_deref().unwrap());
-    assert_eq!(purges::replay(Time(3_000_000), values(), memory), [one, all]);
-    assert_eq!(purges::replay(Time(8_500_000), values(), memory), [all]);
-    assert_eq!(purges::record(Time(8_000_000), &one, memory), None);
+    assert_eq!(purges::replay(UnixTime(3_000_000), values(), memory), [one, all]);
+    assert_eq!(purges::replay(UnixTime(8_500_000), values(), memory), [all]);
+    assert_eq!(purges::record(UnixTime(8_000_000), &one, memory), None);
     // The clock was set back: what is to come counts from now on, once.
-    assert_eq!(purges::replay(Time(5), values(), memory)[1].at, Time(5));
-    assert_eq!(purges::replay(Time(3_000_000), [&b"\xff\xff\xff"[..]].into_iter(), memory), []);
-    assert_eq!(purges::everything(Time(1), 256).count(), 256);
+    // Of a clock that was set back since: dated as it was told.
+    assert_eq!(purges::replay(UnixTime(5), values(), memory), [one, all]);
+    assert_eq!(purges::replay(UnixTime(3_000_000), [&b"\xff\xff\xff"[..]].into_iter(), memory), []);
 }
 
 #[test]
@@ -160,7 +160,7 @@
     let mut disk = Disk::new();
     let mut put = |text: &[u8], at| {
         let known = versions::known(disk.values().map(|value| &value[..]));
-        let records = versions::in_force(&known, "a.json", text, Time(at), 2);
+        let records = versions::in_force(&known, "a.json", text, UnixTime(at), 2);
         let changed = records.len();
         records.into_iter().for_each(|record| apply(&mut disk, record));
         (changed, versions::known(disk.values().map(|value| &value[..])))
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -20,7 +20,7 @@
 pub use error::Error;
 
 use cherrypass::ids::{HostId, LocationId};
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use cherrypass_fleet::common::{Incarnation, MemberId};
 pub use cherrypass_fleet::delivery::{ChangeNumber, LogId};
 use cherrypass_fleet::house::Fleet;
@@ -64,7 +64,7 @@
 pub struct Finding {
     pub host: HostId,
     /// The host's start as the list gives it, the same at all dispatchers.
-    pub since: Option<Time>,
+    pub since: Option<UnixTime>,
     pub kind: Kind,
     /// Hand-offs that speak for it.
     pub evidence: u32,
@@ -99,7 +99,7 @@
     /// The list's word on a host that is ready.
     Listed {
         host: HostId,
-        since: Option<Time>,
+        since: Option<UnixTime>,
         used_by: UsedBy,
     },
     /// The host is draining or gone.
@@ -141,7 +141,7 @@
     /// `age`: of the oldest evidence it rests on, at most.
     Hearsay {
         host: HostId,
-        since: Option<Time>,
+        since: Option<UnixTime>,
         kind: Kind,
         weight: f64,
         until: Instant,
--- a/crates/peers/src/run.rs
+++ b/crates/peers/src/run.rs
@@ -9,7 +9,7 @@
 use crate::refusals::{Refusals, Sender as Who};
 use crate::{FromFleet, ToFleet};
 use cherrypass::ids::{HostId, LocationId};
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, Time, UnixTime};
 use cherrypass_fleet::common::{Incarnation, MemberId};
 use cherrypass_fleet::delivery::{self, Said};
 use cherrypass_fleet::feed::{self, Follower};
@@ -179,7 +179,7 @@
     }
 }
 
-fn run_of(since: Option<Time>) -> Option<Incarnation> {
+fn run_of(since: Option<UnixTime>) -> Option<Incarnation> {
     since.map(|since| Incarnation(since.0))
 }
 
@@ -448,7 +448,7 @@
                     json!({ "host": host_name(host), "since": since, "kind": kind, "tellers": tellers,
                             "age_ms": age.0 / 1000, "hold_ms": (until - now).0 / 1000 })
                 });
-                let (since, until) = (since.map(|since| Time(since.0)), self.clock.instant(until));
+                let (since, until) = (since.map(|since| UnixTime(since.0)), self.clock.instant(until));
                 (self.tell)(FromFleet::Hearsay { host, since, kind, weight, until, age, tellers });
             }
             Effect::Withdraw { host } => {
--- a/crates/peers/tests/kept.rs
+++ b/crates/peers/tests/kept.rs
@@ -1,6 +1,6 @@
 //! What the rollout keeps outlasts the process, and a store that takes nothing or loses its end promotes nothing.
 use cherrypass::ids::LocationId;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use cherrypass_fleet::{house, rollout};
 use cherrypass_peers::{FromFleet, Member, Order, Peers, Set, ToFleet};
 use cherrypass_store::disk::{Disk, Folder};
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 fn store(disk: Arc<dyn Disk>) -> Arc<Store> {
-    Arc::new(Store::on(disk, Options::default(), Arc::new(|| Time(1)), None).unwrap())
+    Arc::new(Store::on(disk, Options::default(), Arc::new(|| UnixTime(1)), None).unwrap())
 }
 
 fn folder(path: &Path) -> Arc<dyn Disk> {
--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -1,6 +1,6 @@
 //! Three dispatchers' fleets in one process, on loopback.
 use cherrypass::ids::{HostId, LocationId};
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use cherrypass_fleet::common::{Incarnation, MemberId};
 use cherrypass_fleet::members::{Body, Claim, Said, Standing};
 use cherrypass_fleet::{house, limits, rollout, verdicts};
@@ -47,7 +47,7 @@
 struct Seen {
     lines: Vec<String>,
     parts: Vec<(Instant, u64, f64, Instant, f64)>,
-    hearsay: Vec<(HostId, Option<Time>, Instant)>,
+    hearsay: Vec<(HostId, Option<UnixTime>, Instant)>,
 }
 
 struct Place {
@@ -162,7 +162,7 @@
 }
 
 fn found(host: HostId) -> ToFleet {
-    let (since, kind) = (Some(Time(5)), Kind::ShutOut);
+    let (since, kind) = (Some(UnixTime(5)), Kind::ShutOut);
     ToFleet::Found(Finding { host, since, kind, evidence: 20, age: Span::ZERO })
 }
 
@@ -209,7 +209,7 @@
     for place in &places {
         for i in 0..8 {
             let (host, used_by) = (HostId(host.0 + i), UsedBy::Location(LocationId(0)));
-            place.send(ToFleet::Listed { host, since: Some(Time(5)), used_by });
+            place.send(ToFleet::Listed { host, since: Some(UnixTime(5)), used_by });
         }
     }
     places[..2].iter().for_each(|place| place.send(found(host)));
@@ -220,7 +220,7 @@
             .unwrap()
             .hearsay
             .iter()
-            .any(|(h, since, _)| (*h, *since) == (host, Some(Time(5))))
+            .any(|(h, since, _)| (*h, *since) == (host, Some(UnixTime(5))))
     });
 
     // What went to all went to the follower too.
--- a/crates/store/benches/store.rs
+++ b/crates/store/benches/store.rs
@@ -1,5 +1,5 @@
 //! Ratios within one run, with their spread: `cargo bench -p cherrypass-store`.
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use cherrypass_store::engine::{Batch, Options};
 use cherrypass_store::error::Error;
 use cherrypass_store::format::{SegmentId, Seq};
@@ -17,7 +17,7 @@
 const ROUNDS: usize = 5;
 
 fn clock() -> Clock {
-    Arc::new(|| Time(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64))
+    Arc::new(|| UnixTime(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64))
 }
 
 fn spread(name: &str, mut ratios: Vec<f64>) {
--- a/crates/store/src/compaction.rs
+++ b/crates/store/src/compaction.rs
@@ -5,7 +5,7 @@
 use crate::error::Error;
 use crate::format::Op;
 use crate::index::{Entry, Segment, View, Walked};
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use std::sync::RwLock;
 
 /// What decides whether compaction is due.
@@ -39,7 +39,7 @@
     end: u64,
     bytes: usize,
     view: &RwLock<View>,
-    now: Time,
+    now: UnixTime,
 ) -> Result<(Vec<Moved>, Walked), Error> {
     let mut moves = Vec::new();
     let walked = segment.walk(start, end, bytes, |op, offset, length| {
--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -8,7 +8,7 @@
 };
 use crate::index::{Entry, Segment, View};
 use crate::recovery::{self, Recovered};
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use rand::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, HashSet};
@@ -37,7 +37,7 @@
 /// What a batch does to one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    Put { space: String, key: Vec<u8>, value: Vec<u8>, expires: Option<Time> },
+    Put { space: String, key: Vec<u8>, value: Vec<u8>, expires: Option<UnixTime> },
     Delete { space: String, key: Vec<u8> },
 }
 
@@ -74,7 +74,7 @@
         space: &str,
         key: impl Into<Vec<u8>>,
         value: impl Into<Vec<u8>>,
-        end: Time,
+        end: UnixTime,
     ) -> Batch {
         let (key, value, expires) = (key.into(), value.into(), Some(end));
         self.with(Change::Put { space: space.into(), key, value, expires })
@@ -152,7 +152,7 @@
     active: Option<Active>,
     floor: SegmentId,
     next: Seq,
-    time: Time,
+    time: UnixTime,
     /// Why nothing may be written any more.
     stopped: Option<String>,
     chance: Pcg64Mcg,
@@ -173,19 +173,19 @@
     pub next: Seq,
     pub floor: SegmentId,
     #[serde(with = "micros")]
-    pub time: Time,
+    pub time: UnixTime,
 }
 
 mod micros {
-    use cherrypass::time::Time;
+    use cherrypass::time::UnixTime;
     use serde::{Deserialize, Deserializer, Serializer};
 
-    pub fn serialize<S: Serializer>(time: &Time, to: S) -> Result<S::Ok, S::Error> {
+    pub fn serialize<S: Serializer>(time: &UnixTime, to: S) -> Result<S::Ok, S::Error> {
         to.serialize_u64(time.0)
     }
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Time, D::Error> {
-        u64::deserialize(from).map(Time)
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<UnixTime, D::Error> {
+        u64::deserialize(from).map(UnixTime)
     }
 }
 
@@ -251,14 +251,14 @@
     }
 
     /// Writes and syncs all items in order, or keeps none of them; after a doubtful end it only reads.
-    pub fn commit(&mut self, now: Time, items: &[Item]) -> Result<Seq, Error> {
+    pub fn commit(&mut self, now: UnixTime, items: &[Item]) -> Result<Seq, Error> {
         self.commit_telling(now, items, |_| {})
     }
 
     /// The same; tells the first batch's number once all is written and only the machine's end could undo it.
     pub fn commit_telling(
         &mut self,
-        now: Time,
+        now: UnixTime,
         items: &[Item],
         is_written: impl FnOnce(Seq),
     ) -> Result<Seq, Error> {
@@ -423,7 +423,7 @@
     }
 
     /// Seals the active segment, so that compaction may take it.
-    pub fn seal(&mut self, now: Time) -> Result<(), Error> {
+    pub fn seal(&mut self, now: UnixTime) -> Result<(), Error> {
         if let Some(active) = self.active.as_mut().filter(|active| active.end > SEGMENT_HEAD as u64) {
             active.torn = true;
         }
@@ -431,7 +431,7 @@
     }
 
     /// Compaction is done with the oldest segment: it no longer counts, and then its file goes.
-    pub fn trim(&mut self, now: Time, segment: SegmentId) -> Result<(), Error> {
+    pub fn trim(&mut self, now: UnixTime, segment: SegmentId) -> Result<(), Error> {
         self.commit(now, &[Item::Trim(segment.next())])?;
         self.sealed.remove(&segment);
         {
@@ -444,7 +444,7 @@
     }
 
     /// Ends a run; from then on a damaged last batch is told from a torn one.
-    pub fn close(&mut self, now: Time) -> Result<(), Error> {
+    pub fn close(&mut self, now: UnixTime) -> Result<(), Error> {
         if self.dirty && self.stopped.is_none() {
             self.commit(now, &[Item::Mark])?;
             self.dirty = false;
--- a/crates/store/src/export.rs
+++ b/crates/store/src/export.rs
@@ -6,13 +6,13 @@
     self, Encoder, FrameFault, FrameHead, Op, Records, SegmentHead, SegmentId, Seq, FRAME_HEAD, SEGMENT_HEAD,
 };
 use crate::index::View;
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use std::io::Write;
 
 const FRAME_BYTES: usize = 64 << 10;
 
 /// Writes all that counts at that time; returns how many records that is.
-pub fn export(view: &View, now: Time, salt: u64, to: &mut dyn Write) -> Result<u64, Error> {
+pub fn export(view: &View, now: UnixTime, salt: u64, to: &mut dyn Write) -> Result<u64, Error> {
     let writing = || Error::io("writing the export");
     let id = SegmentId(1);
     to.write_all(&SegmentHead { id, salt, first: Seq(1), before: 0, floor: id }.encode())
@@ -72,7 +72,7 @@
 pub fn taken(batch: Batch, op: Op) -> Batch {
     match op {
         Op::Put { space, key, value, expires: None } => batch.put(space, key, value),
-        Op::Put { space, key, value, expires: Some(at) } => batch.put_until(space, key, value, Time(at)),
+        Op::Put { space, key, value, expires: Some(at) } => batch.put_until(space, key, value, UnixTime(at)),
         Op::Delete { space, key } => batch.delete(space, key),
         Op::Trim { .. } => batch,
     }
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -1,7 +1,7 @@
 //! The bytes of segments, frames and records, and nothing else; docs/store.md lays them down. All numbers are
 //! little-endian. Checksums are CRC-32C; those of frames and records begin with the segment's salt and their own
 //! place, so that bytes left over from elsewhere never look whole.
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use serde::{Deserialize, Serialize};
 
 pub const VERSION: u32 = 1;
@@ -104,7 +104,7 @@
     /// Up to where the segment had been synced when this was written.
     pub synced: u64,
     /// The store's time, which never goes back.
-    pub at: Time,
+    pub at: UnixTime,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -245,7 +245,7 @@
         seq: Seq(u64_at(bytes, 16)),
         records: u32_at(bytes, 12),
         synced: u64_at(bytes, 24),
-        at: Time(u64_at(bytes, 32)),
+        at: UnixTime(u64_at(bytes, 32)),
     };
     Ok(Frame { head, body: &bytes[FRAME_HEAD..length] })
 }
--- a/crates/store/src/index.rs
+++ b/crates/store/src/index.rs
@@ -2,7 +2,7 @@
 use crate::disk::{read_range, File};
 use crate::error::{Damage, Error};
 use crate::format::{self, FrameFault, Op, Records, SegmentId, FRAME_HEAD};
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
@@ -20,7 +20,7 @@
 }
 
 impl Entry {
-    pub fn is_over(&self, now: Time) -> bool {
+    pub fn is_over(&self, now: UnixTime) -> bool {
         self.expires != 0 && self.expires <= now.0
     }
 }
@@ -219,7 +219,7 @@
     }
 
     /// Drops records whose time is over, looking at so many from a place on; where to go on, or none at the end.
-    pub fn expire(&mut self, now: Time, place: &Place, most: usize) -> (usize, Place) {
+    pub fn expire(&mut self, now: UnixTime, place: &Place, most: usize) -> (usize, Place) {
         let mut last = None;
         let mut over = Vec::new();
         for (space, key, entry) in self.after(place).take(most) {
@@ -239,7 +239,7 @@
     pub index: Index,
     pub segments: BTreeMap<SegmentId, Arc<Segment>>,
     /// The store's time at the last batch.
-    pub time: Time,
+    pub time: UnixTime,
 }
 
 impl View {
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -8,7 +8,7 @@
     self, FrameFault, HeadFault, Op, Records, SegmentHead, SegmentId, Seq, FRAME_HEAD, SEGMENT_HEAD, VERSION,
 };
 use crate::index::{Entry, Segment, View};
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -24,7 +24,7 @@
     pub sealed: BTreeMap<SegmentId, u64>,
     pub floor: SegmentId,
     pub next: Seq,
-    pub time: Time,
+    pub time: UnixTime,
     pub since_checkpoint: u64,
     pub notes: Vec<String>,
     /// Files that no longer count.
@@ -71,7 +71,7 @@
                 sealed: BTreeMap::new(),
                 floor: SegmentId(1),
                 next: Seq(1),
-                time: Time::default(),
+                time: UnixTime::default(),
                 since_checkpoint: 0,
                 notes,
                 leftovers,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -8,7 +8,7 @@
 use crate::export;
 use crate::format::{SegmentId, Seq};
 use crate::index::{Entry, Place, Segment, View};
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use cherrypass_background::runner::{Caller, Runner, Step, Work};
 use cherrypass_background::schedule::{Backlog, Kind, KindId, Whole};
 use std::collections::VecDeque;
@@ -19,7 +19,7 @@
 use std::thread::JoinHandle;
 use std::time::Instant;
 
-pub type Clock = Arc<dyn Fn() -> Time + Send + Sync>;
+pub type Clock = Arc<dyn Fn() -> UnixTime + Send + Sync>;
 /// Called on the committing thread once a batch is durable or refused; all others wait while it does.
 pub type Done = Box<dyn FnOnce(Result<Seq, Error>) + Send>;
 pub type Pairs = Vec<(Vec<u8>, Vec<u8>)>;
@@ -197,7 +197,7 @@
 
     /// The clock, but never before the last batch's time: guards against a clock that goes back and brings
     /// back what had ended.
-    fn now(&self) -> Time {
+    fn now(&self) -> UnixTime {
         (self.clock)().max(engine::read(&self.view).time)
     }
 
@@ -522,7 +522,7 @@
 /// A view that doesn't change; segments that go meanwhile stay readable through it.
 pub struct Snapshot {
     pub view: View,
-    pub now: Time,
+    pub now: UnixTime,
 }
 
 impl Snapshot {
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -1,6 +1,6 @@
 //! The crash explorer: a seeded run of rounds, compaction, checkpoints and restarts on a simulated disk, with a
 //! crash before every call of the disk, also in recovery, and what is found afterwards held against a plain model.
-use cherrypass::time::{Span, Time};
+use cherrypass::time::{Span, UnixTime};
 use cherrypass_store::checkpoint::Writer;
 use cherrypass_store::compaction;
 use cherrypass_store::disk;
@@ -56,7 +56,7 @@
     Options { segment_bytes: 700, seed, ..Options::default() }
 }
 
-fn found(engine: &Engine, now: Time) -> Result<Model, Error> {
+fn found(engine: &Engine, now: UnixTime) -> Result<Model, Error> {
     let view = engine::read(&engine.view);
     let mut model = Model::new();
     for (space, key, entry) in view.index.after(&None).filter(|(.., entry)| !entry.is_over(now)) {
@@ -252,7 +252,7 @@
 }
 
 /// Values that end carry their end in front.
-fn over(model: &Model, now: Time) -> Model {
+fn over(model: &Model, now: UnixTime) -> Model {
     let lasts = |value: &[u8]| match value.first_chunk::<9>() {
         Some([0xee, end @ ..]) => u64::from_le_bytes(*end) > now.0,
         _ => true,
@@ -273,7 +273,7 @@
     }
 }
 
-fn batch(chance: &mut Pcg64Mcg, now: Time) -> Batch {
+fn batch(chance: &mut Pcg64Mcg, now: UnixTime) -> Batch {
     let mut batch = Batch::new();
     for _ in 0..chance.gen_range(1..4) {
         let space = ["a", "b"][chance.gen_range(0..2)];
@@ -327,7 +327,7 @@
         }
     };
     let disk = Disk::new(Image::default(), Some(Box::new(watch)));
-    let mut now = Time(1_000);
+    let mut now = UnixTime(1_000);
     let mut engine = explorer.open(disk.clone(), seed).unwrap();
     let mut restart = false;
     for round in 0..rounds {
@@ -389,7 +389,7 @@
 }
 
 /// Commits a round and keeps the model in step with what came of it.
-fn commit(explorer: &Explorer, engine: &mut Engine, now: Time, items: &[Item]) -> Result<(), Error> {
+fn commit(explorer: &Explorer, engine: &mut Engine, now: UnixTime, items: &[Item]) -> Result<(), Error> {
     {
         let mut progress = explorer.progress.lock().unwrap();
         for item in items {
@@ -416,7 +416,7 @@
     result.map(|_| ())
 }
 
-fn compact(explorer: &Explorer, engine: &mut Engine, now: Time, chance: &mut Pcg64Mcg) {
+fn compact(explorer: &Explorer, engine: &mut Engine, now: UnixTime, chance: &mut Pcg64Mcg) {
     let Some((id, end)) = engine.sealed().next() else { return };
     let segment = engine::read(&engine.view).segments[&id].clone();
     let mut at = format::SEGMENT_HEAD as u64;
--- a/crates/store/tests/cuts.rs
+++ b/crates/store/tests/cuts.rs
@@ -1,5 +1,5 @@
 //! Files that are cut, changed or missing: exactly what is whole comes back, and damage is told with its place.
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use cherrypass_store::disk::{self, Disk as _};
 use cherrypass_store::engine::{self, Batch, Engine, Item, Options};
 use cherrypass_store::error::Error;
@@ -41,7 +41,7 @@
     let mut engine = Engine::open(Arc::new(disk.clone()), options()).unwrap();
     let mut models = vec![model(&engine)];
     for number in 0..batches {
-        engine.commit(Time(1), &[Item::Batch(&batch(number))]).unwrap();
+        engine.commit(UnixTime(1), &[Item::Batch(&batch(number))]).unwrap();
         models.push(model(&engine));
     }
     (disk.image(), models)
@@ -109,7 +109,7 @@
     let large = Options { segment_bytes: 1 << 20, ..options() };
     let mut engine = Engine::open(Arc::new(disk.clone()), large).unwrap();
     for number in 0..3 {
-        engine.commit(Time(1), &[Item::Batch(&batch(number))]).unwrap();
+        engine.commit(UnixTime(1), &[Item::Batch(&batch(number))]).unwrap();
     }
     let name = last_of(&disk.image());
     let spoilt = |image: &Image, back: usize| {
@@ -121,7 +121,7 @@
     // The last batch alone can't be told from a torn one while the run goes on; after its end it can.
     assert!(spoilt(&disk.image(), 150).is_err());
     assert_eq!(model(&spoilt(&disk.image(), 3).unwrap()).len(), 4);
-    engine.close(Time(1)).unwrap();
+    engine.close(UnixTime(1)).unwrap();
     assert!(matches!(spoilt(&disk.image(), format::FRAME_HEAD + 3), Err(Error::Damaged(_))));
 }
 
@@ -159,7 +159,7 @@
     let mut engine = Engine::open(Arc::new(disk.clone()), options()).unwrap();
     let mut checkpoints = Vec::new();
     for number in 0..16 {
-        engine.commit(Time(1), &[Item::Batch(&batch(number))]).unwrap();
+        engine.commit(UnixTime(1), &[Item::Batch(&batch(number))]).unwrap();
         let mut writer =
             cherrypass_store::checkpoint::Writer::begin(engine.disk.clone(), engine.position()).unwrap();
         while writer.step(&engine.view, 1).unwrap().1 {}
@@ -207,7 +207,7 @@
     let (image, models) = written(20);
     let engine = open(&image).unwrap();
     let mut bytes = Vec::new();
-    export::export(&engine::read(&engine.view), Time(5), 99, &mut bytes).unwrap();
+    export::export(&engine::read(&engine.view), UnixTime(5), 99, &mut bytes).unwrap();
     for length in 0..bytes.len() {
         assert!(export::import("x", &bytes[..length]).is_err(), "cut at {length}");
     }
--- a/crates/store/tests/threads.rs
+++ b/crates/store/tests/threads.rs
@@ -1,5 +1,5 @@
 //! The store with its threads, on a real folder and on a disk that stalls.
-use cherrypass::time::Time;
+use cherrypass::time::UnixTime;
 use cherrypass_background::schedule::Whole;
 use cherrypass_store::engine::{Batch, Options};
 use cherrypass_store::error::Error;
@@ -14,7 +14,7 @@
 fn made_clock() -> (Clock, Arc<AtomicU64>) {
     let at = Arc::new(AtomicU64::new(1_000_000));
     let own = at.clone();
-    (Arc::new(move || Time(own.load(SeqCst))), at)
+    (Arc::new(move || UnixTime(own.load(SeqCst))), at)
 }
 
 const FAST: Whole = Whole { bytes_a_second: 1e9, time_share: 1.0, ..BUDGET };
@@ -79,7 +79,9 @@
     let folder = tempfile::tempdir().unwrap();
     let (clock, at) = made_clock();
     let store = Store::open(folder.path(), Options::default(), clock.clone(), None).unwrap();
-    store.write(Batch::new().put_until("s", "short", "1", Time(2_000_000)).put("s", "long", "2")).unwrap();
+    store
+        .write(Batch::new().put_until("s", "short", "1", UnixTime(2_000_000)).put("s", "long", "2"))
+        .unwrap();
     assert!(store.get("s", b"short").unwrap().is_some());
     at.store(3_000_000, SeqCst);
     assert!(store.get("s", b"short").unwrap().is_none());
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,13 +1,32 @@
-//! Points in time and spans between them, in microseconds; the two don't mix.
+//! Points in time and spans between them, in microseconds; none of them mixes with another.
+//!
+//! [`Time`] is read from a clock that never steps, and means something within one process alone. [`UnixTime`] is what wires
+//! and folders speak. There is no way from one to the other here: whoever holds both clocks makes it at the border, once.
 use std::ops::{Add, Sub};
 
+/// A point in time of the process's own clock, which never steps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Time(pub u64);
 
+/// A point in time as wires and folders tell it, in microseconds since 1970; the clock it is read from may be wrong and step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct UnixTime(pub u64);
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Span(pub u64);
 
+impl UnixTime {
+    pub const fn millis(ms: u64) -> UnixTime {
+        UnixTime(ms.saturating_mul(1000))
+    }
+
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1000
+    }
+}
+
 impl Span {
     pub const ZERO: Span = Span(0);
 
@@ -28,28 +47,35 @@
     }
 }
 
-impl Add<Span> for Time {
-    type Output = Time;
-    fn add(self, span: Span) -> Time {
-        Time(self.0.saturating_add(span.0))
-    }
-}
+macro_rules! point_in_time {
+    ($point:ty) => {
+        impl Add<Span> for $point {
+            type Output = $point;
+            fn add(self, span: Span) -> $point {
+                Self(self.0.saturating_add(span.0))
+            }
+        }
 
-impl Sub<Span> for Time {
-    type Output = Time;
-    fn sub(self, span: Span) -> Time {
-        Time(self.0.saturating_sub(span.0))
-    }
-}
+        impl Sub<Span> for $point {
+            type Output = $point;
+            fn sub(self, span: Span) -> $point {
+                Self(self.0.saturating_sub(span.0))
+            }
+        }
 
-/// The span from an earlier point to a later one; zero where the order is the other way round.
-impl Sub<Time> for Time {
-    type Output = Span;
-    fn sub(self, earlier: Time) -> Span {
-        Span(self.0.saturating_sub(earlier.0))
-    }
+        /// The span from an earlier point to a later one; zero where the order is the other way round.
+        impl Sub for $point {
+            type Output = Span;
+            fn sub(self, earlier: $point) -> Span {
+                Span(self.0.saturating_sub(earlier.0))
+            }
+        }
+    };
 }
 
+point_in_time!(Time);
+point_in_time!(UnixTime);
+
 impl Add for Span {
     type Output = Span;
     fn add(self, other: Span) -> Span {
