--- a/crates/dispatcher/src/change_clock.rs
+++ b/crates/dispatcher/src/change_clock.rs
@@ -1,10 +1,11 @@
-//! The clock of whoever writes the change log, as far as its time stamps tell it: purges and starts of hosts are dated by it.
+//! The clock of whoever writes the change log, as far as time stamps tell it: purges and starts of hosts are dated by it. The
+//! origin's stamps on copies (`born`) tell it too: by the protocol page they are of the same Unix clock.
 //!
 //! Guards rules 4 and 5 against a wall clock of this machine that is wrong or is stepped: an age is never told larger than it
 //! is. A stamp was in the past when it was heard, so the writer's clock showed at least that; from then on this process's
 //! monotonic clock goes on from there. What is told is the second latest such estimate, so that a single stamp of a wrong
-//! clock doesn't lead it. It lags by the shortest delay with which changes were heard lately, and right after a start by the age of the
-//! second youngest stamp that is known: on that side it errs, towards fills and slow starts that were not needed.
+//! clock doesn't lead it. It lags by the shortest delay with which changes or copies came lately, and right after a start by the age of
+//! the second youngest stamp that is known: on that side it errs, towards fills and slow starts that were not needed.
 use cherrypass::time::{Span, Time, UnixTime};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/dispatcher/src/list.rs
+++ b/crates/dispatcher/src/list.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// A start that turns out to be earlier by less is left as it is.
+const REDATED_LEAST: Span = Span::millis(20);
 /// What a weight that can't be used counts as, where no listed host of the kind has less.
 const WEIGHT: f64 = 1.0;
 
@@ -70,6 +72,8 @@
     rows: BTreeMap<HostId, Row>,
     /// The latest start told of each name; of one that has gone, until it would be warm.
     starts: BTreeMap<HostId, Start>,
+    /// Those that are not warm yet.
+    warming: BTreeSet<HostId>,
     told: u64,
     /// The longest time from a start until a host is warm.
     ramp: Span,
@@ -78,7 +82,8 @@
 
 impl List {
     pub fn new(ramp: Span, weights_told: bool) -> List {
-        List { rows: BTreeMap::new(), starts: BTreeMap::new(), told: 0, ramp, weights_told }
+        let (rows, starts, warming) = Default::default();
+        List { rows, starts, warming, told: 0, ramp, weights_told }
     }
 
     /// Takes an event's entries in, whose starts the clock has heard; hosts missing from a whole list are gone.
@@ -102,6 +107,26 @@
         Applied { hosts, lost, faults }
     }
 
+    /// Dates the starts of hosts that are not warm yet anew; those that were earlier than was known. Guards against a host
+    /// that is held cold for longer since it was told of before much was known of the change log's clock.
+    pub fn redate(&mut self, clocks: &Clocks) -> Vec<(HostId, Time)> {
+        let (starts, rows, ramp) = (&mut self.starts, &mut self.rows, self.ramp);
+        let mut found = Vec::new();
+        self.warming.retain(|id| {
+            let Some(start) = starts.get_mut(id).filter(|start| clocks.now < start.at + ramp) else {
+                return false;
+            };
+            let at = clocks.change_clock.time(clocks.now, clocks.wall, start.told);
+            if at + REDATED_LEAST < start.at {
+                start.at = at;
+                rows.get_mut(id).into_iter().for_each(|row| row.listing.since = Some(at));
+                found.push((*id, at));
+            }
+            true
+        });
+        found
+    }
+
     /// What an entry's weight counts as: one that can't be used never as more than any that is listed.
     fn weight(&self, entry: &Listing, hosts: &[Listed]) -> f64 {
         if is_usable(entry.weight) {
@@ -127,6 +152,7 @@
         if let Some(told) = later {
             let at = clocks.change_clock.time(clocks.now, clocks.wall, told);
             self.starts.insert(id, Start { told, at });
+            self.warming.insert(id);
         }
         let start = self.starts.get(&id);
         (host.started, host.listing.since) = (start.map(|start| start.told), start.map(|start| start.at));
--- a/crates/dispatcher/src/resp.rs
+++ b/crates/dispatcher/src/resp.rs
@@ -4,6 +4,7 @@
 use crate::line::Code;
 use bytes::{Bytes, BytesMut};
 use cherrypass::calls::{Note, Outcome, Report};
+use cherrypass::time::UnixTime;
 use std::fmt::Write;
 
 /// Fields of an answer hold no more than this.
@@ -22,6 +23,8 @@
     pub report: Report,
     /// The tag of the copy that it is of, where it says that and how old the copy is.
     pub tag: Option<Bytes>,
+    /// When the origin gave that copy out.
+    pub born: Option<UnixTime>,
     pub body: Bytes,
 }
 
@@ -99,15 +102,16 @@
         note: Note::Untold,
         report: Report::default(),
         tag: None,
+        born: None,
         body,
     };
     let text = std::str::from_utf8(fields).ok()?;
-    let (mut tag, mut born) = (None, false);
+    let mut tag = None;
     for field in text.split(',').filter(|_| text != "-") {
         let (name, value) = field.split_once('=')?;
         match name {
             "ver" => tag = Some(fields.slice_ref(value.as_bytes())).filter(|tag| !tag.is_empty()),
-            "born" => born = value.parse::<u64>().is_ok(),
+            "born" => answer.born = value.parse().ok().map(UnixTime::millis),
             "note" => answer.note = note(value)?,
             "load" => {
                 for (name, value) in value.split(';').filter_map(|value| value.split_once(':')) {
@@ -123,7 +127,7 @@
             _ => {}
         }
     }
-    answer.tag = tag.filter(|_| born);
+    answer.tag = tag.filter(|_| answer.born.is_some());
     Some(answer)
 }
 
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -548,11 +548,20 @@
             last: settled || !self.visits.contains_key(&visit),
         };
         if let Some((answer, held)) = answer.filter(|_| settled) {
+            answer.born.into_iter().for_each(|born| self.copy_born(at, born));
             self.finish(visit, |id| msgpack::settled(id, answer.body, answer.keep), Some((at, held)));
         }
         self.brain.ended(at, end);
     }
 
+    /// The origin's stamp on a copy tells the time as the change log's stamps do. One in the future of this machine's wall
+    /// clock is not taken: a host may spoil its answers.
+    fn copy_born(&mut self, now: Time, born: UnixTime) {
+        if born <= clock::wall() {
+            self.change_clock.heard(now, born);
+        }
+    }
+
     /// Calls a hand-off off; what may still come of it is dropped. It ends for the module once its host is
     /// told: guards against a next hand-off that overtakes the call-off on its way, and so is a second copy.
     fn stop(&mut self, id: HandOffId, outcome: Outcome) {
@@ -806,6 +815,7 @@
     fn sweep(&mut self, now: Time) {
         self.due.put(now + SWEEP, Due::Sweep);
         self.actors.sweep(now);
+        self.redate(now);
         self.sweeps += 1;
         if self.sweeps.is_multiple_of(TOLD) {
             if let Some(keeper) = &mut self.keeper {
@@ -815,6 +825,15 @@
         }
     }
 
+    fn redate(&mut self, now: Time) {
+        let clocks = Clocks { now, wall: clock::wall(), change_clock: &self.change_clock };
+        for (id, since) in self.list.redate(&clocks) {
+            self.brain.redated(id, since);
+            self.hosts.get_mut(&id).into_iter().for_each(|known| known.since = Some(since));
+            self.sharing.iter_mut().for_each(|sharing| sharing.redated(id, since));
+        }
+    }
+
     fn tell_spent(&mut self) {
         let spent = &self.spent;
         tracing::info!(
--- a/crates/dispatcher/src/sharing.rs
+++ b/crates/dispatcher/src/sharing.rs
@@ -355,6 +355,11 @@
         }
     }
 
+    /// A host's listed start was earlier than it was dated at first.
+    pub fn redated(&mut self, host: HostId, since: Time) {
+        self.starts.get_mut(&host).into_iter().for_each(|known| known.1 = Some(since));
+    }
+
     pub fn unlisted(&mut self, host: HostId, gone: bool) {
         (self.tell)(ToFleet::Unlisted(host));
         self.told.remove(&host);
--- a/crates/dispatcher/tests/list.rs
+++ b/crates/dispatcher/tests/list.rs
@@ -212,3 +212,21 @@
     let applied = list().apply_at(NOW, vec![phase(Phase::Draining, weight(0.0, host("a", 1, None)))], true);
     assert!(applied.faults.is_empty());
 }
+
+/// Told before two changes told the time, it is dated as of then; what is heard since dates it as it was.
+#[test]
+fn a_start_is_dated_anew_once_more_is_known() {
+    let (mut list, mut change_clock) = (list(), ChangeClock::default());
+    let (now, wall) = (NOW, UnixTime(NOW.0));
+    let clocks = Clocks { now, wall, change_clock: &change_clock };
+    let applied = list.apply(&clocks, vec![host("a", 1, ago(3)), host("b", 2, None)], true);
+    assert_eq!(applied.hosts[0].listing.since, Some(NOW));
+    assert_eq!(list.redate(&clocks), []);
+    let now = NOW + Span::millis(1_000);
+    [now.0, now.0 + 1].into_iter().for_each(|stamp| change_clock.heard(now, UnixTime(stamp)));
+    let clocks = Clocks { now, wall, change_clock: &change_clock };
+    assert_eq!(list.redate(&clocks), [(host_id("a"), ago(3).unwrap())]);
+    assert_eq!(list.redate(&clocks), []);
+    let applied = list.apply(&clocks, vec![host("a", 1, ago(3))], false);
+    assert_eq!(applied.hosts[0].listing.since, ago(3));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -397,6 +397,16 @@
         gone.into_iter().for_each(|host| self.call_off(host));
     }
 
+    /// The listed start of a host's process is known to have been earlier than it was dated at first. What was found since
+    /// of a later one stays.
+    pub fn redated(&mut self, id: HostId, since: Time) {
+        let Some(host) = self.hosts.get_mut(&id).filter(|host| host.listed > Some(since)) else { return };
+        if host.entry.since == host.listed {
+            host.entry.since = Some(since);
+        }
+        host.listed = Some(since);
+    }
+
     /// Forgets a visit whose client has left or has its final answer, and calls off what is still out for it.
     pub fn left(&mut self, id: VisitId) {
         if self.visits.remove(&id).is_none() || !self.set.cancel {
