While the change log is not heard for 7 s, no copy will do that a purge in it could bind

Cause: 'unproven' was set by carriers alone, so a dispatcher that polls went on with copies of any age, though what the change log has to tell counts as told after 7 s, whether it arrived or not. Change: the thread that follows the log tells the router as of when all is known; past 7 s and the purges' grace the oldest copy that will do is that time, and attempts that wait are decided anew. Drains in an unheard log can't be guarded: any host may drain (docs/design.md).

--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -30,6 +30,8 @@
 const PATIENCE_FADES: f64 = 0.9;
 /// The wait asked for by a watch that was silent: what it missed is known at once.
 const POLL_AGAIN: Span = Span::millis(1);
+/// What the change log has to tell counts as told so much later at the latest, whether it arrived or not (the protocol page).
+pub const TOLD_AT_LATEST: Span = Span::millis(7_000);
 /// What a broken answer would have told counts as told so much later, and what one would have told that
 /// stopped, so much after the end of the wait asked for (the page for service).
 const TOLD: Span = Span::millis(2_000);
@@ -99,6 +101,9 @@
         });
         let repeated = taking.repeated();
         source.answered(last, found.is_ok().then_some(asked_at));
+        if found.is_ok() && router.send(Input::LogKnown(asked)).is_err() {
+            return;
+        }
         if let Some(number) = repeated.filter(|_| !repeating) {
             tracing::warn!(change = last, "changelog tells change {number} again, after {last}: passed over");
         }
--- a/crates/dispatcher/src/inbox.rs
+++ b/crates/dispatcher/src/inbox.rs
@@ -19,6 +19,8 @@
     HandOff(HandOffId, FromHost),
     Probed(ProbeNo, Report),
     Changed(Change),
+    /// All that the change log had at that time is known here.
+    LogKnown(Time),
     /// A host reset its connections or refused one.
     Cut(HostNo),
     /// What the store made of a hand-off's record.
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -3,6 +3,7 @@
 use crate::attempt_log::{AttemptLog, EndedAttempt};
 use crate::bounds::{Gauge, Held, Room};
 use crate::change_clock::ChangeClock;
+use crate::changes::TOLD_AT_LATEST;
 use crate::clients::{Front, Outlet, Stage, ToClient, PIECE};
 use crate::clock;
 use crate::config::Config;
@@ -144,6 +145,9 @@
     sharing: Option<Sharing>,
     attempt_log: AttemptLog,
     change_clock: ChangeClock,
+    /// All that the change log had then is known.
+    log_known: Time,
+    log_unheard: bool,
 }
 
 impl Asked {
@@ -194,6 +198,8 @@
             sharing: None,
             attempt_log: AttemptLog::default(),
             change_clock: ChangeClock::default(),
+            log_known: now,
+            log_unheard: false,
         })
     }
 
@@ -340,6 +346,10 @@
             }
             Input::Probed(number, report) => self.probed(number, report),
             Input::Changed(change) => self.changed(change),
+            Input::LogKnown(at) => {
+                self.log_known = self.log_known.max(at);
+                self.look_at_log();
+            }
             Input::Cut(number) => self.cut(number),
             Input::Recorded(id, taken) => self.recorded(id, taken),
             Input::Fleet(what) => {
@@ -816,6 +826,7 @@
         self.due.put(now + SWEEP, Due::Sweep);
         self.actors.sweep(now);
         self.redate(now);
+        self.look_at_log();
         self.sweeps += 1;
         if self.sweeps.is_multiple_of(TOLD) {
             if let Some(keeper) = &mut self.keeper {
@@ -825,6 +836,32 @@
         }
     }
 
+    /// Guards rule 5 while the change log is not heard. Of drains that it may tell meanwhile nothing can be guarded: any host
+    /// may drain, and only to send to none would be safe.
+    fn look_at_log(&mut self) {
+        // Changes that come by carriers are proven by the fleet.
+        if self.sharing.as_ref().is_some_and(Sharing::has_carriers) {
+            return;
+        }
+        let silent_for = clock::now() - self.log_known;
+        let is_unheard = silent_for + SWEEP >= TOLD_AT_LATEST + self.config.settings.purge_grace;
+        if std::mem::replace(&mut self.log_unheard, is_unheard) == is_unheard {
+            return;
+        }
+        self.brain.unheard(is_unheard.then_some(TOLD_AT_LATEST));
+        let ms = silent_for.0 / 1000;
+        if is_unheard {
+            // What waits to go out was decided without that bound.
+            let fills = self.hand_offs.iter().filter(|(_, out)| out.fill.is_some());
+            self.decide_anew(fills.map(|(id, _)| *id).collect());
+            tracing::warn!(
+                "changelog not heard for {ms} ms: copies are asked for that no purge since can bind"
+            );
+        } else {
+            tracing::info!("changelog heard again: copies of any age will do but for purges that are known");
+        }
+    }
+
     fn redate(&mut self, now: Time) {
         let clocks = Clocks { now, wall: clock::wall(), change_clock: &self.change_clock };
         for (id, since) in self.list.redate(&clocks) {
--- a/crates/dispatcher/src/sharing.rs
+++ b/crates/dispatcher/src/sharing.rs
@@ -340,6 +340,11 @@
         }
     }
 
+    /// Whether changes come by carriers, which prove what is known.
+    pub fn has_carriers(&self) -> bool {
+        self.fleet.delivery.is_some()
+    }
+
     /// The list's word on a host.
     pub fn listed(&mut self, brain: &mut Brain, entry: &Listing, started: Option<UnixTime>) {
         self.starts.insert(entry.host, (started, entry.since));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -413,14 +413,15 @@
 
     /// The oldest copy that will do. After a purge it is the time since, never zero (the default), from then on: a
     /// host that stood still has not dropped older ones. Where purges may be unheard, the time in which one
-    /// counts. Guards rule 5.
+    /// counts: a copy that young is older than none that binds. Guards rule 5.
     fn oldest(&self, now: Time, visit: &Visit, filled: bool) -> Span {
         let Some(band) = self.band(visit.band) else { return Span::ZERO };
         let most = if filled { band.fresh } else { band.fresh + band.grace };
         let most = Some(most).filter(|_| band.fresh > Span::ZERO);
         let purge = self.purges.last(visit.group, visit.object);
         let since = purge.map(|at| (now - at).max(Span(1)));
-        since.into_iter().chain(most).chain(self.unproven).min().unwrap_or(Span::ZERO)
+        let unknown = self.unproven.into_iter().chain(self.unheard);
+        since.into_iter().chain(most).chain(unknown).min().unwrap_or(Span::ZERO)
     }
 
     /// Whether a host may be sent one more visit now: not shut out, and within its budget while it is cold.
--- a/src/state.rs
+++ b/src/state.rs
@@ -336,6 +336,8 @@
     pub(crate) purges: Purges,
     /// While purges may have been told that are not known here: the time in which any has to be obeyed.
     pub(crate) unproven: Option<Span>,
+    /// While the change log is not heard: the time after which what it has to tell binds all the same.
+    pub(crate) unheard: Option<Span>,
     pub(crate) copies: BTreeMap<CopyId, Copy>,
     pub(crate) bands: Vec<BandSeen>,
     /// Seconds of work of a hand-off to a cache.
@@ -369,6 +371,7 @@
             popularity: Default::default(),
             purges: Default::default(),
             unproven: None,
+            unheard: None,
             copies: Default::default(),
             due: Default::default(),
             waiting: Default::default(),
@@ -462,6 +465,12 @@
         self.unproven = unproven.then_some(self.set.purge_grace.max(Span(1)));
     }
 
+    /// The change log was not heard for so long that what it has to tell counts as told within `told_within`, whether it
+    /// arrived or not; none once it is heard again.
+    pub fn unheard(&mut self, told_within: Option<Span>) {
+        self.unheard = told_within.map(|told| told + self.set.purge_grace);
+    }
+
     /// Counts a hand-off in (1) or out (-1): at its host; its likely fill at source, part and both limits.
     pub(crate) fn count(&mut self, sent: &Sent, by: i32) {
         if let Some(host) = self.hosts.get_mut(&sent.host) {
