An accept that fails costs others nothing: aborted connections are passed over, shortages waited out

Change: ECONNABORTED and the like go on to the next connection; ENFILE, ENOBUFS and ENOMEM rest the listener for 5 ms at first and take places away only once that has gone on for a second; EMFILE is as before.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -29,6 +29,9 @@
 const HALF: [Span; 2] = [Span::millis(1_500), Span::millis(2_500)];
 /// Clients close what they don't use after 4 s, by the protocol page; what stands longer is not used again.
 const IDLE: Span = Span::millis(4_500);
+/// Rests after accepts that fail for a shortage begin with this, and it is borne for so long.
+const REST_LEAST: Span = Span::millis(5);
+const SHORTAGE_BORNE: Span = Span::millis(1_000);
 /// How often connections are looked after, and how often once the process is to end.
 const LOOK: Span = Span::millis(250);
 const LAST_LOOK: Span = Span::millis(20);
@@ -201,7 +204,7 @@
     let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
     epoll.add(&listener, EpollEvent::new(EpollFlags::EPOLLIN, LISTENER))?;
     let (taken, lingering, newcomers, next, waiting) = Default::default();
-    let (resting, failing) = (None, false);
+    let (resting, failing) = (None, None);
     let mut clients = Clients {
         listener,
         epoll,
@@ -237,10 +240,39 @@
     waiting: VecDeque<u64>,
     /// Until when the listener rests, for want of descriptors.
     resting: Option<Time>,
-    failing: bool,
+    failing: Option<Failing>,
 }
 
 /// Readable, and its other side's end even behind bytes that are not read yet.
+/// Accepts that fail, one after another.
+struct Failing {
+    since: Time,
+    /// The next rest for a shortage.
+    rest: Span,
+    /// The log has told of it.
+    told: bool,
+}
+
+/// What an accept that failed says.
+enum AcceptFailure {
+    /// The process has no descriptor left.
+    NoDescriptor,
+    /// The machine has none, or no memory for it, just now.
+    Shortage,
+    /// The connection ended, or its network did, before it was taken: all others are as they were.
+    ConnectionLost,
+}
+
+impl AcceptFailure {
+    fn of(error: &io::Error) -> AcceptFailure {
+        match error.raw_os_error() {
+            Some(libc::EMFILE) => AcceptFailure::NoDescriptor,
+            Some(libc::ENFILE | libc::ENOBUFS | libc::ENOMEM) => AcceptFailure::Shortage,
+            _ => AcceptFailure::ConnectionLost,
+        }
+    }
+}
+
 fn reads() -> EpollFlags {
     EpollFlags::EPOLLIN | EpollFlags::EPOLLRDHUP
 }
@@ -252,6 +284,7 @@
         loop {
             let soon = !self.newcomers.is_empty() || !self.waiting.is_empty();
             let until = if soon { ROOM_LOOK } else { look - clock::now() };
+            let until = self.resting.map_or(until, |resting| until.min(resting - clock::now()));
             let found = match self.epoll.wait(&mut events, EpollTimeout::from((until.0 / 1000 + 1) as u16)) {
                 Err(Errno::EINTR) => 0,
                 found => found?,
@@ -277,6 +310,7 @@
             }
             self.make_room();
             let now = clock::now();
+            self.end_rest(now)?;
             if now >= look {
                 let leaving = self.front.has_come_to(Stage::Leaving);
                 look = now + if self.front.has_come_to(Stage::Stopping) { LAST_LOOK } else { LOOK };
@@ -285,13 +319,17 @@
         }
     }
 
+    fn end_rest(&mut self, now: Time) -> io::Result<()> {
+        match self.resting.take_if(|until| now >= *until) {
+            Some(_) => self.hear_listener(true),
+            None => Ok(()),
+        }
+    }
+
     fn look_after(&mut self, now: Time, leaving: bool) -> io::Result<()> {
         let over = |(number, lingering): (&u64, &Lingering)| (now >= lingering.until).then_some(*number);
         let over: Vec<u64> = self.lingering.iter().filter_map(over).collect();
         over.into_iter().for_each(|number| self.let_go(number));
-        if self.resting.take_if(|until| now >= *until).is_some() {
-            self.hear_listener(true)?;
-        }
         if leaving {
             self.accept()?;
         }
@@ -382,9 +420,10 @@
     /// Takes what waits at the listener, so much of it that those taken before are read in between. Guards against a crowd there, which holds the machine's sockets like
     /// connections that were taken, and lets who asks wait behind those that say nothing.
     fn accept(&mut self) -> io::Result<()> {
+        let mut took = false;
         for _ in 0..EVENTS {
             if self.resting.is_some() {
-                break;
+                return Ok(());
             }
             match self.listener.accept() {
                 Ok((stream, from)) => {
@@ -393,17 +432,48 @@
                     self.take(client);
                 }
                 Err(error) if is_wait(&error) => return Ok(()),
-                Err(error) => return self.rest(&error),
+                Err(error) => match AcceptFailure::of(&error) {
+                    // The next one that waits is another connection.
+                    AcceptFailure::ConnectionLost => continue,
+                    AcceptFailure::NoDescriptor => return self.rest_without_descriptors(&error),
+                    AcceptFailure::Shortage => return self.rest_for_shortage(&error),
+                },
             }
-            self.failing = false;
+            self.failing = None;
+            took = true;
+        }
+        // Guards against a loop that burns the core where each accept fails, for whatever reason.
+        if took {
+            Ok(())
+        } else {
+            self.rest(REST_LEAST)
         }
-        Ok(())
+    }
+
+    /// The machine lacks something for a moment: asked again soon, and later each time. Where it goes on lacking it, that
+    /// is like the process's own want of descriptors.
+    fn rest_for_shortage(&mut self, error: &io::Error) -> io::Result<()> {
+        let now = clock::now();
+        let failing = self.failing.get_or_insert(Failing { since: now, rest: REST_LEAST, told: false });
+        if now - failing.since > SHORTAGE_BORNE {
+            return self.rest_without_descriptors(error);
+        }
+        let rest = failing.rest;
+        failing.rest = (rest + rest).min(LOOK);
+        self.rest(rest)
+    }
+
+    fn rest(&mut self, rest: Span) -> io::Result<()> {
+        self.resting = Some(clock::now() + rest);
+        self.hear_listener(false)
     }
 
     /// No descriptor is to be had, against what the limits tell. Guards against a loop that burns the core, and against
     /// idle clients that hold what the change log and hosts need: the first time so many places less are given out.
-    fn rest(&mut self, error: &io::Error) -> io::Result<()> {
-        if !std::mem::replace(&mut self.failing, true) {
+    fn rest_without_descriptors(&mut self, error: &io::Error) -> io::Result<()> {
+        let now = clock::now();
+        let failing = self.failing.get_or_insert(Failing { since: now, rest: LOOK, told: false });
+        if !std::mem::replace(&mut failing.told, true) {
             tracing::warn!("accept fails: {error}");
             self.most = self.most.min(self.taken.len().saturating_sub(SPARE)).max(1);
         }
@@ -413,8 +483,7 @@
         while let Some(number) = self.lingering.keys().next().copied() {
             self.let_go(number);
         }
-        self.resting = Some(clock::now() + LOOK);
-        self.hear_listener(false)
+        self.rest(LOOK)
     }
 
     /// Gives it a place, or lets it wait for one. Past the bound on those that wait, one that has said nothing goes,
