Faultbed: soak, scenarios drawn by a seed with stepped clocks, failing calls, frozen hosts and a silent log

New faults: step, calls (by the shim, each process its own), freeze, silence, term (SIGKILL at the earliest, clients go on on open connections), hup. The judge holds the deadline told to hosts, when a silent log counts as told, and what crosses an orderly end. A red seed is left as a scenario file with as few faults as still break it.

--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -41,6 +41,7 @@
 //! (so many did, at least).
 //! `{1..9}` in words: the command once for each number.
 use cherrypass_shim::control::Call;
+use cherrypass_shim::errors::errno;
 use cherrypass_shim::{Fault, Shim};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -764,24 +765,6 @@
     shim: Option<Shim>,
 }
 
-/// An error by its name, or a plain number.
-fn errno(name: &str) -> i32 {
-    match name {
-        "ECONNABORTED" => libc::ECONNABORTED,
-        "ENFILE" => libc::ENFILE,
-        "EMFILE" => libc::EMFILE,
-        "ENOBUFS" => libc::ENOBUFS,
-        "EADDRNOTAVAIL" => libc::EADDRNOTAVAIL,
-        "ENETUNREACH" => libc::ENETUNREACH,
-        "EHOSTUNREACH" => libc::EHOSTUNREACH,
-        "ETIMEDOUT" => libc::ETIMEDOUT,
-        "EINTR" => libc::EINTR,
-        "ENOSPC" => libc::ENOSPC,
-        "EIO" => libc::EIO,
-        number => number.parse().expect("no such error"),
-    }
-}
-
 impl Play {
     fn run_all(&mut self) {
         let memory = if self.memory == 0 { 192 } else { self.memory };
@@ -1302,7 +1285,10 @@
                 self.shim.as_ref().unwrap().step_wall_clock(ahead, behind).unwrap();
             }
             ["fault", call, how, per_million] => {
-                let fault = Fault { per_million: per_million.parse().unwrap(), how: errno(how) };
+                let fault = Fault {
+                    per_million: per_million.parse().unwrap(),
+                    how: errno(how).expect("no such error"),
+                };
                 let call = Call::named(call).expect("no such call");
                 self.shim.as_ref().unwrap().set(call, fault).unwrap();
             }
--- a/crates/faultbed/src/changelog.rs
+++ b/crates/faultbed/src/changelog.rs
@@ -3,12 +3,14 @@
 use serde_json::{json, Value};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 use tiny_http::{Request, Response, Server};
 
 /// The longest wait that may be asked for, and the one where none is.
 const POLL_MOST: Duration = Duration::from_millis(5_000);
+const SILENT_LOOK: Duration = Duration::from_millis(20);
 const POLL_USUAL: Duration = Duration::from_millis(1_000);
 
 #[derive(Clone)]
@@ -16,6 +18,7 @@
     pub address: SocketAddr,
     events: Arc<(Mutex<Vec<Value>>, Condvar)>,
     notes: Notes,
+    silent: Arc<AtomicBool>,
 }
 
 /// A host as the list names it.
@@ -34,7 +37,7 @@
     pub fn start(notes: Notes) -> io::Result<ChangeLog> {
         let server = Server::http("127.0.0.1:0").map_err(io::Error::other)?;
         let address = server.server_addr().to_ip().ok_or(io::ErrorKind::AddrNotAvailable)?;
-        let log = ChangeLog { address, events: Arc::default(), notes };
+        let log = ChangeLog { address, events: Arc::default(), notes, silent: Arc::default() };
         let own = log.clone();
         std::thread::spawn(move || {
             for request in server.incoming_requests() {
@@ -45,7 +48,18 @@
         Ok(log)
     }
 
+    /// From now on nothing is answered, until it is set otherwise.
+    pub fn silence(&self, silent: bool) {
+        self.silent.store(silent, SeqCst);
+    }
+
     fn answer(&self, request: Request) {
+        if self.silent.load(SeqCst) {
+            while self.silent.load(SeqCst) {
+                std::thread::sleep(SILENT_LOOK);
+            }
+            return;
+        }
         let asked = |key: &str| -> Option<u64> {
             request.url().split(key).nth(1).and_then(|rest| rest.split('&').next()?.parse().ok())
         };
@@ -54,6 +68,9 @@
         let (events, told) = &*self.events;
         let held = events.lock().unwrap_or_else(PoisonError::into_inner);
         let waited = told.wait_timeout_while(held, wait, |events| events.len() <= since);
+        if self.silent.load(SeqCst) {
+            return;
+        }
         let text = results(&waited.unwrap_or_else(PoisonError::into_inner).0, since).to_string();
         let _ = request.respond(Response::from_string(text));
     }
--- a/crates/faultbed/src/clients.rs
+++ b/crates/faultbed/src/clients.rs
@@ -4,7 +4,7 @@
 use rand_pcg::Pcg64Mcg;
 use rmpv::Value;
 use std::collections::BTreeMap;
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -17,6 +17,8 @@
 /// Past so many open another connection is opened.
 const BUSY: usize = 8;
 /// What is open at the end has its time, and a busy machine's.
+/// A request that crosses the end of its connection is on its way for so long, by the protocol page.
+const CROSSING: Duration = Duration::from_millis(50);
 const LAST_ANSWERS: Duration = Duration::from_millis(4_000);
 
 /// What is asked.
@@ -31,13 +33,18 @@
     /// Visits in 1,000 s.
     rate: Arc<AtomicU64>,
     ended: Arc<AtomicBool>,
+    /// No connection is opened, as those who lead clients here know that it ends.
+    leads_away: Arc<AtomicBool>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
+/// Open visits by message id, and when each was asked.
+type Open = Arc<Mutex<BTreeMap<u64, (u64, Instant)>>>;
+
 struct Connection {
     stream: TcpStream,
     next: u64,
-    open: Arc<Mutex<BTreeMap<u64, u64>>>,
+    open: Open,
     closed: Arc<AtomicBool>,
 }
 
@@ -54,7 +61,8 @@
         numbers: Numbers,
     ) -> Load {
         let rate = Arc::new(AtomicU64::new((rate * 1e3) as u64));
-        let mut load = Load { rate, ended: Arc::default(), thread: None };
+        let mut load = Load { rate, ended: Arc::default(), leads_away: Arc::default(), thread: None };
+        let leads_away = load.leads_away.clone();
         let (rate, ended) = (load.rate.clone(), load.ended.clone());
         let run = move || {
             let mut chance = Pcg64Mcg::seed_from_u64(seed);
@@ -72,7 +80,8 @@
                 connections.retain(|connection| !connection.closed.load(SeqCst));
                 // One that is opened and not used would be taken for mute.
                 let full = connections.iter().all(|connection| connection.waiting() >= BUSY);
-                if full && connections.len() < CONNECTIONS {
+                let opens = !leads_away.load(SeqCst);
+                if opens && full && connections.len() < CONNECTIONS {
                     connections.extend(Connection::open(address, &notes));
                 }
                 let visit = numbers.fetch_add(1, SeqCst);
@@ -85,6 +94,7 @@
                 let free = connections.iter_mut().min_by_key(|connection| connection.waiting());
                 match free.filter(|connection| connection.waiting() < OPEN_MOST) {
                     Some(connection) => connection.ask(&name, visit, band, object, &notes),
+                    None if !opens => {}
                     None => {
                         let (band, limit) = BANDS[band];
                         let (dispatcher, band) = (name.clone(), band.to_owned());
@@ -108,6 +118,11 @@
         self.rate.store((rate * 1e3) as u64, SeqCst);
     }
 
+    /// Whether new connections are opened.
+    pub fn lead_away(&self, away: bool) {
+        self.leads_away.store(away, SeqCst);
+    }
+
     pub fn end(&self) {
         self.ended.store(true, SeqCst);
     }
@@ -124,21 +139,33 @@
     fn open(address: SocketAddr, notes: &Notes) -> Option<Connection> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok()?;
         stream.set_nodelay(true).ok()?;
-        let open: Arc<Mutex<BTreeMap<u64, u64>>> = Arc::default();
+        let open = Open::default();
         let closed: Arc<AtomicBool> = Arc::default();
         let (own, end, notes) = (open.clone(), closed.clone(), notes.clone());
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         std::thread::spawn(move || {
-            while let Ok(message) = rmpv::decode::read_value(&mut reader) {
+            let mut in_order = false;
+            loop {
+                match reader.fill_buf() {
+                    Ok([]) => {
+                        in_order = true;
+                        break;
+                    }
+                    Ok(_) => {}
+                    Err(_) => break,
+                }
+                let Ok(message) = rmpv::decode::read_value(&mut reader) else { break };
                 let Some((id, word, born)) = answer(&message) else { break };
-                let visit = own.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+                let open = own.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+                let visit = open.map(|(visit, _)| visit);
                 // An answer to nothing that is open is a second one: it is noted under no visit of its own.
                 notes.note(Note::Answered { visit: visit.unwrap_or(u64::MAX), word, born });
             }
             end.store(true, SeqCst);
             let left = std::mem::take(&mut *own.lock().unwrap_or_else(PoisonError::into_inner));
-            for visit in left.into_values() {
-                notes.note(Note::Broken { visit });
+            for (visit, asked) in left.into_values() {
+                let crossed = in_order && asked.elapsed() <= CROSSING;
+                notes.note(if crossed { Note::Crossed { visit } } else { Note::Broken { visit } });
             }
         });
         Some(Connection { stream, next: 1, open, closed })
@@ -168,7 +195,7 @@
         let message = Value::Array(vec![0.into(), id.into(), band.into(), params]);
         let mut bytes = Vec::new();
         let _ = rmpv::encode::write_value(&mut bytes, &message);
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(id, visit);
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(id, (visit, Instant::now()));
         let (dispatcher, band) = (dispatcher.to_owned(), band.to_owned());
         notes.note(Note::Asked { visit, dispatcher, band, object, limit: limit * 1000 });
         if self.stream.write_all(&bytes).is_err() {
--- a/crates/faultbed/src/hosts.rs
+++ b/crates/faultbed/src/hosts.rs
@@ -17,6 +17,9 @@
 pub const WINDOW: f64 = 1.5;
 /// Caches drop a purged copy by then, in seconds.
 pub const PURGE_DROPPED: f64 = 3.0;
+/// One that stood still drops them so much later than it went on.
+const DROPPED_LATE: Duration = Duration::from_millis(1_000);
+const STILL_LOOK: Duration = Duration::from_millis(2);
 const BODY: usize = 2_000;
 const CROWDED: f64 = 6.0;
 
@@ -25,6 +28,8 @@
     Well,
     Fail(f64),
     Hang,
+    /// All of it stands still, and goes on later with what it was about.
+    Still,
     Slow(f64),
     /// Its port is closed.
     Gone,
@@ -162,6 +167,25 @@
         self.state().started.map_or(0, |at| at / 1000)
     }
 
+    fn is_still(&self) -> bool {
+        self.state().mode == Mode::Still
+    }
+
+    fn wait_while_still(&self) {
+        while self.is_still() {
+            std::thread::sleep(STILL_LOOK);
+        }
+    }
+
+    /// The same once it goes on, and a while later, where it stands still: it hears of the purge with all else then.
+    pub fn drop_older_awake(&self, object: u64, before: u64) {
+        if self.is_still() {
+            self.wait_while_still();
+            std::thread::sleep(DROPPED_LATE);
+        }
+        self.drop_older(object, before);
+    }
+
     /// Copies born before are dropped.
     pub fn drop_older(&self, object: u64, before: u64) {
         self.state().copies.retain(|(own, _), copy| *own != object || copy.born >= before);
@@ -244,7 +268,9 @@
     fn serve(&self, want: &Want) -> Option<Said> {
         let visit = u64::from_str_radix(&want.id, 16).unwrap_or(0);
         let (host, filled) = (self.name.clone(), !want.get("from").is_empty());
-        self.notes.note(Note::Came { host: host.clone(), visit, filled });
+        let wait = want.get("w").parse().ok();
+        self.notes.note(Note::Came { host: host.clone(), visit, filled, wait });
+        self.wait_while_still();
         let mode = self.state().mode;
         let said = match mode {
             Mode::Gone => return None,
@@ -303,13 +329,14 @@
 
     /// What it gives for another's fill.
     fn give(&self, part: (u64, u32), oldest: u64, held: bool) -> Result<(u64, &'static str), &'static str> {
+        self.wait_while_still();
         match self.state().mode {
             Mode::Gone | Mode::Fail(_) => return Err("BROKE"),
             Mode::Hang => std::thread::sleep(Duration::from_secs(3)),
             _ => {}
         }
         let (host, visit, filled) = (self.name.clone(), 0, true);
-        self.notes.note(Note::Came { host: host.clone(), visit, filled });
+        self.notes.note(Note::Came { host: host.clone(), visit, filled, wait: None });
         let takes = self.enter()?;
         std::thread::sleep(takes);
         let given = self.given(part, oldest, held);
--- a/crates/faultbed/src/judge.rs
+++ b/crates/faultbed/src/judge.rs
@@ -1,6 +1,6 @@
 //! Reads what processes, stand-ins and clients noted on one clock, and says what did not hold.
 use crate::notation::{Hold, Scenario};
-use crate::notes::{Event, Note, Noted, Word};
+use crate::notes::{Absences, Event, Note, Noted, Word};
 use crate::play::Played;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,9 +9,16 @@
 const SLACK: u64 = 50_000;
 /// A list and a purge count as told so much later (they come at once here), and what follows has its grace.
 const TOLD: u64 = 300_000;
+/// And so much after the end of a time in which the change log was silent, or at the latest.
+const TOLD_AFTER_BREAK: u64 = 2_000_000;
+const TOLD_AT_LATEST: u64 = 7_000_000;
+/// A dispatcher may tell a host that it will wait for so much longer than its client does.
+const WAIT_SLACK: u64 = 150_000;
 const GRACE: u64 = 1_000_000;
 /// What a machine busy with other plays may be late by.
 const LATE: u64 = 150_000;
+/// What crosses the end of its connection was on its way for so long.
+const CROSSING: u64 = 50_000;
 /// Above a limit by so little is rounding.
 const ROUNDING: f64 = 1e-6;
 /// Members agree by then after the last fault, in microseconds.
@@ -22,7 +29,7 @@
     let mut broken = played.crashed.clone();
     for hold in &scenario.holds {
         broken.extend(match hold {
-            Hold::Rules => rules(&played.noted, &played.away),
+            Hold::Rules => rules_with(&played.noted, &played.absences()),
             Hold::Sum(key, most) => sum(&played.events, &played.away, key, *most),
             Hold::Used(key, least) => used(&played.events, key, *least, played.span),
             Hold::Age(most) => ages(&played.events, *most),
@@ -58,6 +65,18 @@
 /// The five rules, by what clients and hosts saw. Visits at a process that was killed or stood still meanwhile are
 /// not its own fault for the first.
 pub fn rules(noted: &Noted, away: &[(String, u64, u64)]) -> Vec<String> {
+    rules_with(noted, &Absences { away, ended: &[], silent: &[] })
+}
+
+/// When something that the change log had then counts as told.
+fn told(absences: &Absences, at: u64) -> u64 {
+    let silent = absences.silent.iter().find(|(from, to)| at + TOLD >= *from && at < *to);
+    silent.map_or(at + TOLD, |(_, to)| to.saturating_add(TOLD_AFTER_BREAK).min(at + TOLD_AT_LATEST))
+}
+
+/// The same where processes ended as they were told, or the change log was silent.
+pub fn rules_with(noted: &Noted, absences: &Absences) -> Vec<String> {
+    let Absences { away, ended, .. } = absences;
     let mut visits: BTreeMap<u64, Visit> = BTreeMap::new();
     let mut broken = Vec::new();
     let mut drained: BTreeMap<&str, u64> = BTreeMap::new();
@@ -85,11 +104,21 @@
             Note::Ran { visit, .. } => {
                 visits.entry(*visit).and_modify(|known| known.ran.push(*at));
             }
-            Note::Came { host, visit, filled: _ } => {
-                if drained.get(&host[..]).is_some_and(|since| *at > since + TOLD + GRACE + SLACK) {
+            Note::Came { host, visit, wait, .. } => {
+                if drained.get(&host[..]).is_some_and(|since| *at > told(absences, *since) + GRACE + SLACK) {
                     broken.push(format!("rule 3: visit {visit} came to {host}, which drains"));
                 }
+                if let Some((known, wait)) = visits.get(visit).zip(*wait) {
+                    let left = (known.asked + known.limit).saturating_sub(*at);
+                    if wait * 1000 > left + WAIT_SLACK {
+                        let left = left / 1000;
+                        broken.push(format!(
+                            "deadline: {host} was told of {wait} ms for visit {visit}, which had {left}"
+                        ));
+                    }
+                }
             }
+            Note::Crossed { visit } => drop(visits.remove(visit)),
             Note::Listed { host, state } => {
                 if *state == "in_service" {
                     drained.remove(&host[..]);
@@ -107,7 +136,10 @@
         let touches = |(who, from, to): &&(String, u64, u64)| {
             who == visit.dispatcher && *from <= until && visit.asked <= *to + LATE
         };
-        away.iter().any(|span| touches(&span))
+        let came_past = |(who, from, to): &&(String, u64, u64)| {
+            who == visit.dispatcher && visit.asked + CROSSING >= *from && visit.asked <= *to + LATE
+        };
+        away.iter().any(|span| touches(&span)) || ended.iter().any(|span| came_past(&span))
     };
     for (number, visit) in &visits {
         let answers: Vec<_> = visit.ends.iter().filter_map(|(at, end)| Some((*at, (*end)?))).collect();
@@ -125,7 +157,7 @@
             if *word == Word::Bad {
                 broken.push(format!("rule 1: {who} was called unusable"));
             }
-            let before = |purge: &&u64| **purge + TOLD + GRACE + SLACK < visit.asked;
+            let before = |purge: &&u64| told(absences, **purge) + GRACE + SLACK < visit.asked;
             let purge = purged.get(&visit.object).and_then(|all| all.iter().filter(before).max());
             if let (Word::Settled, Some(born), Some(purge)) = (word, born, purge) {
                 if visit.band == "read" && born < purge {
--- a/crates/faultbed/src/lib.rs
+++ b/crates/faultbed/src/lib.rs
@@ -12,3 +12,5 @@
 pub mod notes;
 pub mod play;
 pub mod processes;
+pub mod soak;
+pub mod soak_report;
--- a/crates/faultbed/src/main.rs
+++ b/crates/faultbed/src/main.rs
@@ -1,9 +1,12 @@
 #![forbid(unsafe_code)]
 use cherrypass_faultbed::notation::{self, Scenario};
-use cherrypass_faultbed::{compare, judge, play};
+use cherrypass_faultbed::soak_report::Report;
+use cherrypass_faultbed::{compare, judge, play, soak};
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Plays several processes of cherrypass with faults between them.
 #[derive(Parser)]
@@ -38,6 +41,18 @@
         #[arg(long, default_value_t = 10)]
         to: u64,
     },
+    /// Play a scenario drawn by each seed; a red one is left as a file with as few faults as still break it
+    Soak {
+        /// From and to, such as 1..50; both are played
+        #[arg(long, default_value = "1..50", value_parser = seeds)]
+        seeds: (u64, u64),
+        /// How many are played at once
+        #[arg(long, default_value_t = 2)]
+        jobs: usize,
+        /// Where scenarios that break are left
+        #[arg(long, default_value = "found")]
+        out: PathBuf,
+    },
     /// Play two scenarios on the same seeds, both of a seed at once, and print what came of each side by side
     Compare {
         first: PathBuf,
@@ -117,6 +132,76 @@
     Ok(held)
 }
 
+/// Plays the seeds, so many at once; whether all held.
+fn soak(builds: Builds, (from, to): (u64, u64), jobs: usize, out: &Path) -> Result<bool, String> {
+    let next = AtomicU64::new(from);
+    let (report, red) = (Mutex::new(Report::default()), Mutex::new(Vec::new()));
+    let failed: Mutex<Option<String>> = Mutex::new(None);
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::SeqCst);
+                if seed > to || lock(&failed).is_some() {
+                    return;
+                }
+                match soak_one(builds, seed, &report) {
+                    Ok(broken) if broken.is_empty() => println!("seed {seed}: held"),
+                    Ok(broken) => {
+                        println!("seed {seed}: BROKEN");
+                        told(&broken);
+                        lock(&red).push(seed);
+                    }
+                    Err(error) => *lock(&failed) = Some(format!("seed {seed}: {error}")),
+                }
+            });
+        }
+    });
+    if let Some(error) = lock(&failed).take() {
+        return Err(error);
+    }
+    lock(&report).lines().iter().for_each(|line| println!("  {line}"));
+    let red = std::mem::take(&mut *lock(&red));
+    for seed in &red {
+        let path = leave(builds, *seed, out)?;
+        println!("seed {seed}: {} replays it", path.display());
+    }
+    println!("{} of {} seeds held", to + 1 - from - red.len() as u64, to + 1 - from);
+    Ok(red.is_empty())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn soak_one(builds: Builds, seed: u64, report: &Mutex<Report>) -> Result<Vec<String>, String> {
+    let scenario = notation::read(&soak::scenario(seed)).map_err(|error| error.to_string())?;
+    let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let (program, other) = builds;
+    let stage = play::Stage { program, other, folder: folder.path(), seed };
+    let played = play::play(&scenario, stage).map_err(|error| error.to_string())?;
+    lock(report).add(&scenario, &played);
+    Ok(judge::judge(&scenario, &played))
+}
+
+/// Leaves out one fault after another while the scenario still breaks, and leaves what remains as a file.
+fn leave(builds: Builds, seed: u64, out: &Path) -> Result<PathBuf, String> {
+    let mut text = soak::scenario(seed);
+    let mut fault = 0;
+    while let Some(fewer) = soak::without(&text, fault) {
+        let scenario = notation::read(&fewer).map_err(|error| error.to_string())?;
+        if once(&scenario, builds, seed, None)?.is_empty() {
+            fault += 1;
+        } else {
+            text = fewer;
+        }
+    }
+    let path = out.join(format!("soak-{seed}.bed"));
+    std::fs::create_dir_all(out).map_err(|error| format!("{}: {error}", out.display()))?;
+    let text = format!("# Drawn by the soak of seed {seed}: play it with --seed {seed}.\n{text}");
+    std::fs::write(&path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+    Ok(path)
+}
+
 fn told(broken: &[String]) {
     broken.iter().take(20).for_each(|line| println!("BROKEN {line}"));
     if broken.len() > 20 {
@@ -143,6 +228,7 @@
             let both = [(&names[0][..], read(&first)?), (&names[1][..], read(&second)?)];
             compare(both, builds, seeds, logs.as_deref())
         }
+        Command::Soak { seeds, jobs, out } => soak(builds, seeds, jobs, &out),
         Command::Hunt { file, from, to } => {
             let scenario = read(&file)?;
             for seed in from..=to {
--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -5,7 +5,10 @@
 //! `for 10` (seconds), faults `at 3 for 2 cut d1 d2`, `at 3 for 2 cut d1 > d2`, `lose 0.2 d1 d2` (of all links: `all`), `repeat 0.2 ...`,
 //! `delay 50 200 ...` (ms, least and most), `throttle 20 ...` (datagrams a second), `stall ...` (held, then all at once),
 //! `stop d1`, `kill d1`, `kill runner` (whoever runs the rollout then), `restart d1 [new]` (killed and started; `new`: with an empty store), `fail c1 0.7`, `hang c1`,
-//! `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`,
+//! `freeze c1` (stands still, drops no purged copy, and goes on with all that came), `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `load d1 90`, `drain c1`, `purge`,
+//! `silence` (the change log answers nothing), `term d1` (SIGTERM, SIGKILL at the earliest, started anew), `hup d1`,
+//! `step d1 forward 3000`, `step d1 back 3000` (the process's wall clock, in ms), `calls d1 accept ECONNABORTED 0.3` (that part
+//! of such calls fails; for `short-read` and `short-write` a number of bytes stands for the error),
 //! `disk d1 lose` (what is acknowledged from then on is gone at the kill; `error`, `full`, `flip`, `stall 2000` in ms),
 //! `rollout d1 start { number: 2, rules: { … }, plan: { … } }` (asked for at d1; `halt`, `resume`, `back`), and lines
 //! `clock d1 0.99` (its rate); disks and clocks want a program built with its feature `faults`. What is held:
@@ -15,6 +18,8 @@
 //! `hold never 2` (nobody ever had them).
 //! Pairs of builds: `program d2 d3 older` (begin as the older build: the one named by `--other`, or where none is named this one
 //! in form 1), `form 1 d4` (this build, kept to that form), `at 5 upgrade d2`, `at 8 downgrade d2` (SIGTERM, then the other one).
+use cherrypass_shim::control::Call;
+use cherrypass_shim::errors::errno;
 use winnow::ascii::{alpha1, alphanumeric1, dec_uint, float, space0, space1, till_line_ending};
 use winnow::combinator::{alt, cut_err, delimited, eof, opt, preceded, repeat, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext, StrContextValue};
@@ -71,6 +76,14 @@
     },
     Fail(String, f64),
     Hang(String),
+    Freeze(String),
+    /// The change log answers nothing.
+    Silence,
+    Term(String),
+    Hup(String),
+    /// How far the wall clock is ahead, in milliseconds.
+    Step(String, f64),
+    Calls(String, Call, i32, f64),
     Slow(String, f64),
     Vanish(String),
     Fresh(String),
@@ -231,6 +244,17 @@
         }
         "fail" => Fault::Fail(one(input)?, number(input)?),
         "hang" => Fault::Hang(one(input)?),
+        "freeze" => Fault::Freeze(one(input)?),
+        "silence" => Fault::Silence,
+        "term" => Fault::Term(one(input)?),
+        "hup" => Fault::Hup(one(input)?),
+        "step" => {
+            let who = one(input)?;
+            let way = preceded(space1, alt(("forward".value(1.0), "back".value(-1.0))));
+            let way = cut_err(way.context(expected("forward or back"))).parse_next(input)?;
+            Fault::Step(who, way * number(input)?)
+        }
+        "calls" => Fault::Calls(one(input)?, call(input)?, error(input)?, number(input)?.min(1.0)),
         "slow" => Fault::Slow(one(input)?, number(input)?),
         "vanish" => Fault::Vanish(one(input)?),
         "fresh" => Fault::Fresh(one(input)?),
@@ -252,6 +276,17 @@
     })
 }
 
+fn call(input: &mut &str) -> Parsed<Call> {
+    let word = take_while(1.., |c: char| c.is_ascii_lowercase() || c == '-');
+    let found = preceded(space1, word).verify_map(Call::named);
+    cut_err(found.context(expected("a system call"))).parse_next(input)
+}
+
+fn error(input: &mut &str) -> Parsed<i32> {
+    let found = preceded(space1, alphanumeric1).verify_map(errno);
+    cut_err(found.context(expected("an error's name or a number of bytes"))).parse_next(input)
+}
+
 fn disk(input: &mut &str) -> Parsed<String> {
     let word = preceded(space1, alt(("lose", "error", "full", "flip", "stall")));
     let word = cut_err(word.context(expected("a disk's order"))).parse_next(input)?;
@@ -356,13 +391,14 @@
                 Between::Both(a, b) | Between::OneWay(a, b) => vec![a, b],
             },
             Kill(a) if a == "runner" => vec![],
+            Freeze(a) | Term(a) | Hup(a) | Step(a, _) | Calls(a, ..) => vec![a],
             Stop(a) | Kill(a) | Fail(a, _) | Hang(a) | Slow(a, _) | Vanish(a) | Fresh(a) | Drain(a) => {
                 vec![a]
             }
             Load(a, _) if a == "all" => vec![],
             Load(a, _) | Restart { who: a, .. } | Disk(a, _) | Rollout(a, ..) => vec![a],
             Upgrade(a) | Downgrade(a) => vec![a],
-            Purge => vec![],
+            Purge | Silence => vec![],
         }
     }
 }
@@ -384,6 +420,11 @@
         !self.clocks.is_empty() || self.faults.iter().any(|one| matches!(one.fault, Fault::Disk(..)))
     }
 
+    /// Whether processes run with the shim.
+    pub fn wants_shim(&self) -> bool {
+        self.faults.iter().any(|one| matches!(one.fault, Fault::Step(..) | Fault::Calls(..)))
+    }
+
     pub fn has_orders(&self) -> bool {
         self.faults.iter().any(|one| matches!(one.fault, Fault::Rollout(..)))
     }
--- a/crates/faultbed/src/notes.rs
+++ b/crates/faultbed/src/notes.rs
@@ -31,6 +31,10 @@
         word: Word,
         born: Option<u64>,
     },
+    /// The dispatcher ended the connection in order, and the request crossed that on its way: it counts as never sent.
+    Crossed {
+        visit: u64,
+    },
     /// The connection ended before the answer.
     Broken {
         visit: u64,
@@ -40,6 +44,8 @@
         host: String,
         visit: u64,
         filled: bool,
+        /// How long the dispatcher says it will wait, in milliseconds.
+        wait: Option<u64>,
     },
     /// It had its effect there.
     Ran {
@@ -72,6 +78,16 @@
 
 pub type Noted = Vec<(u64, Note)>;
 
+/// When who was not there, each from and to.
+pub struct Absences<'a> {
+    /// Killed out of the blue, or stopped: what was open then is lost by no fault of the process.
+    pub away: &'a [(String, u64, u64)],
+    /// Ended after SIGTERM: only what came past the end is.
+    pub ended: &'a [(String, u64, u64)],
+    /// The change log told nothing.
+    pub silent: &'a [(u64, u64)],
+}
+
 #[derive(Clone, Default)]
 pub struct Notes(Arc<Mutex<Noted>>);
 
--- a/crates/faultbed/src/play.rs
+++ b/crates/faultbed/src/play.rs
@@ -5,8 +5,10 @@
 use crate::hosts::{self, Host, Hosts, Mode};
 use crate::links::{Link, Way};
 use crate::notation::{Between, Fault, Planned, Scenario, Sort};
-use crate::notes::{events, now, Event, Note, Noted, Notes};
+use crate::notes::{events, now, Absences, Event, Note, Noted, Notes};
 use crate::processes::{has_faults, takes, Files, Process};
+use cherrypass_shim::control::{Call, CALLS};
+use cherrypass_shim::Shim;
 use nix::sys::signal::Signal;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -57,6 +59,12 @@
     pub crashed: Vec<String>,
     /// When each process did not run: killed or stopped, until it went on.
     pub away: Vec<(String, u64, u64)>,
+    /// When each process that was told to end did not run, until it was started anew.
+    pub ended: Vec<(String, u64, u64)>,
+    /// When the change log was silent.
+    pub silent: Vec<(u64, u64)>,
+    /// How often each system call of all processes was made, and how often it failed by order.
+    pub delivered: Vec<(Call, [u64; 2])>,
     /// Processes that at the end are of a build without the fleet.
     pub apart: Vec<String>,
     /// Datagrams that went through links.
@@ -67,8 +75,15 @@
     pub standings: BTreeMap<String, Value>,
 }
 
+impl Played {
+    pub fn absences(&self) -> Absences<'_> {
+        Absences { away: &self.away, ended: &self.ended, silent: &self.silent }
+    }
+}
+
 struct Dispatcher {
     files: Files,
+    shim: Option<Shim>,
     address: SocketAddr,
     process: Option<Process>,
     load: Load,
@@ -94,6 +109,8 @@
     /// Whether the older build knows the fleet, once that was tried.
     joins: Option<bool>,
     away: Vec<(String, u64, u64)>,
+    ended: Vec<(String, u64, u64)>,
+    silent: Vec<(u64, u64)>,
     crashed: Vec<String>,
     orders: Vec<(String, bool)>,
     controls: BTreeMap<String, SocketAddr>,
@@ -102,6 +119,10 @@
 }
 
 const START_MOST: Duration = Duration::from_secs(10);
+/// SIGKILL comes so long after SIGTERM: the longest deadline, and 0.7 s more.
+const KILLED_AFTER: Duration = Duration::from_millis(BANDS[0].1 + 700);
+/// New connections keep coming for so long.
+const LED_AWAY_AFTER: Duration = Duration::from_millis(300);
 const END_MOST: Duration = Duration::from_secs(5);
 /// Up to so many processes each pair has a link of its own; of more only those with a fault do, for each is a thread.
 const LINKED_MOST: usize = 12;
@@ -162,6 +183,8 @@
         fleet: BTreeMap::new(),
         joins: None,
         away: Vec::new(),
+        ended: Vec::new(),
+        silent: Vec::new(),
         crashed: Vec::new(),
         orders: Vec::new(),
         controls: BTreeMap::new(),
@@ -216,6 +239,13 @@
                 let rate = scenario.clocks.iter().find(|(who, _)| who == name).map(|(_, rate)| rate);
                 environment.extend(rate.map(|rate| ("CHERRYPASS_CLOCK_RATE", rate.to_string())));
             }
+            let shim = if scenario.wants_shim() {
+                let shim = Shim::new(seed.wrapping_mul(1_000_003) + place as u64).map_err(doing("a shim"))?;
+                environment.extend(shim.environment().map_err(doing("a shim"))?);
+                Some(shim)
+            } else {
+                None
+            };
             let files = Files { config: at(".json"), operator: None, log: at(".log"), environment };
             std::fs::write(&files.config, self.config(place, name, address))
                 .map_err(doing("a configuration"))?;
@@ -229,7 +259,8 @@
             let (process, kept, away_since) = (None, at("-kept"), None);
             let orders = (Vec::new(), at(".disk"));
             let older = scenario.older.contains(name);
-            let known = Dispatcher { files, address, process, load, kept, older, orders, away_since, rate };
+            let known =
+                Dispatcher { files, shim, address, process, load, kept, older, orders, away_since, rate };
             self.dispatchers.insert(name.clone(), known);
             self.begin(name)?;
         }
@@ -494,7 +525,9 @@
                     std::thread::spawn(move || {
                         std::thread::sleep(Duration::from_secs_f64(hosts::PURGE_DROPPED));
                         let all = hosts.read().map(|all| all.values().cloned().collect::<Vec<_>>());
-                        all.iter().flatten().for_each(|host| host.drop_older(object, before));
+                        for host in all.into_iter().flatten() {
+                            std::thread::spawn(move || host.drop_older_awake(object, before));
+                        }
                     });
                 }
             }
@@ -519,8 +552,36 @@
                 self.orders.push((format!("rollout {order} at {who}: {}", said.trim()), taken));
             }
             Fault::Rollout(..) => {}
+            Fault::Silence => {
+                self.log.silence(begins);
+                let at = now();
+                match self.silent.last_mut().filter(|_| !begins) {
+                    Some(last) => last.1 = at,
+                    None => self.silent.push((at, u64::MAX)),
+                }
+            }
+            Fault::Term(name) if begins => self.term(name)?,
+            Fault::Term(_) => {}
+            Fault::Hup(name) => {
+                let known = self.dispatchers.get(name).and_then(|known| known.process.as_ref());
+                known.into_iter().for_each(|process| process.signal(Signal::SIGHUP));
+            }
+            Fault::Step(name, ms) => {
+                let span = Duration::from_secs_f64(or(ms.abs()) / 1e3);
+                let (ahead, behind) = if *ms > 0.0 { (span, Duration::ZERO) } else { (Duration::ZERO, span) };
+                if let Some(shim) = self.dispatchers.get(name).and_then(|known| known.shim.as_ref()) {
+                    shim.step_wall_clock(ahead, behind).map_err(doing("a shim"))?;
+                }
+            }
+            Fault::Calls(name, call, how, part) => {
+                let fault = cherrypass_shim::Fault { per_million: (or(*part) * 1e6) as u64, how: *how };
+                if let Some(shim) = self.dispatchers.get(name).and_then(|known| known.shim.as_ref()) {
+                    shim.set(*call, fault).map_err(doing("a shim"))?;
+                }
+            }
             Fault::Fail(name, _)
             | Fault::Hang(name)
+            | Fault::Freeze(name)
             | Fault::Slow(name, _)
             | Fault::Vanish(name)
             | Fault::Fresh(name)
@@ -534,6 +595,7 @@
         match fault {
             Fault::Fail(_, part) if begins => host.set(Mode::Fail(*part)),
             Fault::Hang(_) if begins => host.set(Mode::Hang),
+            Fault::Freeze(_) if begins => host.set(Mode::Still),
             Fault::Slow(_, times) if begins => host.set(Mode::Slow(*times)),
             Fault::Vanish(_) if begins => host.end(),
             Fault::Drain(_) => {
@@ -554,6 +616,30 @@
         Ok(())
     }
 
+    /// SIGTERM; clients are led elsewhere soon, go on on open connections, and SIGKILL comes at the earliest.
+    fn term(&mut self, name: &str) -> Result<(), Error> {
+        let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
+        let Some(mut process) = known.process.take() else { return Ok(()) };
+        process.signal(Signal::SIGTERM);
+        let told = Instant::now();
+        while process.ended().is_none() && told.elapsed() < KILLED_AFTER {
+            if told.elapsed() >= LED_AWAY_AFTER {
+                known.load.lead_away(true);
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let from = now();
+        if let Some(ended) = process.ended().filter(|ended| !ended.contains("exit status: 0")) {
+            self.crashed.push(format!("{name} did not end well on SIGTERM: {ended}"));
+        }
+        drop(process);
+        self.begin(name)?;
+        self.wait_for(name)?;
+        self.ended.push((name.to_owned(), from, now()));
+        self.dispatchers.get(name).into_iter().for_each(|known| known.load.lead_away(false));
+        Ok(())
+    }
+
     fn start_anew(&mut self, name: &str, new: bool) -> Result<(), Error> {
         let Some(known) = self.dispatchers.get_mut(name) else { return Ok(()) };
         if new {
@@ -616,11 +702,34 @@
         let apart = |(name, known): (&String, &Dispatcher)| {
             (known.older && self.stage.other.is_some() && self.joins == Some(false)).then(|| name.clone())
         };
+        let mut delivered = Vec::new();
+        for call in CALLS {
+            let shims = self.dispatchers.values().filter_map(|known| known.shim.as_ref());
+            let counts = shims.map(|shim| shim.delivered(call)).collect::<io::Result<Vec<_>>>();
+            let counts = counts.map_err(doing("a shim"))?;
+            let sum = counts.iter().fold([0, 0], |sum, found| [sum[0] + found[0], sum[1] + found[1]]);
+            delivered.push((call, sum));
+        }
         let apart = self.dispatchers.iter().filter_map(apart).collect();
         let (noted, events, away, crashed) = (self.notes.take(), found, self.away, self.crashed);
         let lines: String = noted.iter().map(|(at, note)| format!("{at} {note:?}\n")).collect();
         std::fs::write(self.stage.folder.join("notes"), lines).map_err(doing("what was noted"))?;
         let orders = self.orders;
-        Ok(Played { noted, events, logs, span, crashed, away, apart, datagrams, orders, standings })
+        let (ended, silent) = (self.ended, self.silent);
+        Ok(Played {
+            noted,
+            events,
+            logs,
+            span,
+            crashed,
+            away,
+            ended,
+            silent,
+            delivered,
+            apart,
+            datagrams,
+            orders,
+            standings,
+        })
     }
 }
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -54,7 +54,7 @@
 }
 
 fn came(host: String) -> Note {
-    Note::Came { host, visit: 1, filled: false }
+    Note::Came { host, visit: 1, filled: false, wait: None }
 }
 
 fn drains(host: String) -> Note {
--- /dev/null
+++ b/crates/shim/src/errors.rs
@@ -0,0 +1,19 @@
+//! Names of the errors that calls are made to fail with.
+
+/// The error of a name, or a plain number (of bytes, for short reads and writes).
+pub fn errno(name: &str) -> Option<i32> {
+    Some(match name {
+        "ECONNABORTED" => libc::ECONNABORTED,
+        "ENFILE" => libc::ENFILE,
+        "EMFILE" => libc::EMFILE,
+        "ENOBUFS" => libc::ENOBUFS,
+        "EADDRNOTAVAIL" => libc::EADDRNOTAVAIL,
+        "ENETUNREACH" => libc::ENETUNREACH,
+        "EHOSTUNREACH" => libc::EHOSTUNREACH,
+        "ETIMEDOUT" => libc::ETIMEDOUT,
+        "EINTR" => libc::EINTR,
+        "ENOSPC" => libc::ENOSPC,
+        "EIO" => libc::EIO,
+        number => return number.parse().ok(),
+    })
+}
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -5,6 +5,7 @@
 //! `cherrypass-shim-library` is what runs inside that process. Both know the control file by [`control`]. No released program has any
 //! of it.
 pub mod control;
+pub mod errors;
 
 use control::{Call, CALLS};
 use std::fs::{File, OpenOptions};
