--- a/crates/faultbed/src/main.rs
+++ b/crates/faultbed/src/main.rs
@@ -52,6 +52,9 @@
         /// Where scenarios that break are left
         #[arg(long, default_value = "found")]
         out: PathBuf,
+        /// Leave faults out of them one after another while they still break; each try is a play
+        #[arg(long)]
+        shrink: bool,
     },
     /// Play two scenarios on the same seeds, both of a seed at once, and print what came of each side by side
     Compare {
@@ -133,7 +136,12 @@
 }
 
 /// Plays the seeds, so many at once; whether all held.
-fn soak(builds: Builds, (from, to): (u64, u64), jobs: usize, out: &Path) -> Result<bool, String> {
+fn soak(
+    builds: Builds,
+    (from, to): (u64, u64),
+    jobs: usize,
+    (out, shrink): (&Path, bool),
+) -> Result<bool, String> {
     let next = AtomicU64::new(from);
     let (report, red) = (Mutex::new(Report::default()), Mutex::new(Vec::new()));
     let failed: Mutex<Option<String>> = Mutex::new(None);
@@ -162,7 +170,7 @@
     lock(&report).lines().iter().for_each(|line| println!("  {line}"));
     let red = std::mem::take(&mut *lock(&red));
     for seed in &red {
-        let path = leave(builds, *seed, out)?;
+        let path = leave(builds, *seed, out, shrink)?;
         println!("seed {seed}: {} replays it", path.display());
     }
     println!("{} of {} seeds held", to + 1 - from - red.len() as u64, to + 1 - from);
@@ -183,11 +191,11 @@
     Ok(judge::judge(&scenario, &played))
 }
 
-/// Leaves out one fault after another while the scenario still breaks, and leaves what remains as a file.
-fn leave(builds: Builds, seed: u64, out: &Path) -> Result<PathBuf, String> {
+/// Leaves a seed's scenario as a file; where it is to be shrunk, without each fault that it breaks without as well.
+fn leave(builds: Builds, seed: u64, out: &Path, shrink: bool) -> Result<PathBuf, String> {
     let mut text = soak::scenario(seed);
     let mut fault = 0;
-    while let Some(fewer) = soak::without(&text, fault) {
+    while let Some(fewer) = soak::without(&text, fault).filter(|_| shrink) {
         let scenario = notation::read(&fewer).map_err(|error| error.to_string())?;
         if once(&scenario, builds, seed, None)?.is_empty() {
             fault += 1;
@@ -228,7 +236,7 @@
             let both = [(&names[0][..], read(&first)?), (&names[1][..], read(&second)?)];
             compare(both, builds, seeds, logs.as_deref())
         }
-        Command::Soak { seeds, jobs, out } => soak(builds, seeds, jobs, &out),
+        Command::Soak { seeds, jobs, out, shrink } => soak(builds, seeds, jobs, (&out, shrink)),
         Command::Hunt { file, from, to } => {
             let scenario = read(&file)?;
             for seed in from..=to {
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -2,7 +2,7 @@
 //! played with the built program.
 use cherrypass_faultbed::judge;
 use cherrypass_faultbed::notation::{read, Fault};
-use cherrypass_faultbed::notes::{events, Note, Noted, Word};
+use cherrypass_faultbed::notes::{events, Absences, Note, Noted, Word};
 use cherrypass_faultbed::play::{play, Played, Stage};
 use test_case::test_case;
 
@@ -57,6 +57,10 @@
     Note::Came { host, visit: 1, filled: false, wait: None }
 }
 
+fn waits(at: u64, ms: u64) -> (u64, Note) {
+    (at, Note::Came { host: "c1".into(), visit: 1, filled: false, wait: Some(ms) })
+}
+
 fn drains(host: String) -> Note {
     Note::Listed { host, state: "terminating" }
 }
@@ -74,6 +78,9 @@
 #[test_case(vec![host(S, drains), host(9 * S, came)], Some("which drains"); "rule 3")]
 #[test_case(vec![host(S, drains), host(S + 1, came)], None; "rule 3, within the grace")]
 #[test_case(vec![host(S, fell)], Some("pushed over"); "rule 4")]
+#[test_case(vec![asked(S, 1, "read"), waits(S + 1, 1_149), answered(S + 100, 1, Word::Settled, None)], None; "the deadline told, within the slack")]
+#[test_case(vec![asked(S, 1, "read"), waits(S + S / 2, 800), answered(S + S / 2, 1, Word::Settled, None)], Some("deadline"); "the deadline told, too long")]
+#[test_case(vec![asked(S, 1, "read"), (S + 9, Note::Crossed { visit: 1 })], None; "what crossed an orderly end")]
 #[test_case(vec![(S, Note::Purged { object: 7 }), asked(9 * S, 1, "read"), answered(9 * S, 1, Word::Settled, Some(S - 9))], Some("older than its purge"); "rule 5")]
 fn the_judge_of_the_rules(noted: Noted, words: Option<&str>) {
     let broken = judge::rules(&noted, &[]);
@@ -90,6 +97,29 @@
     assert!(!judge::rules(&noted, &[("d2".into(), S / 2, 2 * S)]).is_empty());
 }
 
+/// One that ended as it was told had to answer all that came before.
+#[test_case(2 * S, S, true; "asked while it was gone")]
+#[test_case(S, S + 40_000, true; "crossed its end")]
+#[test_case(S, S + 60_000, false; "asked before its end")]
+fn who_ended_as_told_owes_what_came_before(asked_at: u64, gone: u64, excused: bool) {
+    let noted = vec![asked(asked_at, 1, "read")];
+    let ended = [("d1".to_owned(), gone, 3 * S)];
+    let absences = Absences { away: &[], ended: &ended, silent: &[] };
+    assert_eq!(judge::rules_with(&noted, &absences).is_empty(), excused);
+}
+
+/// What a silent log has to tell counts as told 7 s later, or 2 s after it is back.
+#[test_case((S, 20 * S), 9 * S + 60_000, false; "still silent, past 7 s and the grace")]
+#[test_case((S, 20 * S), 8 * S, true; "still silent, within them")]
+#[test_case((S, 2 * S), 6 * S, false; "back, past 2 s and the grace")]
+#[test_case((S, 2 * S), 4 * S, true; "back, within them")]
+fn a_purge_in_a_silent_log_counts(silent: (u64, u64), asked_at: u64, well: bool) {
+    let purged = (S, Note::Purged { object: 7 });
+    let noted = vec![purged, asked(asked_at, 1, "read"), answered(asked_at, 1, Word::Settled, Some(S - 9))];
+    let absences = Absences { away: &[], ended: &[], silent: &[silent] };
+    assert_eq!(judge::rules_with(&noted, &absences).is_empty(), well);
+}
+
 fn part(t: u64, me: &str, amount: f64, until: u64, after: f64) -> String {
     format!(
         r#"{{"t":{t},"me":"{me}","inc":1,"e":"part","key":"origin","amount":{amount},"until":{until},"after":{after}}}"#
@@ -220,6 +250,7 @@
 #[test_case(include_str!("../scenarios/hosts.bed"); "hosts")]
 #[test_case(include_str!("../scenarios/forms.bed"); "two forms")]
 #[test_case(include_str!("../scenarios/delivery.bed"); "changes by carriers")]
+#[test_case(include_str!("../scenarios/stood_still.bed"); "stood still")]
 fn holds(text: &str) {
     let own = std::env::current_exe().unwrap();
     let program = own.parent().unwrap().parent().unwrap().join("cherrypass");
