Comments: a start's date may become earlier; the one on epoll's flags stands over its function again

Comments alone: no code changes. The one on flags had come to stand over another item, and the one on starts was from before they were dated anew.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -243,7 +243,6 @@
     failing: Option<Failing>,
 }
 
-/// Readable, and its other side's end even behind bytes that are not read yet.
 /// Accepts that fail, one after another.
 struct Failing {
     since: Time,
@@ -273,6 +272,7 @@
     }
 }
 
+/// Readable, and its other side's end even behind bytes that are not read yet.
 fn reads() -> EpollFlags {
     EpollFlags::EPOLLIN | EpollFlags::EPOLLRDHUP
 }
--- a/crates/dispatcher/src/list.rs
+++ b/crates/dispatcher/src/list.rs
@@ -61,7 +61,7 @@
     }
 }
 
-/// A start as it was told, and as it was dated when it was told first: the same start is the same point ever after.
+/// A start as it was told, and as it is dated: of the same start that only ever becomes earlier, until its host is warm.
 #[derive(Clone, Copy)]
 struct Start {
     told: UnixTime,
