Nothing is sent by an outdated list: a lease on the change log, checked before the first byte

Cause: only the router's wait for messages noticed a stop, from 0.5 s on. A stop in any other step or thread, or a shorter one, passed unnoticed. The message that ended the wait was handled after the wait for the log instead of in it, and a poll that began some microseconds before the notice did not count, so that this wait ran into its limit of 150 ms.

Evidence: the shim can now stop a process right before a chosen call of a chosen thread.

Change: the thread that follows the log renews a lease (half of the shortest grace of the settings) whenever nothing is left to read and the router has applied what it was passed; once expired only an answer to a newer poll renews it. Each attempt is checked right before its first byte, by the one look at the clock that also gives the time left (one less than before), and is decided anew if it fails. The router withdraws what has not been started at a drain itself, not the hosts' thread later.

Why it works: what an attempt rests on is never older than the lease, whatever stood still; what waits when the lease expires is withdrawn before it is renewed.

--- a/crates/dispatcher/src/carried_changes.rs
+++ b/crates/dispatcher/src/carried_changes.rs
@@ -1,6 +1,9 @@
 //! Change log entries delivered by carriers of the fleet instead of by polling (docs/fleet-delivery.md):
 //! their encoding, and the source of changes for the thread that follows the log.
 use crate::change_decoding::{ChangeDecoder, ChangeLogError};
+use crate::change_log::CHECK_INTERVAL;
+use crate::change_log_lease::ChangeLogLease;
+use crate::clock;
 use crate::config::WireNames;
 use crate::inbox::{Change, Input};
 use cherrypass::time::Span;
@@ -75,12 +78,13 @@
     reads_log: bool,
     /// Changes of the current answer, to be forwarded.
     unsent: Vec<LogChange>,
+    lease: ChangeLogLease,
 }
 
 impl Source {
-    pub(crate) fn new(delivery: Option<Delivery>) -> Source {
+    pub(crate) fn new(delivery: Option<Delivery>, lease: ChangeLogLease) -> Source {
         let reads_log = delivery.as_ref().is_none_or(|delivery| delivery.is_carrier);
-        Source { delivery, reads_log, unsent: Vec::new() }
+        Source { delivery, reads_log, unsent: Vec::new(), lease }
     }
 
     /// Applies changes delivered by carriers; returns when the log is to be polled.
@@ -100,6 +104,7 @@
                 DeliveryEvent::Changes { first, records } => {
                     for (number, record) in (first.0..).zip(records) {
                         if let Some(change) = decode_delivered(&record, number, names, last)? {
+                            self.lease.change_sent();
                             router.send(Input::Change(change)).map_err(|_| ChangeLogError::RouterStopped)?;
                         }
                     }
@@ -125,7 +130,7 @@
         let from_fleet = &self.delivery.as_ref()?.from_fleet;
         let received = match self.reads_log {
             true => from_fleet.try_recv(),
-            false => from_fleet.recv().map_err(|_| TryRecvError::Disconnected),
+            false => self.wait_for_delivery(from_fleet),
         };
         if received == Err(TryRecvError::Disconnected) {
             // The fleet's thread has ended.
@@ -135,6 +140,20 @@
         received.ok()
     }
 
+    /// Waits for a delivery, and renews the lease as long as there is none.
+    fn wait_for_delivery(&self, from_fleet: &Receiver<DeliveryEvent>) -> Result<DeliveryEvent, TryRecvError> {
+        loop {
+            let now = clock::now();
+            match from_fleet.try_recv() {
+                Err(TryRecvError::Empty) => self.lease.renew(now),
+                received => return received,
+            }
+            let mut select = crossbeam_channel::Select::new();
+            select.recv(from_fleet);
+            let _ = select.ready_timeout(clock::to_std(CHECK_INTERVAL));
+        }
+    }
+
     /// Queues a change read from the log for forwarding if this is a carrier.
     pub(crate) fn change_read(&mut self, number: u64, change: &Value) {
         if self.is_carrier() {
--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -12,10 +12,12 @@
 pub use self::changes::OnChange;
 use self::connections::Connections;
 use self::poll_state::PollState;
+pub(crate) use self::time_limits::CHECK_INTERVAL;
 pub use self::time_limits::MAX_ANNOUNCEMENT_DELAY;
 use crate::carried_changes::{Delivery, Source};
 use crate::change_decoding::ChangeDecoder;
 pub use crate::change_decoding::{decode, host_id, ChangeLogError, InvalidKey};
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::config::WireNames;
 use crate::inbox::Input;
@@ -38,6 +40,8 @@
     pub max_change_bytes: usize,
     pub seed: u64,
     pub router: Sender<Input>,
+    /// Renewed while the log is followed.
+    pub lease: ChangeLogLease,
     /// Set if carriers deliver changes, or if this process is a carrier.
     pub delivery: Option<Delivery>,
 }
@@ -52,11 +56,12 @@
         max_change_bytes,
         seed,
         router,
+        lease,
         delivery,
     } = options;
-    let mut source = Source::new(delivery);
+    let mut source = Source::new(delivery, lease.clone());
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut connections = Connections::new(address, new_addresses, max_change_bytes);
+    let mut connections = Connections::new(address, new_addresses, max_change_bytes, lease.clone());
     let mut state = PollState::default();
     loop {
         if source.apply_delivered(&names, &mut last_change, &router).is_err() {
@@ -68,13 +73,15 @@
         let (polled_at, polled_instant) = (clock::now(), Instant::now());
         let since = last_change;
         let mut decoder = ChangeDecoder::new(&names, &mut last_change, state.known_invalid());
-        let answer = connections.poll(since, state.limits(), &mut |result| {
+        let limits = state.limits(lease.is_valid(polled_at));
+        let answer = connections.poll(since, limits, &mut |result| {
             let before = decoder.last();
             let change = decoder.decode(result)?;
             if decoder.last() > before {
                 source.change_read(decoder.last(), result);
             }
             change.map_or(Ok(()), |change| {
+                lease.change_sent();
                 router.send(Input::Change(change)).map_err(|_| ChangeLogError::RouterStopped)
             })
         });
--- a/crates/dispatcher/src/change_log/answer_stream.rs
+++ b/crates/dispatcher/src/change_log/answer_stream.rs
@@ -1,5 +1,6 @@
 //! Reads from a connection within time limits.
 use super::time_limits::CHECK_INTERVAL;
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use cherrypass::time::Time;
 use crossbeam_channel::Receiver;
@@ -31,15 +32,18 @@
     pub(super) end_deadline: Time,
     /// Bytes that may still be read after the deadline.
     pub(super) late_bytes_left: usize,
+    /// Renewed whenever nothing is left to read.
+    pub(super) lease: &'a ChangeLogLease,
 }
 
 impl Read for AnswerStream<'_> {
     fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
         loop {
-            let result = (&mut self.stream).read(into);
-            let is_late = clock::now() >= self.deadline;
-            match result {
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            let now = clock::now();
+            let is_late = now >= self.deadline;
+            match (&mut self.stream).read(into) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.lease.renew(now),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Ok(length) if is_late && length > self.late_bytes_left => {
                     return Err(ErrorKind::TimedOut.into())
                 }
--- a/crates/dispatcher/src/change_log/connections.rs
+++ b/crates/dispatcher/src/change_log/connections.rs
@@ -4,6 +4,7 @@
 use super::changes::OnChange;
 use super::time_limits::{CHECK_INTERVAL, CONNECT_TIMEOUT, REDIAL_AFTER, RESPONSE_DEADLINE};
 use crate::change_decoding::ChangeLogError;
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::Receiver;
@@ -42,6 +43,7 @@
     idle: Option<TcpStream>,
     dials: Vec<Dial>,
     max_change_bytes: usize,
+    lease: ChangeLogLease,
 }
 
 impl Connections {
@@ -49,8 +51,9 @@
         address: SocketAddr,
         new_addresses: Receiver<SocketAddr>,
         max_change_bytes: usize,
+        lease: ChangeLogLease,
     ) -> Connections {
-        Connections { address, new_addresses, idle: None, dials: Vec::new(), max_change_bytes }
+        Connections { address, new_addresses, idle: None, dials: Vec::new(), max_change_bytes, lease }
     }
 
     /// Closes the connections if the change log has a new address; returns whether it has.
@@ -60,11 +63,20 @@
         true
     }
 
-    /// Waits, but no longer than until the address changes.
+    /// Waits, but no longer than until the address changes. Without a connection there is nothing to read, so the
+    /// lease is renewed.
     pub(super) fn wait(&self, delay: Span) {
+        let until = clock::now() + delay;
         let mut select = crossbeam_channel::Select::new();
         select.recv(&self.new_addresses);
-        let _ = select.ready_timeout(clock::to_std(delay));
+        loop {
+            let now = clock::now();
+            self.lease.renew(now);
+            if now >= until || select.ready_timeout(clock::to_std((until - now).min(CHECK_INTERVAL))).is_ok()
+            {
+                return;
+            }
+        }
     }
 
     /// Returns the first connection to be established.
@@ -74,6 +86,7 @@
                 return Err(ChangeLogError::AddressChanged);
             }
             let now = clock::now();
+            self.lease.renew(now);
             if self.dials.last().is_none_or(|dial| now - dial.since >= REDIAL_AFTER) {
                 self.dials.push(dial(self.address).map_err(ChangeLogError::Unreachable)?);
             }
@@ -116,6 +129,7 @@
             deadline: now + (wait + response_timeout).min(RESPONSE_DEADLINE),
             end_deadline: now + RESPONSE_DEADLINE,
             late_bytes_left: self.max_change_bytes,
+            lease: &self.lease,
         };
         let answer = read_answer(answer_stream, since, self.max_change_bytes, on_change);
         if !self.new_addresses.is_empty() && !matches!(answer, Err(ChangeLogError::RouterStopped)) {
--- a/crates/dispatcher/src/change_log/poll_state.rs
+++ b/crates/dispatcher/src/change_log/poll_state.rs
@@ -47,9 +47,10 @@
         self.known_invalid
     }
 
-    /// The time limits of the next poll.
-    pub(super) fn limits(&self) -> PollLimits {
-        let wait = if self.is_failing || self.has_stalled { CATCH_UP_WAIT } else { POLL_WAIT };
+    /// The time limits of the next poll. After a failure, or with an expired lease, the answer is wanted at once.
+    pub(super) fn limits(&self, is_lease_valid: bool) -> PollLimits {
+        let is_wanted_at_once = self.is_failing || self.has_stalled || !is_lease_valid;
+        let wait = if is_wanted_at_once { CATCH_UP_WAIT } else { POLL_WAIT };
         PollLimits { wait, response_timeout: self.response_timeout }
     }
 
--- a/crates/dispatcher/src/change_log/time_limits.rs
+++ b/crates/dispatcher/src/change_log/time_limits.rs
@@ -18,8 +18,8 @@
 pub(super) const ANNOUNCED_AFTER: Span = Span::millis(2_000);
 /// Maximum time for a complete answer: the longest wait and time for the transfer.
 pub(super) const RESPONSE_DEADLINE: Span = Span::millis(1_100);
-/// How often a wait checks whether the address has changed.
-pub(super) const CHECK_INTERVAL: Span = Span::millis(100);
+/// How often a wait checks whether the address has changed, and renews the lease.
+pub(crate) const CHECK_INTERVAL: Span = Span::millis(100);
 /// A connection that is not established by then is tried again concurrently.
 pub(super) const REDIAL_AFTER: Span = Span::millis(1_000);
 /// A connection that is not established by then is given up; connections may take up to 1.5 s.
--- a/crates/dispatcher/src/clock.rs
+++ b/crates/dispatcher/src/clock.rs
@@ -24,6 +24,13 @@
     START + Span(process_start().instant.elapsed().as_micros() as u64)
 }
 
+/// Converts an instant of the standard library's monotonic clock.
+pub fn from_instant(instant: Instant) -> Time {
+    let start = process_start().instant;
+    START + Span(instant.saturating_duration_since(start).as_micros() as u64)
+        - Span(start.saturating_duration_since(instant).as_micros() as u64)
+}
+
 pub fn to_std(span: Span) -> Duration {
     Duration::from_micros(span.0)
 }
--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -1,4 +1,5 @@
 //! The configuration of a dispatcher, decoded from its JSON file.
+use crate::change_log_lease;
 use cherrypass::settings::Settings;
 use cherrypass::time::Span;
 use cherrypass_settings as settings;
@@ -71,6 +72,8 @@
     pub settings: Settings,
     pub names: WireNames,
     pub host_connections: HostConnectionLimits,
+    /// How long the process may decide by what it last read of the change log.
+    pub change_log_lease: Span,
     /// The deadline of each request class.
     pub class_deadlines: Vec<Span>,
     /// Maximum number of client connections.
@@ -160,6 +163,8 @@
             Ok(Span(deadline as u64))
         };
         let class_deadlines = services.iter().enumerate().map(deadline).collect::<Result<_, Error>>()?;
+        let drain_grace = settings::number(settings_json, "/rules/drain_grace").unwrap_or_default();
+        let settings = settings::read(settings_json)?;
         Ok(Config {
             name: string(&document, "name")?.to_owned(),
             listen: address(&document, "listen")?,
@@ -167,7 +172,8 @@
                 .map_err(|_| invalid("seed", &document["seed"], "a string of up to 16 hex digits"))?,
             changelog: address(&document, "changelog")?,
             known_changes: document.get("known").cloned().unwrap_or(Value::Null),
-            settings: settings::read(settings_json)?,
+            change_log_lease: change_log_lease::duration(Span(drain_grace as u64), settings.purge_obey_time),
+            settings,
             names: WireNames {
                 classes: services.iter().map(|class| settings::text(class, "/name").to_owned()).collect(),
                 locations: names(settings_json, "/zones"),
--- a/crates/dispatcher/src/host_messages.rs
+++ b/crates/dispatcher/src/host_messages.rs
@@ -1,6 +1,7 @@
 //! Messages to the host actors, from the router and from the hosts' connections.
 use crate::cancellation::CancelToken;
 use crate::capacity::Reservation;
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::connection::{CloseReason, Connection};
 use crate::ids::{ConnectionId, HandOffId, HostActorId, ProbeId};
@@ -70,12 +71,31 @@
     pub send_state: SendState,
 }
 
+/// Why a hand-off must not be sent when its turn comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotStarted {
+    /// It is too late, its client has left, or it was revoked.
+    Expired,
+    /// It was decided by a list or purges that may be outdated.
+    Outdated,
+}
+
 impl HandOff {
-    /// Claims the hand-off for sending, unless it is too late, its client has left or it was revoked
-    /// meanwhile. Every hand-off passes this check right before its first byte, however long it waited for a
-    /// connection, a record or a slow host.
-    pub fn start(&self, now: Time) -> bool {
-        now < self.latest_start && self.cancel.check_live() && self.send_state.start()
+    /// Claims the hand-off for sending, and returns when. Every hand-off passes this check right before its first
+    /// byte, however long it waited for a connection, a record or a slow host. The clock is read last, so that a
+    /// stop of the process during the other checks is noticed.
+    pub fn start(&self, lease: &ChangeLogLease) -> Result<Time, NotStarted> {
+        if !self.cancel.check_live() {
+            return Err(NotStarted::Expired);
+        }
+        let now = clock::now();
+        if now >= self.latest_start {
+            return Err(NotStarted::Expired);
+        }
+        if !lease.is_valid(now) {
+            return Err(NotStarted::Outdated);
+        }
+        self.send_state.start().then_some(now).ok_or(NotStarted::Expired)
     }
 
     /// The encoded request up to its body.
@@ -101,7 +121,7 @@
     /// A cancel was written.
     CancelSent(ConnectionId, HandOffId, Time),
     /// A queued hand-off failed [`HandOff::start`] when its turn came.
-    NotStarted(ConnectionId, HandOffId),
+    NotStarted(ConnectionId, HandOffId, NotStarted),
     Answer(ConnectionId, Answer, Reservation, Time),
     Closed(ConnectionId, CloseReason, Time),
 }
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -10,6 +10,7 @@
 
 use self::host::{Host, Shared};
 use crate::capacity::HostCapacity;
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::config::HostConnectionLimits;
 use crate::connection::{spawn, CloseReason};
@@ -37,10 +38,11 @@
         limits: HostConnectionLimits,
         capacity: HostCapacity,
         router: Sender<Input>,
+        lease: ChangeLogLease,
     ) -> std::io::Result<Hosts> {
         let (messages, mailbox) = unbounded();
         let connections = HostConnections::start(capacity.clone(), limits.connect_timeout)?;
-        let shared = Shared { limits, capacity: capacity.clone(), connections, router };
+        let shared = Shared { limits, capacity: capacity.clone(), connections, router, lease };
         spawn("hosts", move || run(&mailbox, &shared))?;
         Ok(Hosts { messages, next_id: 0, capacity })
     }
--- a/crates/dispatcher/src/hosts/hand_offs.rs
+++ b/crates/dispatcher/src/hosts/hand_offs.rs
@@ -4,7 +4,7 @@
 use super::pool::{PendingHandOff, PooledConnection};
 use crate::clock;
 use crate::connection::{CloseReason, Connection};
-use crate::host_messages::HandOff;
+use crate::host_messages::{HandOff, NotStarted};
 use crate::ids::{ConnectionId, HandOffId, Txn};
 use crate::inbox::{FromHost, Input};
 use crate::resp;
@@ -98,14 +98,18 @@
         }
     }
 
-    /// A hand-off was not sent, as it could not be started when its turn came.
-    pub(super) fn not_started(&mut self, connection: ConnectionId, id: HandOffId) {
+    /// A hand-off was not sent, as it could not be started when its turn came. An outdated one is decided again.
+    pub(super) fn not_started(&mut self, connection: ConnectionId, id: HandOffId, reason: NotStarted) {
         let Some(pooled) = self.pool.get_mut(&connection) else { return };
         let mut revoked =
             pooled.in_flight.extract_if(.., |_, pending| pending.id == id && pending.send_state.revoke());
         if revoked.next().is_some() {
             drop(revoked);
-            self.report_end(id, Outcome::Expired, None, clock::now());
+            let outcome = match reason {
+                NotStarted::Expired => Outcome::Expired,
+                NotStarted::Outdated => Outcome::NotSent,
+            };
+            self.report_end(id, outcome, None, clock::now());
         }
     }
 
--- a/crates/dispatcher/src/hosts/host.rs
+++ b/crates/dispatcher/src/hosts/host.rs
@@ -2,6 +2,7 @@
 use super::outgoing::Outgoing;
 use super::pool::PooledConnection;
 use crate::capacity::{HostCapacity, Reservation};
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::config::HostConnectionLimits;
 use crate::connection::{CloseReason, Connection};
@@ -24,6 +25,7 @@
     pub(super) capacity: HostCapacity,
     pub(super) connections: Arc<HostConnections>,
     pub(super) router: Sender<Input>,
+    pub(super) lease: ChangeLogLease,
 }
 
 /// A host's actor.
@@ -76,7 +78,7 @@
             }
             ToHost::Connected(id, connection) => self.connected(id, connection),
             ToHost::CancelSent(connection, id, at) => self.cancel_sent(connection, id, at),
-            ToHost::NotStarted(connection, id) => self.not_started(connection, id),
+            ToHost::NotStarted(connection, id, reason) => self.not_started(connection, id, reason),
             ToHost::Answer(connection, answer, reservation, at) => {
                 self.handle_answer(connection, answer, reservation, at)
             }
--- a/crates/dispatcher/src/hosts/outgoing.rs
+++ b/crates/dispatcher/src/hosts/outgoing.rs
@@ -1,10 +1,9 @@
 //! Messages to write to the connections of a host.
-use crate::clock;
-use crate::host_messages::HandOff;
+use crate::change_log_lease::ChangeLogLease;
+use crate::host_messages::{HandOff, NotStarted};
 use crate::ids::{HandOffId, ProbeId};
 use crate::resp;
 use bytes::Bytes;
-use cherrypass::time::Time;
 
 /// A message to write to a connection.
 pub(super) enum Outgoing {
@@ -14,19 +13,23 @@
 }
 
 impl Outgoing {
-    /// Claims the message for sending. Returns the hand-off that must not be sent any more.
-    pub(super) fn start(&self, now: Time) -> Option<HandOffId> {
+    /// Claims the message for sending and returns its beginning, or else the hand-off that must not be sent.
+    pub(super) fn start(&self, lease: &ChangeLogLease) -> Result<Bytes, (HandOffId, NotStarted)> {
         match self {
-            Outgoing::HandOff(hand_off) if !hand_off.start(now) => Some(hand_off.id),
-            _ => None,
+            Outgoing::HandOff(hand_off) => {
+                let started_at = hand_off.start(lease).map_err(|reason| (hand_off.id, reason))?;
+                Ok(hand_off.head(started_at))
+            }
+            Outgoing::Cancel(_, message) => Ok(message.clone()),
+            Outgoing::Probe(probe) => Ok(resp::probe_request(*probe).into()),
         }
     }
 
-    pub(super) fn with_parts<T>(&self, write: impl FnOnce(&[&[u8]]) -> T) -> T {
+    /// Writes the parts of a message that was started.
+    pub(super) fn with_parts<T>(&self, head: &[u8], write: impl FnOnce(&[&[u8]]) -> T) -> T {
         match self {
-            Outgoing::HandOff(hand_off) => write(&[&hand_off.head(clock::now()), &hand_off.body, resp::CRLF]),
-            Outgoing::Cancel(_, message) => write(&[message]),
-            Outgoing::Probe(probe) => write(&[resp::probe_request(*probe).as_bytes()]),
+            Outgoing::HandOff(hand_off) => write(&[head, &hand_off.body, resp::CRLF]),
+            Outgoing::Cancel(..) | Outgoing::Probe(_) => write(&[head]),
         }
     }
 }
--- a/crates/dispatcher/src/hosts/writing.rs
+++ b/crates/dispatcher/src/hosts/writing.rs
@@ -1,6 +1,7 @@
 //! Writes messages to a host without blocking, or by a thread per slow connection.
 use super::host::Host;
 use super::outgoing::{Outgoing, QueuedWrite};
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::connection::{spawn, CloseReason, Connection};
 use crate::host_messages::{HostMailbox, ToHost};
@@ -20,11 +21,11 @@
             let _ = slow_writer.send(QueuedWrite::Whole(message));
             return;
         }
-        if let Some(hand_off) = message.start(clock::now()) {
-            self.not_started(id, hand_off);
-            return;
-        }
-        match (message.with_parts(|parts| write_available(&connection, parts)), &message) {
+        let head = match message.start(&self.shared.lease) {
+            Ok(head) => head,
+            Err((hand_off, reason)) => return self.not_started(id, hand_off, reason),
+        };
+        match (message.with_parts(&head, |parts| write_available(&connection, parts)), &message) {
             (Ok(rest), Outgoing::HandOff(hand_off)) if rest.is_empty() => hand_off.send_state.mark_written(),
             (Ok(rest), Outgoing::Cancel(hand_off, _)) if rest.is_empty() => {
                 self.cancel_sent(id, *hand_off, clock::now());
@@ -41,8 +42,8 @@
         let (mailbox, messages) = unbounded();
         let _ = mailbox.send(rest);
         pooled.slow_writer = Some(mailbox);
-        let (host, own) = (self.mailbox.clone(), connection.clone());
-        if spawn("slow", move || write_slowly(id, &own, &host, messages)).is_err() {
+        let (host, own, lease) = (self.mailbox.clone(), connection.clone(), self.shared.lease.clone());
+        if spawn("slow", move || write_slowly(id, &own, &host, &lease, messages)).is_err() {
             connection.shut_down(CloseReason::NoThread);
         }
     }
@@ -60,17 +61,21 @@
     id: ConnectionId,
     connection: &Connection,
     host: &HostMailbox,
+    lease: &ChangeLogLease,
     messages: Receiver<QueuedWrite>,
 ) {
     while let Some(queued) = mailbox::recv(&messages) {
         let (message, written) = match queued {
             QueuedWrite::Remainder(message, rest) => (message, connection.write(&[&rest], 0)),
             QueuedWrite::Whole(message) => {
-                if let Some(hand_off) = message.start(clock::now()) {
-                    let _ = host.send(ToHost::NotStarted(id, hand_off));
-                    continue;
-                }
-                let written = message.with_parts(|parts| connection.write(parts, 0));
+                let head = match message.start(lease) {
+                    Ok(head) => head,
+                    Err((hand_off, reason)) => {
+                        let _ = host.send(ToHost::NotStarted(id, hand_off, reason));
+                        continue;
+                    }
+                };
+                let written = message.with_parts(&head, |parts| connection.write(parts, 0));
                 (message, written)
             }
         };
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod change_clock;
 pub mod change_decoding;
 pub mod change_log;
+pub mod change_log_lease;
 pub mod clients;
 pub mod clock;
 pub mod config;
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -19,20 +19,22 @@
 
 pub use self::state::Router;
 use self::state::SWEEP_INTERVAL;
+use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::inbox::{FromHost, Input};
 use crate::mailbox;
-use cherrypass::time::{Span, Time};
+use cherrypass::time::Time;
+use cherrypass_peers::delivery::DeliveryEvent;
+use cherrypass_peers::FromFleet;
 use std::time::Duration;
 
-/// A wait that overruns by this much means that the process was suspended.
-const SUSPENSION_THRESHOLD: Span = Span::millis(500);
 /// How many client messages are handled before other sources are checked.
 const CLIENT_MESSAGES_PER_TURN: usize = 16;
 
 impl Router {
     /// Runs until shutdown is complete.
     pub fn run(&mut self) {
+        self.lease.grant(clock::now());
         self.carry_out_decisions();
         while !self.is_done {
             let input = self.receive();
@@ -46,13 +48,13 @@
 
     /// Waits for the next message, or until a timer or the exchange with the fleet is due.
     fn receive(&mut self) -> Option<Input> {
-        let now = clock::now();
-        let wait = self.time_to_next_task(now);
-        let input = mailbox::recv_timeout(&self.mailboxes, wait);
-        if clock::now() > now + Span(wait.as_micros() as u64) + SUSPENSION_THRESHOLD {
-            self.catch_up();
-        }
-        input
+        let wait = self.time_to_next_task(clock::now());
+        mailbox::recv_timeout(&self.mailboxes, wait)
+    }
+
+    /// The lease on the change log, for the thread that follows it.
+    pub fn lease(&self) -> ChangeLogLease {
+        self.lease.clone()
     }
 
     fn time_to_next_task(&self, now: Time) -> Duration {
@@ -100,11 +102,17 @@
                 self.end_hand_off(id, outcome, answer, at)
             }
             Input::ProbeEnded(probe, report) => self.end_probe(probe, report),
-            Input::Change(change) => self.apply_change(change),
+            Input::Change(change) => {
+                self.apply_change(change);
+                self.lease.change_applied();
+            }
             Input::ChangeLogReadUpTo(at) => self.changelog_read(at),
             Input::HostReset(actor) => self.host_reset(actor),
             Input::HandOffRecordStored(id, result) => self.record_stored(id, result),
             Input::Fleet(message) => {
+                if let FromFleet::Delivery(DeliveryEvent::CompleteUpTo(at)) = message {
+                    self.lease.prove(clock::from_instant(at));
+                }
                 if let Some(fleet_connection) = &mut self.fleet_connection {
                     fleet_connection.handle(&mut self.engine, message);
                 }
--- a/crates/dispatcher/src/router/change_log_silence.rs
+++ b/crates/dispatcher/src/router/change_log_silence.rs
@@ -5,13 +5,14 @@
 use crate::fleet_connection::FleetConnection;
 use cherrypass::time::{Span, Time};
 
-/// How long the process waits for the change log after it was suspended.
+/// How long the process waits for the change log once its lease has expired.
 const MAX_CATCH_UP: Span = Span::millis(150);
 
 impl Router {
     /// All changes that the change log had at this time are applied.
     pub(super) fn changelog_read(&mut self, at: Time) {
         self.changelog_read_at = self.changelog_read_at.max(at);
+        self.lease.prove(at);
         self.check_changelog();
     }
 
@@ -42,19 +43,26 @@
         }
     }
 
-    /// After the process was suspended, applies the changes made meanwhile before anything is sent again, so
-    /// that queued requests don't miss purges and drains. The wait is short, as the requests' deadlines are
-    /// running.
-    pub(super) fn catch_up(&mut self) {
-        let since = clock::now();
-        let until = since + MAX_CATCH_UP;
+    /// Applies the changes that were missed while the process was stopped, or did not get to run, before anything is
+    /// sent again. What was decided before and has not been started is decided again. The wait is short, as the
+    /// requests' deadlines are running; a log that can't be read meanwhile counts as silent.
+    pub(super) fn catch_up(&mut self, since: Time) {
+        let unsent = self.hand_offs.keys().copied().collect();
+        self.redecide_unsent(unsent);
+        let until = self.end_of_catch_up(since);
         tracing::warn!("process was suspended: waiting for the change log before sending anything");
         loop {
             let now = clock::now();
-            if now >= until
-                || self.changelog_read_at >= since
-                || self.fleet_connection.as_ref().is_some_and(FleetConnection::has_carriers)
-            {
+            if self.lease.is_valid(now) {
+                tracing::info!(
+                    "changelog was read {} ms after the process continued",
+                    (now - since).0 / 1000
+                );
+                return;
+            }
+            if now >= until {
+                self.lease.grant(now);
+                tracing::warn!("changelog was not read within {} ms: going on", (now - since).0 / 1000);
                 return;
             }
             // Only hosts, the change log and signals; clients wait.
@@ -63,4 +71,10 @@
             }
         }
     }
+
+    /// When to go on without the change log; during shutdown in time for the last answers.
+    fn end_of_catch_up(&self, since: Time) -> Time {
+        let until = since + MAX_CATCH_UP;
+        self.stopping_since.map_or(until, |_| until.min(self.last_answers_at(since)))
+    }
 }
--- a/crates/dispatcher/src/router/decisions.rs
+++ b/crates/dispatcher/src/router/decisions.rs
@@ -8,9 +8,13 @@
 use cherrypass::calls::{Decision, Outcome};
 
 impl Router {
-    /// Carries out the decisions that the module has made.
+    /// Carries out the decisions that the module has made, once what they are made by is recent enough.
     pub(super) fn carry_out_decisions(&mut self) {
-        let now = clock::now();
+        let mut now = clock::now();
+        if !self.lease.is_valid(now) {
+            self.catch_up(now);
+            now = clock::now();
+        }
         while let Some(decision) = self.engine.next_decision(now) {
             match decision {
                 Decision::HandOff { visit, host, times_out_at, send_before, fill } => {
--- a/crates/dispatcher/src/router/host_updates.rs
+++ b/crates/dispatcher/src/router/host_updates.rs
@@ -23,11 +23,11 @@
         let entries: Vec<Listing> =
             hosts.iter().map(|host| host.listing).chain(displaced.iter().copied()).collect();
         let gone = self.gone_hosts(&hosts, &displaced, is_complete);
-        let changed = self.changed_sources(&entries, &gone);
+        let changed = self.changed_hosts(&entries, &gone);
         gone.into_iter().for_each(|id| self.remove_host(id));
         hosts.into_iter().for_each(|host| self.update_host(host));
         self.engine.update_hosts(now, &entries, is_complete);
-        self.redecide_fills_from(&changed);
+        self.redecide_hand_offs_to(&changed);
         self.report_to_fleet(&entries, &started);
     }
 
@@ -38,10 +38,12 @@
         missing.chain(displaced.iter().map(|displaced| displaced.host)).collect()
     }
 
-    fn redecide_fills_from(&mut self, changed: &BTreeSet<HostId>) {
-        let fills_from_changed =
-            |pending: &PendingHandOff| pending.fill.is_some_and(|fill| changed.contains(&fill.source));
-        let stale = self.hand_offs.iter().filter(|(_, pending)| fills_from_changed(pending));
+    /// Decides hand-offs to these hosts, or filled from them, again if they have not been sent.
+    fn redecide_hand_offs_to(&mut self, changed: &BTreeSet<HostId>) {
+        let is_concerned = |pending: &PendingHandOff| {
+            changed.contains(&pending.host) || pending.fill.is_some_and(|fill| changed.contains(&fill.source))
+        };
+        let stale = self.hand_offs.iter().filter(|(_, pending)| is_concerned(pending));
         self.redecide_unsent(stale.map(|(id, _)| *id).collect());
     }
 
@@ -53,9 +55,8 @@
         }
     }
 
-    /// The hosts that are no longer valid as sources of fills: they are draining or gone, or their process is
-    /// new.
-    fn changed_sources(&self, entries: &[Listing], gone: &[HostId]) -> BTreeSet<HostId> {
+    /// The hosts that were decided on as they are no longer: they are draining or gone, or their process is new.
+    fn changed_hosts(&self, entries: &[Listing], gone: &[HostId]) -> BTreeSet<HostId> {
         let is_new =
             |entry: &Listing| self.hosts.get(&entry.host).is_some_and(|host| host.started < entry.started_at);
         let changed = entries.iter().filter(|entry| entry.phase != Phase::Ready || is_new(entry));
--- a/crates/dispatcher/src/router/shutdown.rs
+++ b/crates/dispatcher/src/router/shutdown.rs
@@ -26,7 +26,7 @@
     }
 
     /// When visits still open after SIGTERM are given up.
-    fn last_answers_at(&self, now: Time) -> Time {
+    pub(super) fn last_answers_at(&self, now: Time) -> Time {
         self.stopping_since.unwrap_or(now)
             + self.config.longest_deadline().min(MAX_STOPPING_DEADLINE)
             + LAST_ANSWERS_MARGIN
--- a/crates/dispatcher/src/router/state.rs
+++ b/crates/dispatcher/src/router/state.rs
@@ -3,6 +3,7 @@
 use crate::cancellation::CancelToken;
 use crate::capacity::{Gauge, HostCapacity, Reservation};
 use crate::change_clock::ChangeClock;
+use crate::change_log_lease::ChangeLogLease;
 use crate::clients::{Outlet, Shutdown};
 use crate::clock;
 use crate::config::Config;
@@ -130,6 +131,8 @@
     pub(super) change_clock: ChangeClock,
     /// All changes that the change log had at this time are applied.
     pub(super) changelog_read_at: Time,
+    /// Valid while the list and the purges are recent enough to decide by.
+    pub(super) lease: ChangeLogLease,
     pub(super) is_changelog_silent: bool,
 }
 
@@ -146,7 +149,8 @@
         let engine = DecisionEngine::new(config.settings.clone(), config.seed, now);
         let mut timers = TimerQueue::default();
         timers.push(now + SWEEP_INTERVAL, Timer::Sweep);
-        let host_actors = Hosts::start(config.host_connections, capacity, sender)?;
+        let lease = ChangeLogLease::new(config.change_log_lease);
+        let host_actors = Hosts::start(config.host_connections, capacity, sender, lease.clone())?;
         let settings = &config.settings;
         let list =
             HostList::new(settings.cold_cache.ramp.max(settings.cold_parent.ramp), settings.has_weights);
@@ -177,6 +181,7 @@
             attempt_log: AttemptLog::default(),
             change_clock: ChangeClock::default(),
             changelog_read_at: now,
+            lease,
             is_changelog_silent: false,
         })
     }
--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -9,7 +9,7 @@
 use crate::durable_state::{StateRecorder, StateStore};
 use crate::host_messages::{HostMailbox, HostThreadMessage, ToHost};
 use crate::ids::{ClientId, HostActorId};
-use crate::inbox::{FromClient, FromHost, Input};
+use crate::inbox::{Change, FromClient, FromHost, Input, ListedHost};
 use crate::mailbox;
 use crate::msgpack;
 use cherrypass::calls::{Listing, Phase};
@@ -169,6 +169,48 @@
     assert_eq!(was_sent, is_sent);
 }
 
+/// Guards against a hand-off that a delayed hosts thread writes to a draining host: once the router has applied the
+/// drain, a hand-off that was decided before can't be started any more.
+#[test]
+fn a_drain_withdraws_what_has_not_been_started() {
+    let (mut router, _sender) = router();
+    let (id, host) = (host_id("a"), unbounded());
+    router.hosts.insert(id, host_entry(&host.0));
+    let listing = |phase| Listing {
+        host: id,
+        location: LocationId(0),
+        kind: KindId(0),
+        cell: CellId(0),
+        weight: 9.0,
+        started_at: None,
+        phase,
+    };
+    router.engine.update_hosts(clock::now(), &[listing(Phase::Ready)], true);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let connection = open_client(&mut router, &listener, ClientId(0));
+    let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
+        \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
+    let Ok(Some(msgpack::Message::Visit(visit, request))) = msgpack::next(&mut fields.into()) else {
+        panic!()
+    };
+    let (in_use, cancel) = (Gauge::default().reserve(1), CancelToken::new(connection, 1));
+    let received_at = clock::now();
+    let message = FromClient::Visit { id: visit, request, received_at, in_use, cancel };
+    router.handle(Input::Client(ClientId(0), message));
+    router.carry_out_decisions();
+    let Ok(HostThreadMessage::ToHost(_, ToHost::HandOff(hand_off))) = host.1.try_recv() else {
+        panic!("not handed off")
+    };
+    let draining = ListedHost {
+        listing: listing(Phase::Draining),
+        started: None,
+        name: "a".into(),
+        address: Some("127.0.0.1:1".parse().unwrap()),
+    };
+    router.handle(Input::Change(Change::HostList { is_complete: false, hosts: vec![draining] }));
+    assert!(!hand_off.send_state.start(), "started after the drain was applied");
+}
+
 #[test]
 fn a_terminated_host_is_removed() {
     let (mut router, _sender) = router();
--- a/crates/dispatcher/src/startup.rs
+++ b/crates/dispatcher/src/startup.rs
@@ -69,7 +69,7 @@
             router.set_fleet_connection(fleet_connection);
         }
         router.apply_known_changes(known);
-        let changes_sender = router_sender.clone();
+        let (changes_sender, lease) = (router_sender.clone(), router.lease());
         let router_senders = RouterSenders { requests: client_sender, closed: router_sender.clone() };
         let write_timeout = config.longest_deadline().max(MIN_WRITE_TIMEOUT);
         spawn("listener", move || {
@@ -88,6 +88,7 @@
                 max_change_bytes: config.max_change_bytes,
                 seed: config.seed,
                 router: changes_sender,
+                lease,
                 delivery,
             });
         })?;
--- a/crates/dispatcher/tests/discovery/bed.rs
+++ b/crates/dispatcher/tests/discovery/bed.rs
@@ -446,6 +446,20 @@
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
+
+    /// Waits until all threads of the process are stopped.
+    pub fn wait_until_stopped(&self) {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_stopped = |task: std::io::Result<std::fs::DirEntry>| {
+            let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
+            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        };
+        let end = Instant::now() + STEP_TIMEOUT;
+        while !std::fs::read_dir(&tasks).unwrap().all(is_stopped) {
+            assert!(Instant::now() < end, "the process was not stopped");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
 }
 
 /// A client connection; request ids increase by one.
--- a/crates/dispatcher/tests/following.rs
+++ b/crates/dispatcher/tests/following.rs
@@ -1,7 +1,9 @@
 //! How often the change log is polled if each answer has a change: without carriers, by a carrier, and by a
 //! dispatcher that has lost its carriers.
+use cherrypass::time::Span;
 use cherrypass_dispatcher::carried_changes::Delivery;
 use cherrypass_dispatcher::change_log::{follow, FollowOptions};
+use cherrypass_dispatcher::change_log_lease::ChangeLogLease;
 use cherrypass_dispatcher::config::WireNames;
 use cherrypass_dispatcher::inbox::{Change, Input};
 use cherrypass_peers::delivery::DeliveryEvent;
@@ -17,6 +19,8 @@
 /// Time after an answer until the log has the next change.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(10);
 const TEST_DURATION: Duration = Duration::from_millis(1_500);
+/// Longer than the test, since there is no router that applies the changes.
+const LEASE: Span = Span::millis(60_000);
 
 /// Starts a log on one connection that answers each request with the next change, and counts the requests.
 fn start_log() -> (SocketAddr, Arc<AtomicUsize>) {
@@ -54,6 +58,7 @@
             max_change_bytes,
             seed,
             router,
+            lease: ChangeLogLease::new(LEASE),
             delivery,
         })
     });
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -92,6 +92,8 @@
 #[test_case(include_str!("sockets/clock_start.txt"); "clock_start")]
 #[test_case(include_str!("sockets/change_log_silent.txt"); "change_log_silent")]
 #[test_case(include_str!("sockets/accept_aborted.txt"); "accept_aborted")]
+#[test_case(include_str!("sockets/suspended_slow_writer.txt"); "suspended_slow_writer")]
+#[test_case(include_str!("sockets/suspended_store.txt"); "suspended_store")]
 fn plays(text: &str) {
     let mut scenario = Scenario::default();
     for (line, command) in commands(text) {
--- a/crates/dispatcher/tests/sockets_bed/dispatchers.rs
+++ b/crates/dispatcher/tests/sockets_bed/dispatchers.rs
@@ -116,6 +116,11 @@
     /// Suspends the process and waits until all its threads have stopped.
     pub fn pause(&self) {
         self.signal("-STOP");
+        self.wait_until_stopped();
+    }
+
+    /// Waits until all threads of the process are stopped.
+    pub fn wait_until_stopped(&self) {
         let tasks = format!("/proc/{}/task", self.child.id());
         let is_stopped = |task: std::io::Result<std::fs::DirEntry>| {
             let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
--- a/crates/dispatcher/tests/sockets_bed/notation.rs
+++ b/crates/dispatcher/tests/sockets_bed/notation.rs
@@ -23,7 +23,8 @@
 //! - `step MS`: the dispatchers' wall clock is ahead by this from now on, or behind if negative; `fault CALL
 //!   ERRNO PER_MILLION`: this share of their calls fails (for `short-read` and `short-write` ERRNO is a
 //!   number of bytes); `delivered CALL N`: since the last `fault`, at least N failures are injected within the
-//!   timeout
+//!   timeout; `stop-at CALL THREAD`: the first dispatcher stops itself right before the next such call of a thread;
+//!   `stopped`: it has
 //!
 //! Change log:
 //! - `list NAME STATE [unheard|odd|anew]`: one host's state; without waiting for the log line, with an
--- a/crates/dispatcher/tests/sockets_bed/setup_commands.rs
+++ b/crates/dispatcher/tests/sockets_bed/setup_commands.rs
@@ -190,6 +190,11 @@
                 [_, self.failures_before_fault] = shim.counts(call).unwrap();
                 shim.set_fault(call, fault).unwrap();
             }
+            ["stop-at", call, thread] => {
+                let call = Call::from_name(call).expect("no such call");
+                self.shim.as_ref().unwrap().stop_at(call, thread).unwrap();
+            }
+            ["stopped"] => self.dispatchers[0].wait_until_stopped(),
             ["delivered", call, min] => {
                 let call = Call::from_name(call).expect("no such call");
                 let min: u64 = min.parse().unwrap();
--- a/crates/scale/src/processes/followers.rs
+++ b/crates/scale/src/processes/followers.rs
@@ -8,8 +8,10 @@
 use crate::real;
 use crate::subsystems;
 use cherrypass::ids::LocationId;
+use cherrypass::time::Span;
 use cherrypass_dispatcher::carried_changes;
 use cherrypass_dispatcher::change_log::{self, FollowOptions};
+use cherrypass_dispatcher::change_log_lease::ChangeLogLease;
 use cherrypass_dispatcher::inbox::{Change, Input};
 use cherrypass_fleet::delivery::{LogId, Settings as DeliveryParameters};
 use cherrypass_peers::delivery::{DeliveryEvent, Settings as Delivery};
@@ -29,6 +31,8 @@
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 const MAX_CHANGE_BYTES: usize = 1 << 20;
 const STACK_BYTES: usize = 256 << 10;
+/// A follower sends no attempts that would need the lease, so it never has to expire.
+const LEASE: Span = Span::millis(86_400_000);
 const TRAFFIC_NOTE_INTERVAL_US: Micros = 1_000_000;
 
 /// A carrier's name and address.
@@ -120,6 +124,7 @@
             max_change_bytes: MAX_CHANGE_BYTES,
             seed,
             router: router_sender,
+            lease: ChangeLogLease::new(LEASE),
             delivery: Some(delivery),
         };
         let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
--- a/crates/shim-library/src/interpose.rs
+++ b/crates/shim-library/src/interpose.rs
@@ -7,6 +7,8 @@
 use std::sync::OnceLock;
 
 const MICROS: i64 = 1_000_000;
+/// Maximum length of a thread's name, with its null byte.
+const THREAD_NAME_BYTES: usize = 16;
 
 /// The mapped control file.
 struct Control(*const AtomicU64);
@@ -69,6 +71,26 @@
     Some(control.word(first + control::OUTCOME_WORD).load(Relaxed) as i32)
 }
 
+/// Stops the process if the test has set this call of this thread as the point to do so.
+fn stop_if_set(call: Call) {
+    let Some(control) = control() else { return };
+    let wanted = control.word(control::STOP_CALL_WORD);
+    if wanted.load(Relaxed) != call.stop_word() || !is_stop_thread(control) {
+        return;
+    }
+    if wanted.compare_exchange(call.stop_word(), 0, Relaxed, Relaxed).is_ok() {
+        // SAFETY: the signal goes to this thread itself, which stops with all others before the call returns.
+        unsafe { libc::syscall(libc::SYS_tgkill, libc::getpid(), libc::gettid(), libc::SIGSTOP) };
+    }
+}
+
+fn is_stop_thread(control: &Control) -> bool {
+    let mut name = [0; THREAD_NAME_BYTES];
+    // SAFETY: the call writes at most this many bytes, null-terminated.
+    unsafe { libc::prctl(libc::PR_GET_NAME, name.as_mut_ptr()) };
+    control.word(control::STOP_THREAD_WORD).load(Relaxed) == control::thread_word(&name)
+}
+
 /// The finalizer of splitmix64.
 fn splitmix64(number: u64) -> u64 {
     let a = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -168,6 +190,7 @@
     length: *mut socklen_t,
     flags: c_int,
 ) -> c_int {
+    stop_if_set(Call::Accept);
     // The connection stays in the queue: only the call fails, not the client.
     if let Some(error) = injected_fault(Call::Accept) {
         set_errno(error);
@@ -180,6 +203,7 @@
 /// As for the C library function of the same name.
 #[no_mangle]
 pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    stop_if_set(Call::Socket);
     if let Some(error) = injected_fault(Call::Socket) {
         set_errno(error);
         return -1;
@@ -191,6 +215,7 @@
 /// As for the C library function of the same name.
 #[no_mangle]
 pub unsafe extern "C" fn connect(file: c_int, to: *const sockaddr, length: socklen_t) -> c_int {
+    stop_if_set(Call::Connect);
     if let Some(error) = injected_fault(Call::Connect) {
         set_errno(error);
         return -1;
@@ -207,6 +232,7 @@
     max_events: c_int,
     wait: c_int,
 ) -> c_int {
+    stop_if_set(Call::Wait);
     if let Some(error) = injected_fault(Call::Wait) {
         set_errno(error);
         return -1;
@@ -219,6 +245,7 @@
 /// As for the C library function of the same name.
 #[no_mangle]
 pub unsafe extern "C" fn poll(files: *mut pollfd, count: libc::nfds_t, wait: c_int) -> c_int {
+    stop_if_set(Call::Wait);
     if let Some(error) = injected_fault(Call::Wait) {
         set_errno(error);
         return -1;
@@ -228,6 +255,7 @@
 
 /// The fault of a read from a socket: an error, or the number of bytes to read.
 fn read_fault(wanted: size_t) -> Result<size_t, i32> {
+    stop_if_set(Call::Read);
     if let Some(error) = injected_fault(Call::Read) {
         return Err(error);
     }
@@ -270,6 +298,7 @@
 
 /// The fault of a write to a socket: an error, or the maximum number of bytes. None if there is no fault.
 fn write_fault() -> Option<Result<size_t, i32>> {
+    stop_if_set(Call::Write);
     if let Some(error) = injected_fault(Call::Write) {
         return Some(Err(error));
     }
@@ -366,6 +395,7 @@
     length: size_t,
     at: libc::off64_t,
 ) -> ssize_t {
+    stop_if_set(Call::FileWrite);
     if let Some(error) = injected_fault(Call::FileWrite) {
         set_errno(error);
         return -1;
@@ -377,6 +407,7 @@
 /// As for the C library function of the same name.
 #[no_mangle]
 pub unsafe extern "C" fn fsync(file: c_int) -> c_int {
+    stop_if_set(Call::FileSync);
     if let Some(error) = injected_fault(Call::FileSync) {
         set_errno(error);
         return -1;
@@ -388,6 +419,7 @@
 /// As for the C library function of the same name.
 #[no_mangle]
 pub unsafe extern "C" fn fdatasync(file: c_int) -> c_int {
+    stop_if_set(Call::FileSync);
     if let Some(error) = injected_fault(Call::FileSync) {
         set_errno(error);
         return -1;
--- a/crates/shim/src/control.rs
+++ b/crates/shim/src/control.rs
@@ -10,6 +10,10 @@
 pub const SEED_WORD: usize = 0;
 /// Word with the offset of the wall clock, in microseconds as a signed number.
 pub const CLOCK_OFFSET_WORD: usize = 1;
+/// Word with the call at which the process stops itself once, as its index plus one; 0 for none.
+pub const STOP_CALL_WORD: usize = 2;
+/// Word with the first 8 bytes of the name of the thread that has to make that call.
+pub const STOP_THREAD_WORD: usize = 3;
 const FIRST_CALL_WORD: usize = 8;
 const WORDS_PER_CALL: usize = 4;
 /// Word offsets within the words of a call: failures per million, outcome, number of calls and number of
@@ -81,7 +85,20 @@
         }
     }
 
+    /// The value of [`STOP_CALL_WORD`] for this call.
+    pub fn stop_word(self) -> u64 {
+        self as u64 + 1
+    }
+
     pub fn from_name(name: &str) -> Option<Call> {
         ALL_CALLS.into_iter().find(|call| call.name() == name)
     }
 }
+
+/// The value of [`STOP_THREAD_WORD`] for a thread's name.
+pub fn thread_word(name: &[u8]) -> u64 {
+    let mut bytes = [0; WORD_BYTES];
+    let length = name.len().min(WORD_BYTES);
+    bytes[..length].copy_from_slice(&name[..length]);
+    u64::from_le_bytes(bytes)
+}
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -63,6 +63,13 @@
         self.write(first + control::RATE_WORD, fault.per_million)
     }
 
+    /// Has the process stop itself (SIGSTOP) right before the next such call of a thread, once. The main thread has
+    /// the name of the program.
+    pub fn stop_at(&self, call: Call, thread: &str) -> io::Result<()> {
+        self.write(control::STOP_THREAD_WORD, control::thread_word(thread.as_bytes()))?;
+        self.write(control::STOP_CALL_WORD, call.stop_word())
+    }
+
     /// Removes all faults and the clock offset.
     pub fn clear(&self) -> io::Result<()> {
         ALL_CALLS.iter().try_for_each(|call| self.set_fault(*call, Fault { per_million: 0, outcome: 0 }))?;
