No repeat past its group's memory after a start: attempts are dated by the machine's boot clock

Cause: the record held the Unix time of one run, and the next run counted its age by its own.

Change: the record holds the time since the machine's boot with the boot's id. On another boot, or with a record of an earlier version, the age is unknown: no repeat is sent, and the record is kept from the start on. It has no expiry time in the store; the dispatcher deletes it.

Why it works: the boot clock is not stepped and both runs read the same one; where it can't be compared nothing is assumed. The change log's stamps give lower bounds of an age, and a repeat needs an upper one.

--- a/crates/dispatcher/src/clock.rs
+++ b/crates/dispatcher/src/clock.rs
@@ -2,6 +2,8 @@
 //! the monotonic clock, which never steps; the wall clock serves log lines and records that outlast the
 //! process. The change log's timestamps are interpreted by [`crate::change_clock`].
 use cherrypass::time::{Span, Time, UnixTime};
+use cherrypass_keep::boot_time::BootTime;
+use nix::time::{clock_gettime, ClockId};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -57,8 +59,22 @@
     }
 }
 
-/// Converts a Unix time that an earlier process recorded; one in the future becomes the current time.
+/// Converts a Unix time of this process; one in the future becomes the current time.
 pub fn from_unix(unix: UnixTime) -> Time {
     let now = now();
     now - (to_unix(now) - unix)
 }
+
+/// The time since the machine's boot, for records that a later process dates by it; None where it is not known.
+pub fn boot_now() -> Option<BootTime> {
+    static BOOT: OnceLock<Option<u128>> = OnceLock::new();
+    let boot = (*BOOT.get_or_init(read_boot_id))?;
+    let since_boot = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
+    Some(BootTime { boot, micros: Duration::from(since_boot).as_micros() as u64 })
+}
+
+/// The random id that the system gives each boot.
+fn read_boot_id() -> Option<u128> {
+    let text = std::fs::read_to_string("/proc/sys/kernel/random/boot_id").ok()?;
+    u128::from_str_radix(&text.trim().replace('-', ""), 16).ok()
+}
--- a/crates/dispatcher/src/durable_state.rs
+++ b/crates/dispatcher/src/durable_state.rs
@@ -208,7 +208,8 @@
         let records = kept.values(visits::SPACE).unwrap_or_default();
         let records = records.iter().map(|(key, value)| (&key[..], &value[..]));
         let sends_unrecorded = kept.settings.without_record == operator::WithoutRecord::Send;
-        let visits = Visits::restore(now, records, kept.settings.visit_retention, sends_unrecorded);
+        let retention = kept.settings.visit_retention;
+        let visits = Visits::restore(now, clock::boot_now(), records, retention, sends_unrecorded);
         let may_have_run = visits.unresolved().count();
         tracing::info!("store: {} purges restored, {may_have_run} visits may have run", purges.count());
         for (key, visit) in visits.unresolved().filter(|(_, visit)| visit.repeat_window.is_none()) {
@@ -257,7 +258,10 @@
 
     /// Drops expired visits and logs hand-offs without a record; called periodically.
     pub fn remove_expired(&mut self) {
-        self.visits.remove_expired(clock::unix_now());
+        let expired = self.visits.remove_expired(clock::unix_now());
+        if !expired.is_empty() {
+            self.kept.submit(Durability::Process, expired, |_| {});
+        }
         let refused = self.visits.take_refused_count();
         if refused > 0 {
             tracing::warn!("store: records of {refused} hand-offs were refused");
--- a/crates/dispatcher/src/router/hand_offs.rs
+++ b/crates/dispatcher/src/router/hand_offs.rs
@@ -148,6 +148,7 @@
     InDoubtVisit {
         class_name: String::from_utf8_lossy(&open.request.class).into_owned(),
         sent_at: clock::to_unix(now).0,
+        boot_time: clock::boot_now(),
         host: host.0,
         host_name: entry.name.clone(),
         repeat_window: None,
--- a/crates/dispatcher/src/router/visits.rs
+++ b/crates/dispatcher/src/router/visits.rs
@@ -12,8 +12,12 @@
 use cherrypass::calls::Visit;
 use cherrypass::ids::{ClassId, VisitId};
 use cherrypass::time::{Span, Time};
+use cherrypass_keep::visits::EarlierTry;
 use std::sync::atomic::Ordering::Relaxed;
 
+/// Before the deduplication window of any class.
+const LONG_AGO: Time = Time(0);
+
 /// A request that a client's connection has read.
 pub(super) struct ArrivedVisit {
     pub(super) client: ClientId,
@@ -111,8 +115,9 @@
         self.latencies.max_open_visits.fetch_max(self.visits.len(), Relaxed);
         self.latencies.mailbox.record(clock::now() - received_at);
         self.engine.visit_arrived(received_at, call);
-        if let Some((sent, host)) = earlier {
-            self.engine.note_earlier_attempt(visit, clock::from_unix(sent), host);
+        if let Some(EarlierTry { sent_at, host }) = earlier {
+            let sent_at = sent_at.map_or(LONG_AGO, clock::from_unix);
+            self.engine.note_earlier_attempt(visit, sent_at, host);
         }
     }
 
--- a/crates/faultbed/src/lib.rs
+++ b/crates/faultbed/src/lib.rs
@@ -17,3 +17,5 @@
 pub mod reserved_port;
 pub mod soak;
 pub mod soak_report;
+pub mod stop_draw;
+pub mod stop_points;
--- a/crates/faultbed/src/main.rs
+++ b/crates/faultbed/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 use cherrypass_faultbed::notation::{self, Scenario};
 use cherrypass_faultbed::soak_report::Report;
-use cherrypass_faultbed::{compare, judge, play, soak};
+use cherrypass_faultbed::{compare, judge, play, soak, stop_draw};
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -56,6 +56,9 @@
         /// Remove faults from them one by one while they still fail; each attempt is a play
         #[arg(long)]
         shrink: bool,
+        /// Draw stops of dispatchers with drains and purges instead of all kinds of faults
+        #[arg(long)]
+        stops: bool,
     },
     /// Play two scenarios on the same seeds, concurrently for each seed, and print their figures side by side
     Compare {
@@ -136,13 +139,16 @@
     Ok(held)
 }
 
+/// How scenarios are drawn, and where those that fail are saved.
+struct FailedSeeds<'a> {
+    draw: fn(u64) -> String,
+    out: &'a Path,
+    /// Whether faults are removed while they still fail.
+    shrink: bool,
+}
+
 /// Plays the scenarios of all seeds; returns whether there was no violation.
-fn soak(
-    builds: Builds,
-    (from, to): (u64, u64),
-    jobs: usize,
-    (out, shrink): (&Path, bool),
-) -> Result<bool, String> {
+fn soak(builds: Builds, (from, to): (u64, u64), jobs: usize, saving: &FailedSeeds) -> Result<bool, String> {
     let next = AtomicU64::new(from);
     let (report, failed_seeds) = (Mutex::new(Report::default()), Mutex::new(Vec::new()));
     let failed: Mutex<Option<String>> = Mutex::new(None);
@@ -153,7 +159,7 @@
                 if seed > to || lock(&failed).is_some() {
                     return;
                 }
-                match soak_one(builds, seed, &report) {
+                match soak_one(builds, seed, saving, &report) {
                     Ok(violations) if violations.is_empty() => println!("seed {seed}: held"),
                     Ok(violations) => {
                         println!("seed {seed}: BROKEN");
@@ -171,7 +177,7 @@
     lock(&report).lines().iter().for_each(|line| println!("  {line}"));
     let failed_seeds = std::mem::take(&mut *lock(&failed_seeds));
     for seed in &failed_seeds {
-        let path = save_scenario(builds, *seed, out, shrink)?;
+        let path = save_scenario(builds, *seed, saving)?;
         println!("seed {seed}: replay it with {}", path.display());
     }
     println!("{} of {} seeds held", to + 1 - from - failed_seeds.len() as u64, to + 1 - from);
@@ -182,20 +188,34 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn soak_one(builds: Builds, seed: u64, report: &Mutex<Report>) -> Result<Vec<String>, String> {
-    let scenario = notation::parse(&soak::scenario(seed)).map_err(|error| error.to_string())?;
+/// Plays the scenario of a seed; the logs of one that fails are kept.
+fn soak_one(
+    builds: Builds,
+    seed: u64,
+    saving: &FailedSeeds,
+    report: &Mutex<Report>,
+) -> Result<Vec<String>, String> {
+    let scenario = notation::parse(&(saving.draw)(seed)).map_err(|error| error.to_string())?;
     let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
     let (program, other) = builds;
     let setup = play::Setup { program, older_program: other, folder: folder.path(), seed };
     let played = play::play(&scenario, setup).map_err(|error| error.to_string())?;
     lock(report).add(&scenario, &played);
-    Ok(judge::judge(&scenario, &played))
+    let violations = judge::judge(&scenario, &played);
+    if !violations.is_empty() {
+        println!("seed {seed}: its logs are kept in {}", folder.keep().display());
+    }
+    Ok(violations)
 }
 
 /// Saves the scenario of a seed as a file; with `shrink`, without the faults that are not needed to make it
 /// fail.
-fn save_scenario(builds: Builds, seed: u64, out: &Path, shrink: bool) -> Result<PathBuf, String> {
-    let mut text = soak::scenario(seed);
+fn save_scenario(
+    builds: Builds,
+    seed: u64,
+    &FailedSeeds { draw, out, shrink }: &FailedSeeds,
+) -> Result<PathBuf, String> {
+    let mut text = draw(seed);
     let mut fault = 0;
     while let Some(fewer) = soak::without_fault(&text, fault).filter(|_| shrink) {
         let scenario = notation::parse(&fewer).map_err(|error| error.to_string())?;
@@ -242,7 +262,10 @@
             let both = [(&names[0][..], read(&first)?), (&names[1][..], read(&second)?)];
             compare(both, builds, seeds, logs.as_deref())
         }
-        Command::Soak { seeds, jobs, out, shrink } => soak(builds, seeds, jobs, (&out, shrink)),
+        Command::Soak { seeds, jobs, out, shrink, stops } => {
+            let draw = if stops { stop_draw::scenario } else { soak::scenario };
+            soak(builds, seeds, jobs, &FailedSeeds { draw, out: &out, shrink })
+        }
         Command::Hunt { file, from, to } => {
             let scenario = read(&file)?;
             for seed in from..=to {
--- a/crates/faultbed/src/play/faults.rs
+++ b/crates/faultbed/src/play/faults.rs
@@ -6,6 +6,7 @@
 use crate::notation::{Fault, LinkSelection};
 use crate::notes::unix_micros;
 use crate::processes::Process;
+use crate::stop_points::count_threads;
 use cherrypass_shim::Shim;
 use nix::sys::signal::Signal;
 use std::time::{Duration, Instant};
@@ -16,6 +17,8 @@
 const AVOIDANCE_DELAY: Duration = Duration::from_millis(300);
 /// Time from the restart of a host to its announcement in the change log.
 const START_LISTING_DELAY: Duration = Duration::from_millis(500);
+/// Time from SIGSTOP until the threads of the process have stopped.
+const STOP_DELAY: Duration = Duration::from_millis(2);
 /// Maximum number of objects that one fault purges.
 const MAX_PURGED_OBJECTS: u64 = 50;
 
@@ -105,8 +108,14 @@
         if begins {
             self.mark_unavailable(name);
         }
-        if let Some(process) = self.process(name) {
+        let stopped = self.process(name).map(|process| {
             process.signal(signal);
+            process.id()
+        });
+        if let Some(id) = stopped.filter(|_| begins) {
+            // Threads stop within microseconds; one that has not is counted where it is.
+            std::thread::sleep(STOP_DELAY);
+            let _ = count_threads(id, &mut self.stop_counts);
         }
         // A process that was killed meanwhile stays unavailable until it is restarted.
         if !begins && self.process(name).is_some() {
--- a/crates/faultbed/src/play/finish.rs
+++ b/crates/faultbed/src/play/finish.rs
@@ -33,6 +33,7 @@
             unavailable: self.unavailable,
             terminated: self.terminated,
             log_silences: self.log_silences,
+            stop_counts: self.stop_counts,
             call_counts,
             without_fleet,
             datagrams,
--- a/crates/faultbed/src/play/mod.rs
+++ b/crates/faultbed/src/play/mod.rs
@@ -13,6 +13,7 @@
 use crate::notation::{PlannedFault, Scenario};
 use crate::notes::{unix_micros, Absences, Event, Note, Notes, TimedNotes};
 use crate::processes::{supports_faults, Process, ProcessFiles};
+use crate::stop_points::StopCounts;
 use cherrypass_shim::control::Call;
 use cherrypass_shim::Shim;
 use serde_json::Value;
@@ -68,6 +69,8 @@
     pub terminated: Vec<(String, u64, u64)>,
     /// Times in which the change log did not answer.
     pub log_silences: Vec<(u64, u64)>,
+    /// Where the threads of stopped processes were.
+    pub stop_counts: StopCounts,
     /// Number of calls and injected failures of each system call, over all processes.
     pub call_counts: Vec<(Call, [u64; 2])>,
     /// Processes that at the end run a build without fleet support.
@@ -121,6 +124,7 @@
     terminated: Vec<(String, u64, u64)>,
     log_silences: Vec<(u64, u64)>,
     abnormal_exits: Vec<String>,
+    stop_counts: StopCounts,
     rollout_orders: Vec<(String, bool)>,
     control_addresses: BTreeMap<String, SocketAddr>,
     /// The rollout runner that was killed by a fault.
@@ -159,6 +163,7 @@
         terminated: Vec::new(),
         log_silences: Vec::new(),
         abnormal_exits: Vec::new(),
+        stop_counts: StopCounts::new(),
         rollout_orders: Vec::new(),
         control_addresses: BTreeMap::new(),
         killed_runner: None,
--- a/crates/faultbed/src/soak_report.rs
+++ b/crates/faultbed/src/soak_report.rs
@@ -4,6 +4,7 @@
 use crate::notes::Note;
 use crate::play::PlayResult;
 use crate::soak::FAULT_KINDS;
+use crate::stop_points::{StopCount, StopCounts};
 use cherrypass_shim::control::{Call, ALL_CALLS};
 use std::collections::BTreeMap;
 
@@ -24,6 +25,7 @@
     /// Number of calls and of injected failures of each system call.
     calls: BTreeMap<&'static str, [u64; 2]>,
     requests: u64,
+    stops: StopCounts,
 }
 
 fn kind(fault: &Fault) -> Option<&'static str> {
@@ -66,6 +68,11 @@
             count.faults += 1;
             count.requests += sent.iter().filter(|at| (from..to).contains(at)).count() as u64;
         }
+        for (thread, count) in &played.stop_counts {
+            let sum = self.stops.entry(thread.clone()).or_default();
+            sum.stops += count.stops;
+            sum.outside_wait += count.outside_wait;
+        }
         for (call, [made, delivered]) in &played.call_counts {
             let sum = self.calls.entry(call.name()).or_default();
             *sum = [sum[0] + made, sum[1] + delivered];
@@ -92,6 +99,10 @@
             };
             lines.push(format!("call {}: {result}", call.name()));
         }
+        for (thread, StopCount { stops, outside_wait }) in &self.stops {
+            let result = if *outside_wait == 0 { "not played".to_owned() } else { format!("{outside_wait}") };
+            lines.push(format!("thread {thread}: stopped {stops} times, outside its wait {result}"));
+        }
         lines
     }
 }
--- a/crates/faultbed/tests/soak.rs
+++ b/crates/faultbed/tests/soak.rs
@@ -1,8 +1,8 @@
 //! A short soak with the built program: seeded scenarios with clock steps, failing system calls, frozen
 //! hosts, a change log without answers, and signals. Long soaks are run by hand (docs/faultbed.md).
-use cherrypass_faultbed::notation::parse;
+use cherrypass_faultbed::notation::{parse, Fault};
 use cherrypass_faultbed::play::{play, Setup};
-use cherrypass_faultbed::{judge, soak};
+use cherrypass_faultbed::{judge, soak, stop_draw};
 use test_case::test_case;
 
 #[test_case(2..=3; "first")]
@@ -34,3 +34,14 @@
         assert!(soak::without_fault(&text, scenario.faults.len()).is_none());
     }
 }
+
+#[test]
+fn every_seed_yields_a_scenario_of_stops() {
+    for seed in 0..500 {
+        let text = stop_draw::scenario(seed);
+        let scenario = parse(&text).unwrap_or_else(|error| panic!("seed {seed}: {error}\n{text}"));
+        assert_eq!(text, stop_draw::scenario(seed));
+        let lengths = scenario.faults.iter().filter(|planned| matches!(planned.fault, Fault::Stop(_)));
+        assert!(lengths.map(|planned| planned.duration.unwrap()).all(|lasts| (0.2..=2.2).contains(&lasts)));
+    }
+}
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -3,6 +3,7 @@
 //! clock.
 #![forbid(unsafe_code)]
 
+pub mod boot_time;
 pub mod purges;
 pub mod records;
 pub mod versions;
--- a/crates/keep/src/visits.rs
+++ b/crates/keep/src/visits.rs
@@ -1,6 +1,7 @@
 //! Write-ahead records of visits that must not run twice. A record is written before the first byte of a
 //! hand-off and deleted once the visit was served or is known not to have run; a remaining record identifies
 //! repeats of the visit.
+use crate::boot_time::BootTime;
 use crate::records::{decode, encode, Record};
 use cherrypass::ids::{HostId, VisitId};
 use cherrypass::settings::Effect;
@@ -19,7 +20,7 @@
 pub struct InDoubtVisit {
     /// Name of the request class.
     pub class_name: String,
-    /// When the first hand-off was sent, in microseconds of Unix time.
+    /// When the first hand-off was sent, in microseconds of Unix time as this run counts it. Two runs may differ.
     pub sent_at: u64,
     pub host: u64,
     /// The host's name, for operators.
@@ -27,12 +28,60 @@
     /// How long, in microseconds, the hosts drop repeats of a deduplicated visit; None for an at-most-once
     /// visit.
     pub repeat_window: Option<u64>,
+    /// When the first hand-off was sent, for a later run on this machine; None if its boot is not known.
+    pub boot_time: Option<BootTime>,
 }
 
-impl InDoubtVisit {
-    /// Time and host of the first hand-off.
-    pub fn first_hand_off(&self) -> (UnixTime, HostId) {
-        (UnixTime(self.sent_at), HostId(self.host))
+/// A record as it was written before [`InDoubtVisit::boot_time`] was added.
+#[derive(Deserialize)]
+struct UndatedRecord {
+    class_name: String,
+    sent_at: u64,
+    host: u64,
+    host_name: String,
+    repeat_window: Option<u64>,
+}
+
+fn decode_record(bytes: &[u8]) -> Option<InDoubtVisit> {
+    decode(bytes).or_else(|| {
+        let UndatedRecord { class_name, sent_at, host, host_name, repeat_window } = decode(bytes)?;
+        Some(InDoubtVisit { class_name, sent_at, host, host_name, repeat_window, boot_time: None })
+    })
+}
+
+/// An earlier try of a visit, which may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EarlierTry {
+    /// When its first hand-off was sent; None if that is not known, so that hosts may have forgotten it.
+    pub sent_at: Option<UnixTime>,
+    pub host: HostId,
+}
+
+/// The first hand-off of a visit as this run knows it.
+#[derive(Clone, Debug)]
+struct FirstHandOff {
+    visit: InDoubtVisit,
+    /// Whether `sent_at` is when it was sent, and not just when its record was restored.
+    is_dated: bool,
+}
+
+impl FirstHandOff {
+    /// Restores a record. Its age is that on the machine's boot clock, as the wall clocks of two runs may differ.
+    fn restore(visit: InDoubtVisit, now: UnixTime, boot_now: Option<BootTime>) -> FirstHandOff {
+        let age = boot_now.zip(visit.boot_time).and_then(|(now, sent)| now.since(sent));
+        let sent_at = (now - age.unwrap_or_default()).0;
+        FirstHandOff { visit: InDoubtVisit { sent_at, ..visit }, is_dated: age.is_some() }
+    }
+
+    fn as_earlier_try(&self) -> EarlierTry {
+        let sent_at = self.is_dated.then_some(UnixTime(self.visit.sent_at));
+        EarlierTry { sent_at, host: HostId(self.visit.host) }
+    }
+
+    /// Hosts drop repeats only within the deduplication window, so it has to be known at least as long.
+    fn expires_at(&self, retention: Span) -> UnixTime {
+        let window = self.visit.repeat_window.map_or(Span::ZERO, Span);
+        UnixTime(self.visit.sent_at) + retention.max(window)
     }
 }
 
@@ -56,7 +105,7 @@
 #[derive(Debug)]
 struct OpenVisit {
     key: VisitKey,
-    first_hand_off: InDoubtVisit,
+    first_hand_off: FirstHandOff,
     is_recorded: bool,
     /// Hand-offs that were sent and have not ended.
     pending_hand_offs: u32,
@@ -74,7 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Visits {
     open: BTreeMap<VisitId, OpenVisit>,
-    unresolved: BTreeMap<VisitKey, InDoubtVisit>,
+    unresolved: BTreeMap<VisitKey, FirstHandOff>,
     retention: Span,
     /// Whether hand-offs are sent while the store refuses their records.
     sends_unrecorded: bool,
@@ -82,34 +131,36 @@
 }
 
 impl Visits {
-    /// Restores the visits from the store's records; drops expired ones. A time in the future counts as now.
+    /// Restores the visits from the store's records. Those of which the age is not known count as sent too long ago for
+    /// a repeat, and are remembered as long as those sent now.
     pub fn restore<'a>(
         now: UnixTime,
+        boot_now: Option<BootTime>,
         records: impl Iterator<Item = (&'a [u8], &'a [u8])>,
         retention: Span,
         sends_unrecorded: bool,
     ) -> Visits {
-        let stored = records.filter_map(|(key, value)| Some((key.to_vec(), decode::<InDoubtVisit>(value)?)));
-        let stored =
-            stored.map(|(key, visit)| (key, InDoubtVisit { sent_at: visit.sent_at.min(now.0), ..visit }));
-        let unresolved = stored.filter(|(_, visit)| now < expires_at(visit, retention)).collect();
+        let stored = records.filter_map(|(key, value)| Some((key.to_vec(), decode_record(value)?)));
+        let unresolved =
+            stored.map(|(key, visit)| (key, FirstHandOff::restore(visit, now, boot_now))).collect();
         Visits { open: BTreeMap::new(), unresolved, retention, sends_unrecorded, refused_count: 0 }
     }
 
     /// The closed visits that may have run. At-most-once ones come first, since operators have to look into
     /// them.
     pub fn unresolved(&self) -> impl Iterator<Item = (&VisitKey, &InDoubtVisit)> {
+        let visits = self.unresolved.iter().map(|(key, first)| (key, &first.visit));
         let (deduplicated, at_most_once): (Vec<_>, Vec<_>) =
-            self.unresolved.iter().partition(|(_, visit)| visit.repeat_window.is_some());
+            visits.partition(|(_, visit)| visit.repeat_window.is_some());
         at_most_once.into_iter().chain(deduplicated)
     }
 
-    /// Time and host of the first hand-off of an earlier try of an arriving visit, if that may have run.
-    pub fn earlier_try(&self, now: UnixTime, key: &[u8]) -> Option<(UnixTime, HostId)> {
-        let visit = self.unresolved.get(key).filter(|visit| now < expires_at(visit, self.retention));
-        visit
+    /// The first hand-off of an earlier try of an arriving visit, if that may have run.
+    pub fn earlier_try(&self, now: UnixTime, key: &[u8]) -> Option<EarlierTry> {
+        let first = self.unresolved.get(key).filter(|first| now < first.expires_at(self.retention));
+        first
             .or_else(|| self.concurrent_try(key).map(|open| &open.first_hand_off))
-            .map(InDoubtVisit::first_hand_off)
+            .map(FirstHandOff::as_earlier_try)
     }
 
     /// Another open try of the same visit that may have run.
@@ -131,7 +182,7 @@
             Effect::Deduplicated { retention: repeat_window, .. } => Some(repeat_window.0),
             Effect::AtMostOnce => None,
         };
-        let sent = InDoubtVisit { repeat_window, ..sent };
+        let sent = FirstHandOff { visit: InDoubtVisit { repeat_window, ..sent }, is_dated: true };
         if let Some(open) = self.open.get_mut(&id) {
             // No earlier hand-off ran, so this is the first that counts.
             if !open.may_have_run() {
@@ -141,10 +192,10 @@
             if open.is_recorded {
                 return WriteAhead::NotNeeded;
             }
-            return WriteAhead::Required(record(&open.key, &open.first_hand_off, self.retention));
+            return WriteAhead::Required(record(&open.key, &open.first_hand_off.visit));
         }
         // The hand-off of an earlier try is the first, and its record stands, also while that try is open.
-        let earlier = self.unresolved.remove(key).map(|visit| (visit, true));
+        let earlier = self.unresolved.remove(key).map(|first| (first, true));
         let earlier = earlier
             .or_else(|| self.concurrent_try(key).map(|open| (open.first_hand_off.clone(), open.is_recorded)));
         let has_run = earlier.is_some();
@@ -152,7 +203,7 @@
         let before = if is_recorded {
             WriteAhead::NotNeeded
         } else {
-            WriteAhead::Required(record(key, &first_hand_off, self.retention))
+            WriteAhead::Required(record(key, &first_hand_off.visit))
         };
         let open =
             OpenVisit { key: key.to_vec(), first_hand_off, is_recorded, pending_hand_offs: 1, has_run };
@@ -195,29 +246,25 @@
             return None;
         }
         if was_served || !open.may_have_run() {
-            return Some(Record { space: SPACE, key: open.key, value: None, expires_at: None });
+            return Some(deletion(open.key));
         }
         self.unresolved.insert(open.key, open.first_hand_off);
         None
     }
 
-    /// Drops closed visits whose records have expired.
-    pub fn remove_expired(&mut self, now: UnixTime) {
+    /// Drops closed visits that have expired; returns the deletions of their records.
+    pub fn remove_expired(&mut self, now: UnixTime) -> Vec<Record> {
         let retention = self.retention;
-        self.unresolved.retain(|_, visit| now < expires_at(visit, retention));
+        let expired = self.unresolved.extract_if(.., |_, first| first.expires_at(retention) <= now);
+        expired.map(|(key, _)| deletion(key)).collect()
     }
 }
 
-/// Hosts drop repeats only within the deduplication window, so the record has to last at least as long.
-fn expires_at(visit: &InDoubtVisit, retention: Span) -> UnixTime {
-    UnixTime(visit.sent_at) + retention.max(visit.repeat_window.map_or(Span::ZERO, Span))
+/// The record of a visit. It has no expiry time, which the store would judge by the wall clock of a later run.
+fn record(key: &[u8], visit: &InDoubtVisit) -> Record {
+    Record { space: SPACE, key: key.to_vec(), value: Some(encode(visit)), expires_at: None }
 }
 
-fn record(key: &[u8], visit: &InDoubtVisit, retention: Span) -> Record {
-    Record {
-        space: SPACE,
-        key: key.to_vec(),
-        value: Some(encode(visit)),
-        expires_at: Some(expires_at(visit, retention)),
-    }
+fn deletion(key: VisitKey) -> Record {
+    Record { space: SPACE, key, value: None, expires_at: None }
 }
