--- a/crates/faultbed/src/changelog.rs
+++ b/crates/faultbed/src/changelog.rs
@@ -13,6 +13,9 @@
 const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 const DEFAULT_POLL: Duration = Duration::from_millis(1_000);
 
+/// The state of hosts that take requests.
+pub const IN_SERVICE: &str = "in_service";
+
 /// The change log server.
 #[derive(Clone)]
 pub struct ChangeLog {
@@ -98,9 +101,20 @@
                     "cell": 0, "state": state, "weight": entry.weight, "started_ms": entry.started_ms})
             })
             .collect();
+        let note = || {
+            entries.iter().for_each(|entry| {
+                self.notes.record(Note::HostListed { host: entry.name.clone(), state });
+            });
+        };
+        // Dispatchers may learn of an entry before this thread goes on: a return to service counts from before it was
+        // appended, the end of one from after.
+        let is_return = state == IN_SERVICE;
+        if is_return {
+            note();
+        }
         self.append("fleet", json!({"version": 1, "full": whole, "servers": servers}));
-        for entry in entries {
-            self.notes.record(Note::HostListed { host: entry.name.clone(), state });
+        if !is_return {
+            note();
         }
     }
 
--- a/crates/faultbed/src/judge/rules.rs
+++ b/crates/faultbed/src/judge/rules.rs
@@ -1,4 +1,5 @@
 //! Checks the five rules and the announced waits from the observations of clients and hosts.
+use crate::changelog::IN_SERVICE;
 use crate::notes::{Absences, Note, Outcome, TimedNotes};
 use std::collections::BTreeMap;
 
@@ -109,7 +110,7 @@
             }
             Note::CrossedClose { visit } => drop(self.visits.remove(visit)),
             Note::HostListed { host, state } => {
-                if *state == "in_service" {
+                if *state == IN_SERVICE {
                     self.drained.remove(&host[..]);
                 } else {
                     self.drained.insert(host, at);
--- a/crates/faultbed/src/stop_points.rs
+++ b/crates/faultbed/src/stop_points.rs
@@ -4,9 +4,11 @@
 use std::fs;
 use std::io;
 
-/// System calls in which a thread waits for work.
-const WAITS: [i64; 5] = [
+/// System calls in which a thread waits for work. Signals are received from a socket, which blocks in `recvfrom`; all
+/// other sockets are read without blocking.
+const WAITS: [i64; 6] = [
     nix::libc::SYS_futex,
+    nix::libc::SYS_recvfrom,
     nix::libc::SYS_epoll_wait,
     nix::libc::SYS_poll,
     nix::libc::SYS_clock_nanosleep,
