Commands keep their exit codes where their output can't be written

Callers saw: on a full disk serve and check ended with a panic and exit code 101 in place of 2 or 1, and version, rollout and config show panicked, too.

Cause: println! and eprintln! panic on a failed write.

Found while looking for the service's part in 57 socket tests that failed on a full disk; a serving dispatcher and a store on a full disk passed as they were.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod config;
 pub mod connection;
+pub mod console;
 pub mod durable_state;
 pub mod fleet_connection;
 pub mod host_connections;
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -3,7 +3,7 @@
 use cherrypass_dispatcher::config::{Config, Error};
 use cherrypass_dispatcher::durable_state::StateStore;
 use cherrypass_dispatcher::startup::Dispatcher;
-use cherrypass_dispatcher::{fleet_connection, logger, rollout_commands, signals, store_commands};
+use cherrypass_dispatcher::{console, fleet_connection, logger, rollout_commands, signals, store_commands};
 use cherrypass_operator as operator;
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -82,14 +82,13 @@
         Command::Rollout(rollout) => rollout_commands::run(rollout),
         Command::Version => {
             let faults = if cfg!(feature = "faults") { " with faults" } else { "" };
-            println!("cherrypass {}{faults}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
+            exit_code(console::print(format_args!("cherrypass {}{faults}", env!("CARGO_PKG_VERSION"))))
         }
     }
 }
 
 fn fail_configuration(error: impl std::fmt::Display) -> ExitCode {
-    eprintln!("cherrypass: {error}");
+    console::print_error(format_args!("cherrypass: {error}"));
     ExitCode::from(EXIT_BAD_CONFIGURATION)
 }
 
@@ -150,7 +149,7 @@
         }
         Err(error) => {
             drop(log);
-            eprintln!("cherrypass: can't serve on {listen}: {error}");
+            console::print_error(format_args!("cherrypass: can't serve on {listen}: {error}"));
             ExitCode::from(EXIT_FAILED)
         }
     }
@@ -166,7 +165,17 @@
         Ok(operator) => operator.unwrap_or_default(),
         Err(error) => return fail_configuration(error),
     };
-    println!(
+    if let Some(Err(error)) =
+        operator.fleet.as_ref().map(|fleet| fleet_connection::fleet_settings(fleet, &config))
+    {
+        return fail_configuration(error);
+    }
+    let lines = [summarize_config(&config), summarize_store(operator.store), summarize_fleet(operator.fleet)];
+    exit_code(console::print(lines.join("\n")))
+}
+
+fn summarize_config(config: &Config) -> String {
+    format!(
         "{} on {}: {} classes, {} dispatchers; {} clients, {} connections to hosts, {} kB unread at most",
         config.name,
         config.listen,
@@ -175,18 +184,18 @@
         config.max_clients,
         config.host_connections.max_connections,
         config.max_unread_bytes / 1024
-    );
-    match operator.store {
-        Some(store) => println!("store in {}: hand-offs {:?}", store.dir.display(), store.hand_offs),
-        None => println!("no store"),
-    }
-    if let Some(Err(error)) =
-        operator.fleet.as_ref().map(|fleet| fleet_connection::fleet_settings(fleet, &config))
-    {
-        return fail_configuration(error);
-    }
-    match operator.fleet {
-        Some(fleet) => println!(
+    )
+}
+
+fn summarize_store(store: Option<operator::Store>) -> String {
+    store.map_or("no store".to_owned(), |store| {
+        format!("store in {}: hand-offs {:?}", store.dir.display(), store.hand_offs)
+    })
+}
+
+fn summarize_fleet(fleet: Option<operator::Fleet>) -> String {
+    fleet.map_or("no fleet".to_owned(), |fleet| {
+        format!(
             "fleet {} as {} on {}: {} members, {} followers; limits {}, verdicts {}, rollout {}",
             fleet.name,
             fleet.own_name,
@@ -196,10 +205,16 @@
             on_off(fleet.limits.is_some()),
             on_off(fleet.verdicts.is_some()),
             on_off(fleet.rollout.is_some())
-        ),
-        None => println!("no fleet"),
+        )
+    })
+}
+
+fn exit_code(has_succeeded: bool) -> ExitCode {
+    if has_succeeded {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILED)
     }
-    ExitCode::SUCCESS
 }
 
 fn on_off(is_on: bool) -> &'static str {
@@ -216,10 +231,7 @@
         Ok(value)
     });
     match shown {
-        Ok(value) => {
-            println!("{value:#}");
-            ExitCode::SUCCESS
-        }
+        Ok(value) => exit_code(console::print(format_args!("{value:#}"))),
         Err(error) => fail_configuration(error),
     }
 }
--- a/crates/dispatcher/src/rollout_commands.rs
+++ b/crates/dispatcher/src/rollout_commands.rs
@@ -1,5 +1,6 @@
 //! The commands `cherrypass rollout …`: send orders to a dispatcher's control listener and print the
 //! rollout's status.
+use crate::console;
 use cherrypass_operator::rules::{self, Document};
 use cherrypass_operator::{self as operator, Fleet};
 use clap::{Args, Subcommand};
@@ -58,6 +59,8 @@
     Refused(SocketAddr, String),
     #[error("{0} does not answer as a dispatcher does; {ADDRESS_HINT}")]
     UnexpectedAnswer(SocketAddr),
+    #[error("its status was not printed")]
+    Output,
     #[error("rules {0} are halted: {1}; see `rollout resume` and `rollout back`")]
     Halted(u64, String),
 }
@@ -69,6 +72,7 @@
             Failure::Operator(_) | Failure::NoAddress | Failure::Document(..) | Failure::Rules(..) => 2,
             Failure::Refused(_, reason) if is_bad_input(reason) => 2,
             Failure::Refused(..) | Failure::Unreachable(..) | Failure::UnexpectedAnswer(_) => 1,
+            Failure::Output => 1,
             Failure::Halted(..) => 3,
         }
     }
@@ -86,7 +90,7 @@
     match execute(&rollout) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("cherrypass rollout: {failure}");
+            console::print_error(format_args!("cherrypass rollout: {failure}"));
             ExitCode::from(failure.exit_code())
         }
     }
@@ -101,10 +105,12 @@
         Command::Start { file } => start_order(file, fleet.as_ref())?,
         Command::Status { json } => {
             let status = request(control, None)?;
-            if *json {
-                println!("{status:#}");
-            } else {
-                println!("{}", summary(&status["rollout"]));
+            let is_printed = match json {
+                true => console::print(format_args!("{status:#}")),
+                false => console::print(summary(&status["rollout"])),
+            };
+            if !is_printed {
+                return Err(Failure::Output);
             }
             return check_halted(&status["rollout"]);
         }
@@ -113,7 +119,8 @@
         Command::Back => json!({ "order": "back" }),
     };
     let status = request(control, Some(order.to_string()))?;
-    println!("order accepted; {}", summary(&status["rollout"]));
+    // The order is accepted whether or not that can be printed.
+    console::print(format_args!("order accepted; {}", summary(&status["rollout"])));
     Ok(())
 }
 
--- a/crates/dispatcher/src/store_commands.rs
+++ b/crates/dispatcher/src/store_commands.rs
@@ -1,5 +1,6 @@
 //! The commands `cherrypass store …` for a store's folder. Keys and values are read and printed as raw bytes.
 use crate::clock;
+use crate::console;
 use crate::durable_state::options;
 use cherrypass_store::disk::{Disk, Folder};
 use cherrypass_store::engine::{Batch, Options};
@@ -98,7 +99,7 @@
     match execute(command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("cherrypass store: {failure}");
+            console::print_error(format_args!("cherrypass store: {failure}"));
             ExitCode::from(failure.exit_code())
         }
     }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -94,6 +94,7 @@
 #[test_case(include_str!("sockets/accept_aborted.txt"); "accept_aborted")]
 #[test_case(include_str!("sockets/suspended_slow_writer.txt"); "suspended_slow_writer")]
 #[test_case(include_str!("sockets/suspended_store.txt"); "suspended_store")]
+#[test_case(include_str!("sockets/store_disk_full.txt"); "store_disk_full")]
 #[test_case(include_str!("sockets/stored_visits_clock_back.txt"); "stored_visits_clock_back")]
 fn plays(text: &str) {
     let mut scenario = Scenario::default();
