Put back reasons that the wording of the code took out of comments

Put back: why a response time counts from the router's round, the fault that made a connect timeout no sign of a new process, that untouched stack costs nothing, what the mean work at a cold host costs, and what alone would be safe with a silent change log. Comments only.

--- a/crates/dispatcher/src/connection.rs
+++ b/crates/dispatcher/src/connection.rs
@@ -72,7 +72,7 @@
 
     /// Whether the host's process may have ended: one that dies resets its connections. A regular close
     /// doesn't count, as hosts close idle connections and cut answers short; neither does a connect timeout,
-    /// as connections may come up late.
+    /// as connections may come up late: where that counted, warm hosts were held to a cold host's budget.
     pub fn may_be_process_end(self) -> bool {
         matches!(self, CloseReason::Reset | CloseReason::WriteFailed | CloseReason::Refused)
     }
@@ -302,7 +302,7 @@
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
 }
 
-/// Stack size of the dispatcher's threads.
+/// Stack size of the dispatcher's threads. Pages that a thread doesn't touch cost no memory.
 const STACK_BYTES: usize = 128 * 1024;
 
 /// Spawns a named thread with a small stack.
--- a/crates/dispatcher/src/router/change_log_silence.rs
+++ b/crates/dispatcher/src/router/change_log_silence.rs
@@ -17,7 +17,7 @@
     }
 
     /// Limits the age of copies while the change log is silent, as it may have purges to tell. Drains can't
-    /// be guarded against: any host may be draining.
+    /// be guarded against: any host may be draining, and only sending to none would be safe.
     pub(super) fn check_changelog(&mut self) {
         // With carriers the fleet proves that no change is missing.
         if self.fleet_connection.as_ref().is_some_and(FleetConnection::has_carriers) {
--- a/crates/dispatcher/src/router/hand_offs.rs
+++ b/crates/dispatcher/src/router/hand_offs.rs
@@ -83,7 +83,8 @@
         }
     }
 
-    /// Sends a hand-off to its host, whose response time counts from `at`.
+    /// Sends a hand-off to its host, whose response time counts from `at`. Without a record that is the time of the
+    /// router's round, so that a stall of this process is not taken for a host that answers more slowly than before.
     fn send_hand_off(&mut self, id: HandOffId, hand_off: HandOff, at: Time) {
         let Some(pending) = self.hand_offs.get_mut(&id) else { return };
         if pending.mailbox.send(ToHost::HandOff(hand_off)) {
--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -37,7 +37,7 @@
     }
 
     /// Work charged for a hand-off to a cold host: its own, or that of the mean hand-off to a cache if that
-    /// is more. Guards against overload by the mere number of small requests.
+    /// is more. Guards against overload by the mere number of small requests. The cost: they alone get less.
     pub(crate) fn cold_cost(&self, id: ClassId) -> f64 {
         self.transfer_seconds(id).max(self.mean_cache_work.value)
     }
