Soak: errors of reads and writes by thread, crowds, stops and signals in series; logs are kept

The faults that the soak told as not played (wait, read, write and their errors) are drawn now, by half of the seeds in addition to what they had: EINTR and EAGAIN in all threads that use sockets; ECONNRESET, EHOSTUNREACH and EPIPE on connections to hosts and the change log; a crowd of idle clients; stops in series; SIGHUP in series up to SIGTERM. A test that fails keeps its logs, and names them.

By the protocol a start has the changes up to then in its configuration, and no log to ask, so the play writes them for a start in a silence; all other starts keep the outdated one.

--- a/crates/dispatcher/tests/sockets_bed/notation.rs
+++ b/crates/dispatcher/tests/sockets_bed/notation.rs
@@ -21,7 +21,7 @@
 //! - `holds N M`: at most N threads and M open files within the timeout; `stands N MS`: at most N open files and
 //!   pending connections within this time
 //! - `step MS`: the dispatchers' wall clock is ahead by this from now on, or behind if negative; `fault CALL
-//!   ERRNO PER_MILLION`: this share of their calls fails (for `short-read` and `short-write` ERRNO is a
+//!   ERRNO PER_MILLION [THREAD]`: this share of their calls (in threads of this name) fails (for `short-read` and `short-write` ERRNO is a
 //!   number of bytes); `delivered CALL N`: since the last `fault`, at least N failures are injected within the
 //!   timeout; `stop-at CALL THREAD`: the first dispatcher stops itself right before the next such call of a thread;
 //!   `stopped`: it has
--- a/crates/dispatcher/tests/sockets_bed/setup_commands.rs
+++ b/crates/dispatcher/tests/sockets_bed/setup_commands.rs
@@ -180,7 +180,7 @@
                 let (ahead, behind) = if ms > 0 { (span, Duration::ZERO) } else { (Duration::ZERO, span) };
                 self.shim.as_ref().unwrap().step_wall_clock(ahead, behind).unwrap();
             }
-            ["fault", call, how, per_million] => {
+            ["fault", call, how, per_million, thread @ ..] => {
                 let fault = Fault {
                     per_million: per_million.parse().unwrap(),
                     outcome: errno_from_name(how).expect("no such error"),
@@ -188,7 +188,7 @@
                 let call = Call::from_name(call).expect("no such call");
                 let shim = self.shim.as_ref().unwrap();
                 [_, self.failures_before_fault] = shim.counts(call).unwrap();
-                shim.set_fault(call, fault).unwrap();
+                shim.set_thread_fault(call, thread.first().unwrap_or(&""), fault).unwrap();
             }
             ["stop-at", call, thread] => {
                 let call = Call::from_name(call).expect("no such call");
--- a/crates/faultbed/src/changelog.rs
+++ b/crates/faultbed/src/changelog.rs
@@ -57,9 +57,13 @@
         self.is_silent.store(silent, SeqCst);
     }
 
+    pub fn is_silent(&self) -> bool {
+        self.is_silent.load(SeqCst)
+    }
+
     fn answer(&self, request: Request) {
-        if self.is_silent.load(SeqCst) {
-            while self.is_silent.load(SeqCst) {
+        if self.is_silent() {
+            while self.is_silent() {
                 std::thread::sleep(SILENCE_POLL_INTERVAL);
             }
             return;
@@ -72,7 +76,7 @@
         let (events, changed) = &*self.events;
         let guard = events.lock().unwrap_or_else(PoisonError::into_inner);
         let waited = changed.wait_timeout_while(guard, wait, |events| events.len() <= since);
-        if self.is_silent.load(SeqCst) {
+        if self.is_silent() {
             return;
         }
         let text = results_json(&waited.unwrap_or_else(PoisonError::into_inner).0, since).to_string();
--- a/crates/faultbed/src/lib.rs
+++ b/crates/faultbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod changelog;
 pub mod clients;
 pub mod compare;
+pub mod crowd;
 pub mod hosts;
 pub mod judge;
 pub mod links;
--- a/crates/faultbed/src/notation.rs
+++ b/crates/faultbed/src/notation.rs
@@ -17,14 +17,15 @@
 //!   second), `stall ...` (held, then forwarded at once)
 //! - processes: `stop d1`, `kill d1`, `kill runner` (the current rollout runner), `restart d1 [new]`
 //!   (killed and started; `new`: with an empty store), `term d1` (SIGTERM, then SIGKILL after the
-//!   shutdown time, then restarted), `hup d1`, `upgrade d2`, `downgrade d2` (SIGTERM, then the other
+//!   shutdown time, then restarted), `hup d1`, `crowd d1 80` (so many clients that connect and stay idle), `upgrade d2`, `downgrade d2` (SIGTERM, then the other
 //!   build), `load d1 90`
 //! - hosts: `fail c1 0.7`, `hang c1`, `freeze c1` (processes nothing, also no purges, and continues
 //!   later), `slow c1 5` (times), `vanish c1`, `fresh c1` (a new, cold process), `drain c1`
 //! - change log: `purge`, `silence` (no request is answered)
 //! - machine: `step d1 forward 3000`, `step d1 back 3000` (wall clock, in ms),
 //!   `calls d1 accept ECONNABORTED 0.3` (share of failing calls; `short-read` and `short-write` take a
-//!   number of bytes instead of an error), `disk d1 lose` (acknowledged writes are lost at a kill; also
+//!   number of bytes instead of an error), `calls d1 read ECONNRESET 0.02 of lines` (in threads of this name
+//!   alone), `disk d1 lose` (acknowledged writes are lost at a kill; also
 //!   `error`, `full`, `flip`, `stall 2000` in ms)
 //! - `rollout d1 start { number: 2, rules: { … }, plan: { … } }` (order given at d1; also `halt`,
 //!   `resume`, `back`)
@@ -106,7 +107,16 @@
     Hup(String),
     /// Offset of the wall clock in milliseconds.
     Step(String, f64),
-    Calls(String, Call, i32, f64),
+    Calls {
+        who: String,
+        call: Call,
+        outcome: i32,
+        rate: f64,
+        /// Only calls of the threads of this name fail.
+        thread: Option<String>,
+    },
+    /// Number of clients that connect and stay idle.
+    Crowd(String, f64),
     Slow(String, f64),
     Vanish(String),
     Fresh(String),
@@ -284,7 +294,14 @@
             let way = cut_err(way.context(expected("forward or back"))).parse_next(input)?;
             Fault::Step(who, way * number(input)?)
         }
-        "calls" => Fault::Calls(required_name(input)?, call(input)?, error(input)?, number(input)?.min(1.0)),
+        "calls" => Fault::Calls {
+            who: required_name(input)?,
+            call: call(input)?,
+            outcome: error(input)?,
+            rate: number(input)?.min(1.0),
+            thread: opt(preceded((space1, "of"), required_name)).parse_next(input)?,
+        },
+        "crowd" => Fault::Crowd(required_name(input)?, number(input)?),
         "slow" => Fault::Slow(required_name(input)?, number(input)?),
         "vanish" => Fault::Vanish(required_name(input)?),
         "fresh" => Fault::Fresh(required_name(input)?),
@@ -421,7 +438,7 @@
                 LinkSelection::Both(a, b) | LinkSelection::OneWay(a, b) => vec![a, b],
             },
             Kill(a) if a == "runner" => vec![],
-            Freeze(a) | Term(a) | Hup(a) | Step(a, _) | Calls(a, ..) => vec![a],
+            Freeze(a) | Term(a) | Hup(a) | Step(a, _) | Crowd(a, _) | Calls { who: a, .. } => vec![a],
             Stop(a) | Kill(a) | Fail(a, _) | Hang(a) | Slow(a, _) | Vanish(a) | Fresh(a) | Drain(a) => {
                 vec![a]
             }
@@ -453,7 +470,7 @@
 
     /// Whether processes have to run with the shim.
     pub fn needs_shim(&self) -> bool {
-        self.faults.iter().any(|planned| matches!(planned.fault, Fault::Step(..) | Fault::Calls(..)))
+        self.faults.iter().any(|planned| matches!(planned.fault, Fault::Step(..) | Fault::Calls { .. }))
     }
 
     pub fn has_rollout_orders(&self) -> bool {
--- a/crates/faultbed/src/play/faults.rs
+++ b/crates/faultbed/src/play/faults.rs
@@ -1,6 +1,7 @@
 //! Applies faults to links, processes, hosts and the change log.
 use super::{io_error, run_rollout_command, Dispatcher, Error, Play, END_TIMEOUT};
 use crate::clients::CLASSES;
+use crate::crowd::Crowd;
 use crate::hosts::{self, Mode};
 use crate::links::LinkFaults;
 use crate::notation::{Fault, LinkSelection};
@@ -57,7 +58,8 @@
             Fault::Hup(name) => {
                 self.process(name).into_iter().for_each(|process| process.signal(Signal::SIGHUP));
             }
-            Fault::Step(..) | Fault::Calls(..) => self.apply_shim_fault(fault, begins)?,
+            Fault::Step(..) | Fault::Calls { .. } => self.apply_shim_fault(fault, begins)?,
+            Fault::Crowd(name, count) => self.change_crowd(name, if begins { *count as usize } else { 0 }),
             Fault::Fail(name, _)
             | Fault::Hang(name)
             | Fault::Freeze(name)
@@ -202,6 +204,13 @@
         }
     }
 
+    /// Replaces the idle clients of a dispatcher.
+    fn change_crowd(&mut self, name: &str, count: usize) {
+        if let Some(dispatcher) = self.dispatchers.get_mut(name) {
+            dispatcher.crowd = (count > 0).then(|| Crowd::start(dispatcher.address, count));
+        }
+    }
+
     /// Purges objects in the change log; the hosts drop their copies some time later.
     fn purge_objects(&self) {
         for object in 0..self.scenario.objects.min(MAX_PURGED_OBJECTS) {
@@ -264,11 +273,12 @@
                     shim.step_wall_clock(ahead, behind).map_err(io_error("a shim"))?;
                 }
             }
-            Fault::Calls(name, call, outcome, rate) => {
+            Fault::Calls { who, call, outcome, rate, thread } => {
                 let per_million = (or_zero(*rate) * 1e6) as u64;
-                if let Some(shim) = self.shim(name) {
+                if let Some(shim) = self.shim(who) {
                     let fault = cherrypass_shim::Fault { per_million, outcome: *outcome };
-                    shim.set_fault(*call, fault).map_err(io_error("a shim"))?;
+                    let thread = thread.as_deref().unwrap_or_default();
+                    shim.set_thread_fault(*call, thread, fault).map_err(io_error("a shim"))?;
                 }
             }
             _ => {}
--- a/crates/faultbed/src/play/mod.rs
+++ b/crates/faultbed/src/play/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::changelog::ChangeLog;
 use crate::clients::Load;
+use crate::crowd::Crowd;
 use crate::hosts::Hosts;
 use crate::links::Link;
 use crate::notation::{PlannedFault, Scenario};
@@ -99,6 +100,7 @@
     address: SocketAddr,
     process: Option<Process>,
     load: Load,
+    crowd: Option<Crowd>,
     store_dir: PathBuf,
     /// Whether the older build is in use now.
     is_older_build: bool,
--- a/crates/faultbed/src/play/start.rs
+++ b/crates/faultbed/src/play/start.rs
@@ -102,6 +102,7 @@
             address,
             process: None,
             load: Load::start(client, 0.0, mix, seed, self.notes.clone(), numbers.clone()),
+            crowd: None,
             store_dir: self.file_of(name, "-kept"),
             is_older_build: scenario.older_builds.iter().any(|older| older == name),
             disk_orders: (Vec::new(), self.file_of(name, ".disk")),
@@ -135,8 +136,20 @@
         self.setup.folder.join(format!("{name}{suffix}"))
     }
 
+    /// Writes the configuration anew with the changes up to now. By the protocol each start has them; here only one
+    /// that can't read the change log, as the others have to do with an outdated configuration.
+    fn update_known_changes(&self, name: &str) -> Result<(), Error> {
+        let index = self.scenario.dispatchers.iter().position(|(own, _)| own == name);
+        let Some((index, dispatcher)) = index.zip(self.dispatchers.get(name)) else { return Ok(()) };
+        std::fs::write(&dispatcher.files.config, self.config(index, name, dispatcher.address))
+            .map_err(io_error("a configuration"))
+    }
+
     /// Starts the current build of a dispatcher with an operator file that this build accepts.
     pub(super) fn start_process(&mut self, name: &str) -> Result<(), Error> {
+        if self.change_log.is_silent() {
+            self.update_known_changes(name)?;
+        }
         let older = self.dispatchers.get(name).is_some_and(|dispatcher| dispatcher.is_older_build);
         let other = self.setup.older_program.filter(|_| older);
         let restricted_form = self.scenario.forms.iter().find(|(who, _)| who == name).map(|(_, form)| *form);
--- a/crates/faultbed/src/soak.rs
+++ b/crates/faultbed/src/soak.rs
@@ -19,6 +19,27 @@
     "term", "hup", "kill", "stop", "folder",
 ];
 
+/// Kinds drawn in addition to those above, each by half of the seeds.
+pub const FURTHER_KINDS: [&str; 2] = ["errors", "crowd"];
+
+/// Errors of reads and writes, the thread, and the maximum failure rate. Errors that end a connection concern hosts
+/// and the change log alone: no dispatcher could answer the requests of a client whose connection they end.
+const CONNECTION_ERRORS: [(&str, &str, &str, f64); 12] = [
+    ("read", "EINTR", "lines", 0.3),
+    ("read", "EINTR", "listener", 0.3),
+    ("read", "EAGAIN", "lines", 0.3),
+    ("read", "EAGAIN", "listener", 0.3),
+    ("write", "EINTR", "cherrypass", 0.3),
+    ("write", "EAGAIN", "cherrypass", 0.3),
+    ("write", "EAGAIN", "hosts", 0.1),
+    ("read", "ECONNRESET", "lines", 0.02),
+    ("read", "EHOSTUNREACH", "lines", 0.02),
+    ("write", "EPIPE", "hosts", 0.02),
+    ("read", "ECONNRESET", "changes", 0.1),
+    ("write", "EPIPE", "changes", 0.1),
+];
+const CROWD_SIZE: std::ops::RangeInclusive<u32> = 20..=100;
+
 /// System calls that may fail, the error, and the maximum failure rate. Errors that break a client's
 /// connection are left out, as no dispatcher could answer its requests.
 const CALL_FAULTS: [(&str, &str, f64); 11] = [
@@ -52,6 +73,7 @@
         draw.push_fault("purge");
     }
     kinds.into_iter().take(count).for_each(|kind| draw.push_fault(kind));
+    draw.push_further_faults();
     draw.text
 }
 
@@ -95,6 +117,71 @@
         format!("c{}", self.rng.gen_range(1..=CACHE_COUNT))
     }
 
+    fn push_further_faults(&mut self) {
+        if self.rng.gen_bool(0.5) {
+            self.push_connection_errors();
+        }
+        if self.rng.gen_bool(0.5) {
+            self.push_crowd();
+        }
+        if self.rng.gen_bool(0.5) {
+            self.push_stop_series();
+        }
+        if self.rng.gen_bool(0.5) {
+            self.push_signal_series();
+        }
+    }
+
+    fn push_connection_errors(&mut self) {
+        let who = self.random_process();
+        for _ in 0..2 {
+            let (call, error, thread, most) =
+                CONNECTION_ERRORS[self.rng.gen_range(0..CONNECTION_ERRORS.len())];
+            let rate = self.rng.gen_range(most / 4.0..most);
+            let (at, lasts) = (self.rng.gen_range(1.0..6.0), self.rng.gen_range(1.0..6.0));
+            self.push_line(format!(
+                "at {at:.2} for {lasts:.2} calls {who} {call} {error} {rate:.3} of {thread}"
+            ));
+        }
+    }
+
+    fn push_crowd(&mut self) {
+        let (who, count) = (self.random_process(), self.rng.gen_range(CROWD_SIZE));
+        let (at, lasts) = (self.rng.gen_range(1.0..6.0), self.rng.gen_range(2.0..6.0));
+        self.push_line(format!("at {at:.2} for {lasts:.2} crowd {who} {count}"));
+    }
+
+    /// Several stops of a process, with little time to run in between.
+    fn push_stop_series(&mut self) {
+        let Some(who) = self.undisturbed_process() else { return };
+        let mut at = self.rng.gen_range(1.0..8.0);
+        for _ in 0..self.rng.gen_range(2..=5) {
+            let lasts = self.rng.gen_range(0.2..0.6);
+            self.push_line(format!("at {at:.3} for {lasts:.3} stop {who}"));
+            at += lasts + self.rng.gen_range(0.005..0.1);
+        }
+    }
+
+    /// SIGHUP several times, right before SIGTERM too, which a shutdown has to bear.
+    fn push_signal_series(&mut self) {
+        let Some(who) = self.undisturbed_process() else { return };
+        let at = self.rng.gen_range(2.0..8.0);
+        for index in 0..self.rng.gen_range(1..=3) {
+            self.push_line(format!("at {:.3} hup {who}", at + 0.03 * f64::from(index)));
+        }
+        self.push_line(format!("at {:.3} term {who}", at + 0.1));
+    }
+
+    /// A process that no other fault stops, kills or ends.
+    fn undisturbed_process(&mut self) -> Option<String> {
+        let who = self.random_process();
+        let is_disturbed = ["stop", "kill", "term"].iter().any(|kind| {
+            let fault = format!("{kind} {who}");
+            self.text.lines().any(|line| line.ends_with(&fault))
+        });
+        (!is_disturbed).then_some(who)
+    }
+
     fn push_fault(&mut self, kind: &str) {
         let at = self.rng.gen_range(1.0..7.0);
         let lasts = self.rng.gen_range(1.0..DURATION_S - QUIET_S - at);
--- a/crates/faultbed/src/soak_report.rs
+++ b/crates/faultbed/src/soak_report.rs
@@ -3,18 +3,19 @@
 use crate::notation::{Fault, Scenario};
 use crate::notes::Note;
 use crate::play::PlayResult;
-use crate::soak::FAULT_KINDS;
+use crate::soak::{FAULT_KINDS, FURTHER_KINDS};
 use crate::stop_points::{StopCount, StopCounts};
 use cherrypass_shim::control::{Call, ALL_CALLS};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time after a momentary fault in which requests count as affected.
 const EFFECT_US: u64 = 2_000_000;
 
-/// Number of faults of a kind, and of requests sent during them.
+/// Number of faults of a kind, of seeds that have it, and of requests sent during them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KindCount {
     pub faults: u64,
+    pub seeds: u64,
     pub requests: u64,
 }
 
@@ -31,8 +32,10 @@
 fn kind(fault: &Fault) -> Option<&'static str> {
     let name = match fault {
         Fault::Step(..) => "step",
-        Fault::Calls(_, Call::FileWrite | Call::FileSync, ..) => "folder",
-        Fault::Calls(..) => "calls",
+        Fault::Calls { call: Call::FileWrite | Call::FileSync, .. } => "folder",
+        Fault::Calls { thread: Some(_), .. } => "errors",
+        Fault::Calls { .. } => "calls",
+        Fault::Crowd(..) => "crowd",
         Fault::Freeze(_) => "freeze",
         Fault::Hang(_) => "hang",
         Fault::Fail(..) => "fail",
@@ -60,6 +63,8 @@
             .map(|(at, _)| *at)
             .collect();
         self.requests += sent.len() as u64;
+        let drawn: BTreeSet<&str> =
+            scenario.faults.iter().filter_map(|planned| kind(&planned.fault)).collect();
         for planned in &scenario.faults {
             let Some(kind) = kind(&planned.fault) else { continue };
             let from = played.load_span.0 + (planned.at * 1e6) as u64;
@@ -68,6 +73,10 @@
             count.faults += 1;
             count.requests += sent.iter().filter(|at| (from..to).contains(at)).count() as u64;
         }
+        self.kinds
+            .iter_mut()
+            .filter(|(kind, _)| drawn.contains(*kind))
+            .for_each(|(_, count)| count.seeds += 1);
         for (thread, count) in &played.stop_counts {
             let sum = self.stops.entry(thread.clone()).or_default();
             sum.stops += count.stops;
@@ -81,14 +90,14 @@
 
     pub fn lines(&self) -> Vec<String> {
         let mut lines = vec![format!("requests {}", self.requests)];
-        for kind in FAULT_KINDS {
+        for kind in FAULT_KINDS.into_iter().chain(FURTHER_KINDS) {
             let count = self.kinds.get(kind).copied().unwrap_or_default();
             let result = if count.requests == 0 {
                 "not played".to_owned()
             } else {
                 format!("{} requests during it", count.requests)
             };
-            lines.push(format!("{kind}: {} times, {result}", count.faults));
+            lines.push(format!("{kind}: {} times in {} seeds, {result}", count.faults, count.seeds));
         }
         for call in ALL_CALLS {
             let [made, delivered] = self.calls.get(call.name()).copied().unwrap_or_default();
--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -288,5 +288,9 @@
         play(&scenario, Setup { program: &program, older_program: None, folder: folder.path(), seed })
             .unwrap();
     let violations = judge::judge(&scenario, &played);
-    assert!(violations.is_empty(), "seed {seed}: {violations:#?}\n{:#?}", judge::figures(&played));
+    if !violations.is_empty() {
+        let logs = folder.keep();
+        let figures = judge::figures(&played);
+        panic!("seed {seed}, its logs are in {}: {violations:#?}\n{figures:#?}", logs.display());
+    }
 }
--- a/crates/faultbed/tests/soak.rs
+++ b/crates/faultbed/tests/soak.rs
@@ -17,7 +17,11 @@
         let setup = Setup { program: &program, older_program: None, folder: folder.path(), seed };
         let played = play(&scenario, setup).unwrap();
         let violations = judge::judge(&scenario, &played);
-        assert!(violations.is_empty(), "seed {seed}: {violations:#?}\n{:#?}", judge::figures(&played));
+        if !violations.is_empty() {
+            let logs = folder.keep();
+            let figures = judge::figures(&played);
+            panic!("seed {seed}, its logs are in {}: {violations:#?}\n{figures:#?}", logs.display());
+        }
     }
 }
 
--- a/crates/shim-library/src/interpose.rs
+++ b/crates/shim-library/src/interpose.rs
@@ -60,7 +60,8 @@
     let first = call.first_word();
     let count = control.word(first + control::CALL_COUNT_WORD).fetch_add(1, Relaxed);
     let rate = control.word(first + control::RATE_WORD).load(Relaxed);
-    if rate == 0 {
+    let thread = control.word(first + control::THREAD_WORD).load(Relaxed);
+    if rate == 0 || thread != 0 && thread != own_thread_word() {
         return None;
     }
     let seed = control.word(control::SEED_WORD).load(Relaxed);
@@ -75,7 +76,8 @@
 fn stop_if_set(call: Call) {
     let Some(control) = control() else { return };
     let wanted = control.word(control::STOP_CALL_WORD);
-    if wanted.load(Relaxed) != call.stop_word() || !is_stop_thread(control) {
+    let thread = control.word(control::STOP_THREAD_WORD);
+    if wanted.load(Relaxed) != call.stop_word() || thread.load(Relaxed) != own_thread_word() {
         return;
     }
     if wanted.compare_exchange(call.stop_word(), 0, Relaxed, Relaxed).is_ok() {
@@ -84,11 +86,12 @@
     }
 }
 
-fn is_stop_thread(control: &Control) -> bool {
+/// The name of the calling thread, as tests set it.
+fn own_thread_word() -> u64 {
     let mut name = [0; THREAD_NAME_BYTES];
     // SAFETY: the call writes at most this many bytes, null-terminated.
     unsafe { libc::prctl(libc::PR_GET_NAME, name.as_mut_ptr()) };
-    control.word(control::STOP_THREAD_WORD).load(Relaxed) == control::thread_word(&name)
+    control::thread_word(&name)
 }
 
 /// The finalizer of splitmix64.
--- a/crates/shim/src/control.rs
+++ b/crates/shim/src/control.rs
@@ -15,13 +15,14 @@
 /// Word with the first 8 bytes of the name of the thread that has to make that call.
 pub const STOP_THREAD_WORD: usize = 3;
 const FIRST_CALL_WORD: usize = 8;
-const WORDS_PER_CALL: usize = 4;
-/// Word offsets within the words of a call: failures per million, outcome, number of calls and number of
-/// failures.
+const WORDS_PER_CALL: usize = 5;
+/// Word offsets within the words of a call: failures per million, outcome, number of calls, number of failures, and
+/// the thread whose calls fail (as in [`STOP_THREAD_WORD`]; 0 for all).
 pub const RATE_WORD: usize = 0;
 pub const OUTCOME_WORD: usize = 1;
 pub const CALL_COUNT_WORD: usize = 2;
 pub const FAILURE_COUNT_WORD: usize = 3;
+pub const THREAD_WORD: usize = 4;
 pub const FILE_BYTES: usize = (FIRST_CALL_WORD + WORDS_PER_CALL * ALL_CALLS.len()) * WORD_BYTES;
 
 /// The calls that can be made to fail.
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -56,9 +56,15 @@
         self.write(control::CLOCK_OFFSET_WORD, micros as u64)
     }
 
-    /// Sets the fault of a call; a rate of 0 disables it.
+    /// Sets the fault of a call in all threads; a rate of 0 disables it.
     pub fn set_fault(&self, call: Call, fault: Fault) -> io::Result<()> {
+        self.set_thread_fault(call, "", fault)
+    }
+
+    /// Sets the fault of a call in the threads of this name; an empty name stands for all.
+    pub fn set_thread_fault(&self, call: Call, thread: &str, fault: Fault) -> io::Result<()> {
         let first = call.first_word();
+        self.write(first + control::THREAD_WORD, control::thread_word(thread.as_bytes()))?;
         self.write(first + control::OUTCOME_WORD, fault.outcome as u64)?;
         self.write(first + control::RATE_WORD, fault.per_million)
     }
