Startup in named steps; one wait for stopped processes, one listing for router tests

startup::Dispatcher::start (75 lines) is split into decoding the known changes, the listener and the follower of the change log; the wait until all threads are stopped stood in two test beds, a listing in three router tests. No behaviour is changed.

--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -34,6 +34,18 @@
     "bounds":{"connect_timeout":1,"conn_idle":1,"streams_per_conn":1,"cancel":true,"max_attempts":6},
     "rules":{"cold_from":0.2,"overload_factor":2.0},"domain":{"may_pass_by":true,"source_kind":0}}}"#;
 
+fn listing(host: HostId, kind: u16, phase: Phase) -> Listing {
+    Listing {
+        host,
+        location: LocationId(0),
+        kind: KindId(kind),
+        cell: CellId(0),
+        weight: 9.0,
+        started_at: None,
+        phase,
+    }
+}
+
 fn host_entry(messages: &Sender<HostThreadMessage>) -> HostEntry {
     let mailbox = HostMailbox { id: HostActorId(0), messages: messages.clone() };
     HostEntry { name: String::new(), address: "127.0.0.1:1".parse().unwrap(), started: None, mailbox }
@@ -59,15 +71,7 @@
 fn no_next_hand_off_before_the_cancel_is_sent(is_started: bool) {
     let (mut router, _sender) = router();
     let hosts = ["a", "b"].map(|name| (host_id(name), unbounded()));
-    let entry = |host, phase| Listing {
-        host,
-        location: LocationId(0),
-        kind: KindId(1),
-        cell: CellId(0),
-        weight: 9.0,
-        started_at: None,
-        phase,
-    };
+    let entry = |host, phase| listing(host, 1, phase);
     let entries: Vec<Listing> = hosts.iter().map(|(id, _)| entry(*id, Phase::Ready)).collect();
     router.engine.update_hosts(clock::now(), &entries, true);
     for (id, (messages, _)) in &hosts {
@@ -134,16 +138,7 @@
     ));
     let (id, host) = (host_id("a"), unbounded());
     router.hosts.insert(id, host_entry(&host.0));
-    let listing = Listing {
-        host: id,
-        location: LocationId(0),
-        kind: KindId(0),
-        cell: CellId(0),
-        weight: 9.0,
-        started_at: None,
-        phase: Phase::Ready,
-    };
-    router.engine.update_hosts(clock::now(), &[listing], true);
+    router.engine.update_hosts(clock::now(), &[listing(id, 0, Phase::Ready)], true);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let connection = open_client(&mut router, &listener, ClientId(0));
     let fields: &[u8] = b"\x94\x00\x01\xa4once\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa3500\
@@ -176,16 +171,7 @@
     let (mut router, _sender) = router();
     let (id, host) = (host_id("a"), unbounded());
     router.hosts.insert(id, host_entry(&host.0));
-    let listing = |phase| Listing {
-        host: id,
-        location: LocationId(0),
-        kind: KindId(0),
-        cell: CellId(0),
-        weight: 9.0,
-        started_at: None,
-        phase,
-    };
-    router.engine.update_hosts(clock::now(), &[listing(Phase::Ready)], true);
+    router.engine.update_hosts(clock::now(), &[listing(id, 0, Phase::Ready)], true);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let connection = open_client(&mut router, &listener, ClientId(0));
     let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
@@ -202,7 +188,7 @@
         panic!("not handed off")
     };
     let draining = ListedHost {
-        listing: listing(Phase::Draining),
+        listing: listing(id, 0, Phase::Draining),
         started: None,
         name: "a".into(),
         address: Some("127.0.0.1:1".parse().unwrap()),
--- a/crates/dispatcher/src/startup.rs
+++ b/crates/dispatcher/src/startup.rs
@@ -5,6 +5,7 @@
 use crate::connection::spawn;
 use crate::durable_state::{StateRecorder, StateStore};
 use crate::fleet_connection::FleetConnection;
+use crate::inbox::Change;
 use crate::router::Router;
 use crate::signals::SignalTargets;
 use cherrypass::time::Span;
@@ -37,12 +38,7 @@
         let (router_sender, mailbox) = unbounded();
         let (client_sender, client_receiver) = bounded(CLIENT_QUEUE_LEN);
         let (changelog, new_addresses) = unbounded();
-        let mut last_change = 0;
-        let events = config.known_changes.take();
-        let (known, fault) = change_log::decode(&events, &config.names, &mut last_change, None);
-        if let Some(fault) = fault.filter(|_| !events.is_null()) {
-            tracing::warn!("known changes: {fault}; applied up to change {last_change}");
-        }
+        let (known, last_change) = decode_known_changes(&mut config);
         tracing::info!("start: {} on {}, change {last_change}", config.name, listener.local_addr()?);
         let shutdown = Arc::new(Shutdown::default());
         let mut router =
@@ -57,40 +53,26 @@
                 .delivery
                 .iter_mut()
                 .for_each(|delivery| delivery.last_change = ChangeNumber(last_change));
-            let fleet_connection = FleetConnection::start(
-                &fleet,
-                peers_settings,
-                &config.settings,
-                store,
-                router_sender.clone(),
-            );
-            let mut fleet_connection = fleet_connection.map_err(io::Error::other)?;
-            delivery = fleet_connection.take_delivery();
-            router.set_fleet_connection(fleet_connection);
+            let settings = &config.settings;
+            let connection =
+                FleetConnection::start(&fleet, peers_settings, settings, store, router_sender.clone());
+            let mut connection = connection.map_err(io::Error::other)?;
+            delivery = connection.take_delivery();
+            router.set_fleet_connection(connection);
         }
         router.apply_known_changes(known);
-        let (changes_sender, lease) = (router_sender.clone(), router.lease());
         let router_senders = RouterSenders { requests: client_sender, closed: router_sender.clone() };
-        let write_timeout = config.longest_deadline().max(MIN_WRITE_TIMEOUT);
-        spawn("listener", move || {
-            if let Err(error) =
-                clients::listen(listener, config.max_clients, write_timeout, router_senders, shutdown)
-            {
-                tracing::error!("the client listener failed, no clients are served: {error}");
-            }
-        })?;
-        spawn("changes", move || {
-            change_log::follow(FollowOptions {
-                address: config.changelog,
-                new_addresses,
-                names: config.names,
-                last_change,
-                max_change_bytes: config.max_change_bytes,
-                seed: config.seed,
-                router: changes_sender,
-                lease,
-                delivery,
-            });
+        spawn_listener(listener, &config, router_senders, shutdown)?;
+        spawn_follower(FollowOptions {
+            address: config.changelog,
+            new_addresses,
+            names: config.names,
+            last_change,
+            max_change_bytes: config.max_change_bytes,
+            seed: config.seed,
+            router: router_sender.clone(),
+            lease: router.lease(),
+            delivery,
         })?;
         Ok((Dispatcher { router }, SignalTargets { router: router_sender, changelog }))
     }
@@ -100,3 +82,36 @@
         self.router.run();
     }
 }
+
+/// Takes the changes known at the start out of the configuration; returns them and the number of the last one.
+fn decode_known_changes(config: &mut Config) -> (Vec<Change>, u64) {
+    let mut last_change = 0;
+    let events = config.known_changes.take();
+    let (known, fault) = change_log::decode(&events, &config.names, &mut last_change, None);
+    if let Some(fault) = fault.filter(|_| !events.is_null()) {
+        tracing::warn!("known changes: {fault}; applied up to change {last_change}");
+    }
+    (known, last_change)
+}
+
+/// Starts the thread that accepts and reads clients.
+fn spawn_listener(
+    listener: TcpListener,
+    config: &Config,
+    router: RouterSenders,
+    shutdown: Arc<Shutdown>,
+) -> io::Result<()> {
+    let (max_clients, write_timeout) = (config.max_clients, config.longest_deadline().max(MIN_WRITE_TIMEOUT));
+    spawn("listener", move || {
+        if let Err(error) = clients::listen(listener, max_clients, write_timeout, router, shutdown) {
+            tracing::error!("the client listener failed, no clients are served: {error}");
+        }
+    })?;
+    Ok(())
+}
+
+/// Starts the thread that follows the change log.
+fn spawn_follower(options: FollowOptions) -> io::Result<()> {
+    spawn("changes", move || change_log::follow(options))?;
+    Ok(())
+}
--- a/crates/dispatcher/tests/discovery/bed.rs
+++ b/crates/dispatcher/tests/discovery/bed.rs
@@ -1,5 +1,8 @@
 //! Test fixtures: dispatcher processes, a fake change log and fake hosts that answer when the test says so,
 //! and clients.
+#[path = "../support/stopped.rs"]
+mod stopped;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -449,16 +452,7 @@
 
     /// Waits until all threads of the process are stopped.
     pub fn wait_until_stopped(&self) {
-        let tasks = format!("/proc/{}/task", self.child.id());
-        let is_stopped = |task: std::io::Result<std::fs::DirEntry>| {
-            let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
-            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
-        };
-        let end = Instant::now() + STEP_TIMEOUT;
-        while !std::fs::read_dir(&tasks).unwrap().all(is_stopped) {
-            assert!(Instant::now() < end, "the process was not stopped");
-            std::thread::sleep(Duration::from_millis(1));
-        }
+        stopped::wait_until_stopped(self.child.id(), STEP_TIMEOUT);
     }
 }
 
--- a/crates/dispatcher/tests/sockets_bed/dispatchers.rs
+++ b/crates/dispatcher/tests/sockets_bed/dispatchers.rs
@@ -1,4 +1,7 @@
 //! Dispatcher processes and their configuration.
+#[path = "../support/stopped.rs"]
+mod stopped;
+
 use super::change_log::ChangeLog;
 use super::TIMEOUT;
 use cherrypass_shim::Shim;
@@ -7,8 +10,8 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver};
-use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant};
+use std::thread::spawn;
+use std::time::Instant;
 
 pub const SETTINGS: &str = r#"{"balancers": 2, "me": 0, "zone": 1, "zones": ["hub", "edge"], "weight_source": "rough",
  "models": ["small", "parent", "origin"],
@@ -121,16 +124,7 @@
 
     /// Waits until all threads of the process are stopped.
     pub fn wait_until_stopped(&self) {
-        let tasks = format!("/proc/{}/task", self.child.id());
-        let is_stopped = |task: std::io::Result<std::fs::DirEntry>| {
-            let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
-            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
-        };
-        let end = Instant::now() + TIMEOUT;
-        while !std::fs::read_dir(&tasks).unwrap().all(is_stopped) {
-            assert!(Instant::now() < end, "the process was not suspended");
-            sleep(Duration::from_millis(1));
-        }
+        stopped::wait_until_stopped(self.child.id(), TIMEOUT);
     }
 
     /// The number of open files, and of connections pending at the listener.
