--- a/crates/faultbed/tests/bed.rs
+++ b/crates/faultbed/tests/bed.rs
@@ -277,6 +277,7 @@
 #[test_case(include_str!("../scenarios/message_forms.bed"); "two message forms")]
 #[test_case(include_str!("../scenarios/delivery.bed"); "delivery by carriers")]
 #[test_case(include_str!("../scenarios/stopped_dispatcher.bed"); "a stopped dispatcher")]
+#[test_case(include_str!("../scenarios/stopped_follower.bed"); "a stopped follower of carriers")]
 fn scenario_holds(text: &str) {
     let own = std::env::current_exe().unwrap();
     let program = own.parent().unwrap().parent().unwrap().join("cherrypass");
