Suspension tests: a poll counts as late by when it came, not by when the test looks at it

a_short_stop_is_noticed (the hosts) failed once in six series beside 24 busy loops, 2026-12-03: "sent to b before the log was read". Cause, in the test: a poll that came after the process continued was taken for an older one if the test looked at it over 5 ms later, and was answered with no changes; the process then went on, rightly.

Polls are told apart by the time at which they arrived, against when the process continued, and those open during the stop are ended before it continues. The check itself and its bounds stay.

--- a/crates/dispatcher/tests/discovery/bed.rs
+++ b/crates/dispatcher/tests/discovery/bed.rs
@@ -112,6 +112,11 @@
         self.polls.recv_timeout(STEP_TIMEOUT).expect("the change log is not polled")
     }
 
+    /// The next poll, if one has come.
+    pub fn try_next_poll(&self) -> Option<Poll> {
+        self.polls.try_recv().ok()
+    }
+
     /// The next poll for the changes after a given one.
     pub fn next_since(&self, since: u64) -> Poll {
         let end = Instant::now() + STEP_TIMEOUT;
--- a/crates/dispatcher/tests/suspension.rs
+++ b/crates/dispatcher/tests/suspension.rs
@@ -56,11 +56,18 @@
         kill(Pid::from_raw(self.dispatcher.child.id() as i32), Signal::SIGCONT).unwrap();
     }
 
-    /// Answers the polls that were open when the process stopped, and returns the first one after it continued.
-    fn first_poll_after_resume(&self) -> Poll {
+    /// Answers the polls that are open, as a log does whose wait ends.
+    fn end_open_polls(&self) {
+        while let Some(poll) = self.log.try_next_poll() {
+            let _ = poll.try_write(http(&body(&[])).as_bytes());
+        }
+    }
+
+    /// Answers the polls that arrived before the process continued, and returns the first one after it.
+    fn first_poll_after(&self, resumed_at: Instant) -> Poll {
         loop {
             let poll = self.log.next_poll();
-            if poll.at.elapsed() < Duration::from_millis(5) {
+            if poll.at > resumed_at {
                 return poll;
             }
             let _ = poll.try_write(http(&body(&[])).as_bytes());
@@ -120,9 +127,10 @@
     while let Some(message) = fixture.next_message() {
         assert_ne!(message.words[0], "want", "sent before the process was stopped");
     }
+    fixture.end_open_polls();
     let resumed_at = Instant::now();
     fixture.resume();
-    let poll = fixture.first_poll_after_resume();
+    let poll = fixture.first_poll_after(resumed_at);
     sleep(ANSWER_DELAY);
     let sent_early = fixture.next_message();
     poll.answer(&[list(2, false, &[("a", fixture.a, DRAINING)])]);
