Review case 1: a second copy of a miss ends the next hand-off, and what runs is turned back

Case: a class that may not run twice, fills at their limit, a slow origin, and hosts that answer some misses a second time 4 to 14 ms later. The second copy is taken for the answer to the next hand-off of the same try on the same connection if that asks a parent for cached copies only. The try is refused or handed off again while the hand-off runs.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+review/build.sh || exit 2
+if [ ! -x target/release/cherrypass ]; then
+  echo "build the program first: cargo build --release --locked"
+  exit 2
+fi
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout 110 target/review/case-1 review/1 "$folder"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
