Review: run.sh ends what it started however it ends; records of cases 2 and 3 have what was sent

run.sh ended by a signal left the case and its dispatcher running until the case ended by itself; it now ends them by id. The records lacked the clients' requests, and misses in case 2.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -99,6 +99,7 @@
         let mut world = self.0.lock().unwrap();
         let writer = writer.clone();
         let Some((born_ms, how, ms)) = world.look(&writer.host, &want) else {
+            note_at(want.first_byte_at, format!("{}: attempt {}: LACK", writer.host, want.id));
             return later(MISS_MS, move || writer.answer(&want.id, "LACK", "-", b""));
         };
         let (item, host, oldest) =
@@ -166,7 +167,9 @@
             family: family(index),
             ..Request::default()
         };
-        client.write(&request.encode(client.take_id()));
+        let id = client.take_id();
+        note(format!("client: request {id}, try {}, asks for {}", request.txn, request.item));
+        client.write(&request.encode(id));
     }
     pause_ms(500);
     if dispatcher.has_exited() || client.has_ended.load(SeqCst) {
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -43,6 +43,7 @@
 
 /// A shop-front router: a client with one connection.
 struct Router {
+    name: String,
     client: Client,
     sent: Shared<BTreeMap<u32, Sent>>,
 }
@@ -50,13 +51,13 @@
 impl Router {
     fn connect(dispatcher: &Dispatcher, name: String) -> Router {
         let sent: Shared<BTreeMap<u32, Sent>> = shared(BTreeMap::new());
-        let own = sent.clone();
+        let (own, answered) = (sent.clone(), name.clone());
         let on_answer = move |id, answer: Answer, at| {
-            note_at(at, format!("{name}: request {id}: {}", answer.word()));
+            note_at(at, format!("{answered}: request {id}: {}", answer.word()));
             own.lock().unwrap().entry(id).and_modify(|sent| sent.answered_at = Some(at));
         };
         match Client::connect(dispatcher.address, Box::new(on_answer)) {
-            Ok(client) => Router { client, sent },
+            Ok(client) => Router { name, client, sent },
             Err(_) => could_not_run("no connection to the dispatcher"),
         }
     }
@@ -140,7 +141,14 @@
             if router.client.has_ended.load(SeqCst) {
                 could_not_run("a router's connection has ended");
             }
-            all.extend(router.sent.lock().unwrap().values().cloned());
+            // Noted after the round, so that the record does not slow the clients down.
+            for (id, sent) in router.sent.lock().unwrap().iter() {
+                note_at(
+                    sent.written_at,
+                    format!("{}: request {id}, try {}: written whole", router.name, sent.txn),
+                );
+                all.push(sent.clone());
+            }
             router.client.close();
         }
     }
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,8 +7,20 @@
   exit 2
 fi
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-timeout 110 target/review/case-3 review/3 "$folder"
+# Whatever ends this script ends the case, by its id; the dispatcher ends with the case.
+end() {
+  if [ -n "${child:-}" ]; then
+    kill "$child" 2>/dev/null
+    wait "$child" 2>/dev/null
+  fi
+  rm -rf "$folder"
+}
+trap end EXIT
+trap 'exit 2' HUP INT TERM
+timeout 110 target/review/case-3 review/3 "$folder" &
+child=$!
+wait "$child"
 code=$?
+child=
 [ "$code" -le 1 ] || code=2
 exit "$code"
