An id is sent once on a host's connection: second copies of answers end no later attempt

Cause: all attempts of a request have its id on the wire. After a miss the id could be used again on the same connection (PooledConnection::accepts), and a second copy of the miss was told by its content (PendingHandOff::expects): dropped if the new attempt's source fetches what it lacks, taken for the answer else. The same class after a cancel: the first late answer took the id's mark away, so its second copy ended the next attempt.

Change: an id whose attempt ended unserved is kept with the connection until the request's time is over (used_ids), whatever the answer's word, source and mode. The next attempt to that host takes another connection, opened past the host's share if need be, or in place of the one idle longest. fills_miss, is_repeat and the two maps it replaces are gone.

Related paths looked at: probes have a tag of their own; late answers to other connections have always been dropped by id.

--- a/crates/dispatcher/src/host_messages.rs
+++ b/crates/dispatcher/src/host_messages.rs
@@ -61,10 +61,10 @@
     pub client_tag: Option<Bytes>,
     /// Whether the answer is a cached copy; the answer to a write is not, even through a cache.
     pub expects_copy: bool,
-    /// Whether the host fills a miss from a source that fetches the object if it lacks it.
-    pub fills_miss: bool,
     /// Deadline for the answer.
     pub deadline: Time,
+    /// When the client stops waiting; the visit is not handed off again after that.
+    pub visit_deadline: Time,
     /// Sending must not start after this.
     pub latest_start: Time,
     pub cancel: CancelToken,
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -16,7 +16,7 @@
 use crate::connection::{spawn, CloseReason};
 use crate::host_connections::HostConnections;
 use crate::host_messages::{HandOff, HostMailbox, HostThreadMessage, NewHost, ToHost};
-use crate::ids::HostActorId;
+use crate::ids::{HostActorId, Txn};
 use crate::inbox::{FromHost, Input};
 use crate::mailbox;
 use cherrypass::calls::Outcome;
@@ -95,8 +95,8 @@
     message: ToHost,
     shared: &Shared,
 ) {
-    if matches!(message, ToHost::HandOff(_)) {
-        free_connection_for(hosts, actor);
+    if let ToHost::HandOff(hand_off) = &message {
+        free_connection_for(hosts, actor, Txn::parse(&hand_off.txn));
     }
     match (hosts.get_mut(&actor), message) {
         (Some(host), message) => {
@@ -115,12 +115,12 @@
     }
 }
 
-/// Closes the connection that has been idle longest if the host has none and all are in use, so that
+/// Closes the connection that has been idle longest if the host has none for this id and all are in use, so that
 /// connections follow the traffic when there are more hosts than connections. Visits that alternate between
 /// more hosts than that open a connection each.
-fn free_connection_for(hosts: &mut BTreeMap<HostActorId, Box<Host>>, actor: HostActorId) {
+fn free_connection_for(hosts: &mut BTreeMap<HostActorId, Box<Host>>, actor: HostActorId, txn: Txn) {
     let Some(host) = hosts.get(&actor) else { return };
-    let has_connection = host.pool.values().any(|pooled| pooled.is_usable());
+    let has_connection = host.pool.values().any(|pooled| pooled.is_usable_for(txn));
     if has_connection || host.is_removed || host.shared.capacity.reserve_connection().is_some() {
         return;
     }
--- a/crates/dispatcher/src/hosts/answers.rs
+++ b/crates/dispatcher/src/hosts/answers.rs
@@ -1,6 +1,6 @@
 //! Matches the answers of a host with its hand-offs and probes.
 use super::host::Host;
-use super::pool::{AnsweredHandOff, PendingHandOff};
+use super::pool::PendingHandOff;
 use crate::capacity::Reservation;
 use crate::connection::CloseReason;
 use crate::ids::{ConnectionId, Txn};
@@ -10,14 +10,6 @@
 use cherrypass::time::Time;
 
 impl PendingHandOff {
-    /// Whether this answers the hand-off.
-    fn expects(&self, answer: &Answer) -> bool {
-        // A miss on a repeated hand-off that fills is a duplicate of the earlier miss: a host with a source
-        // to fill from doesn't answer with one.
-        let is_duplicate = self.is_repeat && self.fills_miss && answer.outcome == Outcome::Miss;
-        self.txn == answer.id && !is_duplicate
-    }
-
     /// Whether the answer can't be passed on. An answer may confirm the client's copy only by naming the tag
     /// that the client sent, and a copy must name its tag.
     fn rejects(&self, answer: &Answer) -> bool {
@@ -44,15 +36,14 @@
             return;
         }
         let txn = Txn::parse(&answer.id);
-        let is_expected = pooled.in_flight.get(&txn).is_some_and(|pending| pending.expects(&answer));
+        // An id is sent once on a connection, so the answer can belong to no earlier hand-off of the visit.
+        let is_expected = pooled.in_flight.get(&txn).is_some_and(|pending| pending.txn == answer.id);
         let Some(pending) = is_expected.then(|| pooled.in_flight.remove(&txn)).flatten() else {
-            // An answer to a cancelled or unknown hand-off is dropped.
-            pooled.cancelled.remove(&txn);
+            // An answer to a cancelled or unknown hand-off, or a second copy of one, is dropped.
             return;
         };
         if answer.outcome != Outcome::Served {
-            let (until, is_miss) = (pending.deadline, answer.outcome == Outcome::Miss);
-            pooled.answered.insert(txn, AnsweredHandOff { until, is_miss });
+            pooled.mark_used(txn, pending.visit_deadline);
         }
         // An unusable answer reaches no client, nor does anything after it on this connection.
         if pending.rejects(&answer) {
--- a/crates/dispatcher/src/hosts/closing.rs
+++ b/crates/dispatcher/src/hosts/closing.rs
@@ -6,10 +6,7 @@
 use crate::ids::{ConnectionId, HandOffId};
 use crate::inbox::{FromHost, Input};
 use cherrypass::calls::Outcome;
-use cherrypass::time::{Span, Time};
-
-/// Grace for late answers on the network: only after it may the id of a cancelled hand-off be reused.
-const LATE_ANSWER_MARGIN: Span = Span::millis(100);
+use cherrypass::time::Time;
 
 impl Host {
     /// Reports the hand-offs of a connection that has closed.
@@ -85,8 +82,7 @@
     pub(super) fn sweep(&mut self, now: Time) {
         let idle = self.shared.limits.idle_timeout.times(0.8);
         for pooled in self.pool.values_mut() {
-            pooled.cancelled.retain(|_, until| now < *until + LATE_ANSWER_MARGIN);
-            pooled.answered.retain(|_, answered| now < answered.until);
+            pooled.used_ids.retain(|_, visit_deadline| now < *visit_deadline);
             let Some(connection) = pooled.connection.as_ref().filter(|_| !pooled.is_closing) else {
                 continue;
             };
--- a/crates/dispatcher/src/hosts/hand_offs.rs
+++ b/crates/dispatcher/src/hosts/hand_offs.rs
@@ -31,8 +31,7 @@
             self.report_end(hand_off.id, Outcome::Expired, None, clock::now());
             return;
         };
-        let is_repeat = pooled.answered.contains_key(&txn);
-        pooled.in_flight.insert(txn, PendingHandOff::new(&hand_off, is_repeat));
+        pooled.in_flight.insert(txn, PendingHandOff::new(&hand_off));
         match connection.filter(|_| pooled.connection.is_some()) {
             Some(id) => self.write(id, Outgoing::HandOff(hand_off)),
             None => pooled.waiting.push_back(hand_off),
@@ -49,12 +48,17 @@
         let best = best.map(|(id, pooled)| (*id, pooled.in_flight.len()));
         match best {
             Some((id, load)) if load < (streams / LIGHT_LOAD_DIVISOR).max(1) => Some(id),
-            loaded => self.open_connection().or(loaded.map(|(id, _)| id)),
+            loaded => self.open_connection(Some(txn)).or(loaded.map(|(id, _)| id)),
         }
     }
 
-    pub(super) fn open_connection(&mut self) -> Option<ConnectionId> {
-        let usable = self.pool.values().filter(|pooled| pooled.is_usable()).count();
+    /// Opens a connection if the host's share allows it. Those that were already used for the id of the hand-off
+    /// to be sent don't count: a visit may be handed off again to a host that has a single connection.
+    pub(super) fn open_connection(&mut self, txn: Option<Txn>) -> Option<ConnectionId> {
+        let is_counted = |pooled: &&PooledConnection| {
+            pooled.is_usable() && txn.is_none_or(|txn| !pooled.used_ids.contains_key(&txn))
+        };
+        let usable = self.pool.values().filter(is_counted).count();
         if self.is_removed || usable >= self.shared.capacity.connections_per_host() {
             return None;
         }
@@ -79,7 +83,7 @@
             return;
         }
         pooled.unsent_cancels.push(id);
-        pooled.cancelled.insert(txn, pending.deadline.max(now));
+        pooled.mark_used(txn, pending.visit_deadline);
         // A silent connection would look the least loaded; it must not get new hand-offs.
         let is_silent = |connection: &Arc<Connection>| {
             pending.send_state.written_at().is_some_and(|at| connection.last_read_at() < at)
--- a/crates/dispatcher/src/hosts/host.rs
+++ b/crates/dispatcher/src/hosts/host.rs
@@ -93,7 +93,7 @@
         match self.pool.iter().find(|(_, pooled)| is_up(pooled)).map(|(id, _)| *id) {
             Some(id) => self.write(id, Outgoing::Probe(probe)),
             None if self.pool.values().any(PooledConnection::is_usable) => {}
-            None => drop(self.open_connection()),
+            None => drop(self.open_connection(None)),
         }
     }
 
--- a/crates/dispatcher/src/hosts/pool.rs
+++ b/crates/dispatcher/src/hosts/pool.rs
@@ -18,36 +18,26 @@
     pub(super) txn: Bytes,
     pub(super) client_tag: Option<Bytes>,
     pub(super) expects_copy: bool,
-    /// See [`HandOff::fills_miss`].
-    pub(super) fills_miss: bool,
-    /// An earlier hand-off of the same request was answered on this connection.
-    pub(super) is_repeat: bool,
     pub(super) deadline: Time,
+    /// See [`HandOff::visit_deadline`].
+    pub(super) visit_deadline: Time,
     pub(super) send_state: SendState,
 }
 
 impl PendingHandOff {
-    pub(super) fn new(hand_off: &HandOff, is_repeat: bool) -> PendingHandOff {
+    pub(super) fn new(hand_off: &HandOff) -> PendingHandOff {
         PendingHandOff {
             id: hand_off.id,
             txn: hand_off.txn.clone(),
             client_tag: hand_off.client_tag.clone(),
             expects_copy: hand_off.expects_copy,
-            fills_miss: hand_off.fills_miss,
-            is_repeat,
             deadline: hand_off.deadline,
+            visit_deadline: hand_off.visit_deadline,
             send_state: hand_off.send_state.clone(),
         }
     }
 }
 
-/// A hand-off that was answered and may be handed off again.
-pub(super) struct AnsweredHandOff {
-    /// When the hand-off's deadline ends.
-    pub(super) until: Time,
-    pub(super) is_miss: bool,
-}
-
 /// A connection of a host's pool.
 pub(super) struct PooledConnection {
     pub(super) connection: Option<Arc<Connection>>,
@@ -59,10 +49,10 @@
     /// Hand-offs that wait for the connection to be established.
     pub(super) waiting: VecDeque<HandOff>,
     pub(super) in_flight: BTreeMap<Txn, PendingHandOff>,
-    /// Cancelled ids, and until when a late answer to them is possible.
-    pub(super) cancelled: BTreeMap<Txn, Time>,
-    /// Ids answered on this connection that may be handed off again.
-    pub(super) answered: BTreeMap<Txn, AnsweredHandOff>,
+    /// Ids whose hand-off on this connection has ended without the visit being served, each until the visit's
+    /// deadline. A late answer to such a hand-off, or a second copy of its answer, can't be told from the answer
+    /// to a further hand-off with the same id, so the connection is not used for one.
+    pub(super) used_ids: BTreeMap<Txn, Time>,
     /// Cancelled hand-offs whose cancel has not been written yet.
     pub(super) unsent_cancels: Vec<HandOffId>,
     pub(super) last_used: Time,
@@ -82,8 +72,7 @@
             hand_off_count: 0,
             waiting: VecDeque::new(),
             in_flight: BTreeMap::new(),
-            cancelled: BTreeMap::new(),
-            answered: BTreeMap::new(),
+            used_ids: BTreeMap::new(),
             unsent_cancels: Vec::new(),
             last_used: clock::now(),
             retire_reason: None,
@@ -92,13 +81,19 @@
         }
     }
 
-    /// Whether a hand-off with this id may be sent on the connection.
+    /// Whether a hand-off with this id may be sent on the connection once fewer are in flight.
+    pub(super) fn is_usable_for(&self, txn: Txn) -> bool {
+        self.is_usable() && !self.in_flight.contains_key(&txn) && !self.used_ids.contains_key(&txn)
+    }
+
+    /// Whether a hand-off with this id may be sent on the connection now.
     pub(super) fn accepts(&self, txn: Txn, streams: usize) -> bool {
-        // A late answer to a cancelled hand-off must not be taken for one to the visit's next hand-off, nor
-        // must a duplicate of an earlier answer; duplicates of a miss can be told apart.
-        let answered = self.answered.get(&txn).is_some_and(|answered| !answered.is_miss);
-        let in_use = self.in_flight.contains_key(&txn) || self.cancelled.contains_key(&txn) || answered;
-        self.is_usable() && !in_use && self.in_flight.len() < streams
+        self.is_usable_for(txn) && self.in_flight.len() < streams
+    }
+
+    /// Notes that a hand-off, which may have been sent, has ended without the visit being served.
+    pub(super) fn mark_used(&mut self, txn: Txn, visit_deadline: Time) {
+        self.used_ids.insert(txn, visit_deadline);
     }
 
     /// Whether the connection may take more hand-offs.
--- a/crates/dispatcher/src/router/state.rs
+++ b/crates/dispatcher/src/router/state.rs
@@ -70,6 +70,11 @@
     pub(super) fn key(&self) -> &[u8] {
         self.request.dedup_key.as_ref().unwrap_or(&self.request.txn)
     }
+
+    /// When the client stops waiting.
+    pub(super) fn deadline(&self) -> Time {
+        self.received_at + self.request.time_limit
+    }
 }
 
 /// A hand-off that has not ended.
--- a/crates/dispatcher/src/router/visits.rs
+++ b/crates/dispatcher/src/router/visits.rs
@@ -54,7 +54,7 @@
             group: self.request.group,
             part: self.request.block,
             kilobytes: None,
-            deadline: self.received_at + self.request.time_limit,
+            deadline: self.deadline(),
         }
     }
 }
