--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -10,17 +10,19 @@
 
 pub use self::answer::read_answer;
 pub use self::changes::OnChange;
-use self::connections::Connections;
+use self::connections::{Connections, PollFailure};
 use self::poll_state::PollState;
 pub(crate) use self::time_limits::CHECK_INTERVAL;
 pub use self::time_limits::MAX_ANNOUNCEMENT_DELAY;
+use self::time_limits::{ANNOUNCED_AFTER, ANNOUNCED_AFTER_RELOAD};
 use crate::carried_changes::{Delivery, Source};
 use crate::change_decoding::ChangeDecoder;
 pub use crate::change_decoding::{decode, host_id, ChangeLogError, InvalidKey};
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
 use crate::config::WireNames;
-use crate::inbox::Input;
+use crate::inbox::{AnnouncedChanges, Input, NewAddress};
+use cherrypass::time::{Span, Time};
 use crossbeam_channel::{Receiver, Sender};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -32,7 +34,7 @@
     /// Address of the change log.
     pub address: SocketAddr,
     /// New addresses of the change log.
-    pub new_addresses: Receiver<SocketAddr>,
+    pub new_addresses: Receiver<NewAddress>,
     pub names: WireNames,
     /// Number of the last known change.
     pub last_change: u64,
@@ -67,8 +69,11 @@
         if source.apply_delivered(&names, &mut last_change, &router).is_err() {
             return;
         }
-        if connections.update_address() {
+        for reload in connections.update_address() {
             state.reset_retry_delay();
+            if router.send(Input::ChangesAnnounced(announced_by_reload(reload))).is_err() {
+                return;
+            }
         }
         let (polled_at, polled_instant) = (clock::now(), Instant::now());
         let since = last_change;
@@ -93,9 +98,15 @@
         }
         state.note_repeated(repeated, last_change);
         let fault = match answer {
-            Err(ChangeLogError::AddressChanged) => continue,
-            Err(ChangeLogError::RouterStopped) => return,
-            Err(fault) => Some(fault),
+            Err(PollFailure { fault: ChangeLogError::AddressChanged, .. }) => continue,
+            Err(PollFailure { fault: ChangeLogError::RouterStopped, .. }) => return,
+            Err(PollFailure { fault, requested_at }) => {
+                let announced = requested_at.map(|at| announced_by_failure(at, limits.wait));
+                if announced.is_some_and(|changes| router.send(Input::ChangesAnnounced(changes)).is_err()) {
+                    return;
+                }
+                Some(fault)
+            }
             Ok(seq) => {
                 state.note_sequence(seq, since);
                 None
@@ -109,3 +120,16 @@
         }
     }
 }
+
+/// What counts as announced after a poll without a complete answer: it broke off, stopped, was not answered in time, or
+/// can't be used.
+fn announced_by_failure(requested_at: Time, wait: Span) -> AnnouncedChanges {
+    let noted_at = clock::now();
+    AnnouncedChanges { noted_at, announced_at: noted_at.min(requested_at + wait) + ANNOUNCED_AFTER }
+}
+
+/// What counts as announced after a reload, unless it is read at the new address before.
+fn announced_by_reload(reload: NewAddress) -> AnnouncedChanges {
+    let noted_at = reload.signalled_at;
+    AnnouncedChanges { noted_at, announced_at: noted_at + ANNOUNCED_AFTER_RELOAD }
+}
--- a/crates/dispatcher/src/change_log/answer_stream.rs
+++ b/crates/dispatcher/src/change_log/answer_stream.rs
@@ -2,11 +2,12 @@
 use super::time_limits::CHECK_INTERVAL;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
+use crate::inbox::NewAddress;
 use cherrypass::time::Time;
 use crossbeam_channel::Receiver;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::io::{self, ErrorKind, Read};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::os::fd::AsFd;
 
 /// Waits until a stream is ready, but no longer than `until` or the check interval; returns which streams are
@@ -26,7 +27,7 @@
 /// up to a limit, so that a stall of this process loses no changes.
 pub(super) struct AnswerStream<'a> {
     pub(super) stream: &'a TcpStream,
-    pub(super) new_addresses: &'a Receiver<SocketAddr>,
+    pub(super) new_addresses: &'a Receiver<NewAddress>,
     /// The current deadline: first for the beginning of the answer, then for its end.
     pub(super) deadline: Time,
     pub(super) end_deadline: Time,
--- a/crates/dispatcher/src/change_log/connections.rs
+++ b/crates/dispatcher/src/change_log/connections.rs
@@ -6,6 +6,7 @@
 use crate::change_decoding::ChangeLogError;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
+use crate::inbox::NewAddress;
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::Receiver;
 use nix::poll::PollFlags;
@@ -29,6 +30,7 @@
 }
 
 /// The time limits of a poll.
+#[derive(Clone, Copy)]
 pub(super) struct PollLimits {
     /// The wait requested of the log.
     pub(super) wait: Span,
@@ -36,10 +38,17 @@
     pub(super) response_timeout: Span,
 }
 
+/// A poll without a complete answer.
+pub(super) struct PollFailure {
+    pub(super) fault: ChangeLogError,
+    /// When the log was asked, if a connection was established.
+    pub(super) requested_at: Option<Time>,
+}
+
 /// The connections to the change log between polls.
 pub(super) struct Connections {
     address: SocketAddr,
-    new_addresses: Receiver<SocketAddr>,
+    new_addresses: Receiver<NewAddress>,
     idle: Option<TcpStream>,
     dials: Vec<Dial>,
     max_change_bytes: usize,
@@ -49,18 +58,20 @@
 impl Connections {
     pub(super) fn new(
         address: SocketAddr,
-        new_addresses: Receiver<SocketAddr>,
+        new_addresses: Receiver<NewAddress>,
         max_change_bytes: usize,
         lease: ChangeLogLease,
     ) -> Connections {
         Connections { address, new_addresses, idle: None, dials: Vec::new(), max_change_bytes, lease }
     }
 
-    /// Closes the connections if the change log has a new address; returns whether it has.
-    pub(super) fn update_address(&mut self) -> bool {
-        let Some(address) = self.new_addresses.try_iter().last() else { return false };
-        (self.address, self.idle, self.dials) = (address, None, Vec::new());
-        true
+    /// Takes the new addresses of the change log, and closes the connections if there is one.
+    pub(super) fn update_address(&mut self) -> Vec<NewAddress> {
+        let new: Vec<NewAddress> = self.new_addresses.try_iter().collect();
+        if let Some(NewAddress { address, .. }) = new.last() {
+            (self.address, self.idle, self.dials) = (*address, None, Vec::new());
+        }
+        new
     }
 
     /// Waits, but no longer than until the address changes. Without a connection there is nothing to read, so the
@@ -112,10 +123,22 @@
     pub(super) fn poll(
         &mut self,
         since: u64,
+        limits: PollLimits,
+        on_change: &mut OnChange,
+    ) -> Result<Option<u64>, PollFailure> {
+        let stream = self.take_connection().map_err(|fault| PollFailure { fault, requested_at: None })?;
+        let requested_at = Some(clock::now());
+        self.request(stream, since, limits, on_change).map_err(|fault| PollFailure { fault, requested_at })
+    }
+
+    /// Sends a request and reads the answer.
+    fn request(
+        &mut self,
+        stream: TcpStream,
+        since: u64,
         PollLimits { wait, response_timeout }: PollLimits,
         on_change: &mut OnChange,
     ) -> Result<Option<u64>, ChangeLogError> {
-        let stream = self.take_connection()?;
         let (wait_ms, address) = (wait.0 / 1000, self.address);
         let request = format!(
             "GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {address}\r\n\
--- a/crates/dispatcher/src/change_log/time_limits.rs
+++ b/crates/dispatcher/src/change_log/time_limits.rs
@@ -16,6 +16,8 @@
 /// Changes in a broken answer count as announced this long after the break, and those in an answer that
 /// stalls this long after the requested wait.
 pub(super) const ANNOUNCED_AFTER: Span = Span::millis(2_000);
+/// Changes count as announced this long after SIGHUP has given the log's new address.
+pub(super) const ANNOUNCED_AFTER_RELOAD: Span = Span::millis(4_000);
 /// Maximum time for a complete answer: the longest wait and time for the transfer.
 pub(super) const RESPONSE_DEADLINE: Span = Span::millis(1_100);
 /// How often a wait checks whether the address has changed, and renews the lease.
--- a/crates/dispatcher/src/inbox.rs
+++ b/crates/dispatcher/src/inbox.rs
@@ -23,6 +23,8 @@
     Change(Change),
     /// All changes that the change log had at this time have been sent.
     ChangeLogReadUpTo(Time),
+    /// The change log has changes that may not have been read.
+    ChangesAnnounced(AnnouncedChanges),
     /// A host reset its connections or refused one, so that its process may be new.
     HostReset(HostActorId),
     /// The store accepted or rejected the record of a hand-off.
@@ -84,6 +86,22 @@
     pub address: Option<SocketAddr>,
 }
 
+/// A new address of the change log.
+#[derive(Clone, Copy, Debug)]
+pub struct NewAddress {
+    pub address: SocketAddr,
+    /// When the process was told to reload its configuration.
+    pub signalled_at: Time,
+}
+
+/// All changes that the change log has at `announced_at` count as announced from then on, whether or not they arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnnouncedChanges {
+    /// When the reading of the log failed. An answer to a later poll has the changes.
+    pub noted_at: Time,
+    pub announced_at: Time,
+}
+
 /// A change read from the change log.
 #[derive(Clone, Debug)]
 pub enum Change {
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -1,7 +1,7 @@
 //! The router: owns the decision module, the open visits and the hand-offs in flight. It turns messages into
 //! calls of the module and carries out the module's decisions.
 mod answers;
-mod change_log_silence;
+
 mod changes;
 mod client_messages;
 mod decisions;
@@ -15,6 +15,7 @@
 mod startup;
 mod state;
 mod timers;
+mod unread_changes;
 mod visits;
 
 pub use self::state::Router;
@@ -34,7 +35,9 @@
 impl Router {
     /// Runs until shutdown is complete.
     pub fn run(&mut self) {
-        self.lease.grant(clock::now());
+        let now = clock::now();
+        self.lease.grant(now);
+        self.note_changes_read(now);
         self.carry_out_decisions();
         while !self.is_done {
             let input = self.receive();
@@ -107,6 +110,7 @@
                 self.lease.change_applied();
             }
             Input::ChangeLogReadUpTo(at) => self.changelog_read(at),
+            Input::ChangesAnnounced(changes) => self.changes_announced(changes),
             Input::HostReset(actor) => self.host_reset(actor),
             Input::HandOffRecordStored(id, result) => self.record_stored(id, result),
             Input::Fleet(message) => {
--- a/crates/dispatcher/src/router/state.rs
+++ b/crates/dispatcher/src/router/state.rs
@@ -35,6 +35,8 @@
     Wake,
     AnswerTimeout(HandOffId),
     ConnectTimeout(HandOffId),
+    /// Purges that may not have been read have to be obeyed.
+    ChangesAnnounced,
     /// The hand-off must not be sent any more if it has not been started.
     LatestStart(HandOffId),
     ProbeTimeout(ProbeId),
@@ -134,11 +136,10 @@
     pub(super) fleet_connection: Option<FleetConnection>,
     pub(super) attempt_log: AttemptLog,
     pub(super) change_clock: ChangeClock,
-    /// All changes that the change log had at this time are applied.
-    pub(super) changelog_read_at: Time,
     /// Valid while the list and the purges are recent enough to decide by.
     pub(super) lease: ChangeLogLease,
-    pub(super) is_changelog_silent: bool,
+    /// Whether the age of copies is limited by purges that may not have been read.
+    pub(super) is_copy_age_limited: bool,
 }
 
 impl Router {
@@ -185,9 +186,8 @@
             fleet_connection: None,
             attempt_log: AttemptLog::default(),
             change_clock: ChangeClock::default(),
-            changelog_read_at: now,
             lease,
-            is_changelog_silent: false,
+            is_copy_age_limited: false,
         })
     }
 }
--- a/crates/dispatcher/src/router/timers.rs
+++ b/crates/dispatcher/src/router/timers.rs
@@ -19,6 +19,7 @@
                 Timer::Wake => self.engine.tick(clock::now()),
                 Timer::AnswerTimeout(id) => self.time_out_answer(id, now),
                 Timer::ConnectTimeout(id) => self.time_out_connect(id),
+                Timer::ChangesAnnounced => self.apply_announced_changes(),
                 Timer::LatestStart(id) => self.expire_unsent(id),
                 Timer::ProbeTimeout(probe) => self.end_probe(probe, Report::default()),
                 Timer::Sweep => self.sweep(now),
@@ -39,7 +40,7 @@
         self.timers.push(now + SWEEP_INTERVAL, Timer::Sweep);
         self.host_actors.sweep(now);
         self.update_start_times(now);
-        self.check_changelog();
+        self.check_unread_changes();
         self.sweep_count += 1;
         if self.sweep_count.is_multiple_of(SWEEPS_PER_REPORT) {
             if let Some(recorder) = &mut self.recorder {
--- a/crates/dispatcher/src/signals.rs
+++ b/crates/dispatcher/src/signals.rs
@@ -1,20 +1,20 @@
 //! Signal handling: SIGTERM and SIGINT start a graceful shutdown, SIGHUP reloads the configuration. A
 //! configuration that is invalid leaves the current one in force.
+use crate::clock;
 use crate::config::Config;
 use crate::connection::spawn;
 use crate::durable_state::StateStore;
-use crate::inbox::Input;
+use crate::inbox::{Input, NewAddress};
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// The channels through which signals take effect.
 pub struct SignalTargets {
     pub router: Sender<Input>,
     /// Passes a new change log address to the thread that follows it.
-    pub changelog: Sender<SocketAddr>,
+    pub changelog: Sender<NewAddress>,
 }
 
 /// Registers the signals, which are then queued until they are handled, so that one that arrives during
@@ -47,8 +47,9 @@
     path: &std::path::Path,
     config: &Config,
     kept: Option<&StateStore>,
-    changelog: &Sender<SocketAddr>,
+    changelog: &Sender<NewAddress>,
 ) {
+    let signalled_at = clock::now();
     let (new, text) = match Config::load_text(path) {
         Ok(new) => new,
         Err(error) => {
@@ -63,5 +64,5 @@
     if let Some(kept) = kept {
         kept.record_configuration(path, &text);
     }
-    let _ = changelog.send(new.changelog);
+    let _ = changelog.send(NewAddress { address: new.changelog, signalled_at });
 }
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -91,6 +91,7 @@
 #[test_case(include_str!("sockets/clock_back.txt"); "clock_back")]
 #[test_case(include_str!("sockets/clock_start.txt"); "clock_start")]
 #[test_case(include_str!("sockets/change_log_silent.txt"); "change_log_silent")]
+#[test_case(include_str!("sockets/change_log_breaks_off.txt"); "change_log_breaks_off")]
 #[test_case(include_str!("sockets/accept_aborted.txt"); "accept_aborted")]
 #[test_case(include_str!("sockets/suspended_slow_writer.txt"); "suspended_slow_writer")]
 #[test_case(include_str!("sockets/suspended_store.txt"); "suspended_store")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,4 +30,5 @@
 mod shared_limits;
 pub mod state;
 pub mod time;
+mod unread_changes;
 mod visits;
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,7 @@
 use crate::purges::Purges;
 use crate::settings::{ClassSettings, Settings};
 use crate::time::{Span, Time};
+use crate::unread_changes::UnreadChanges;
 use crate::visits::{OpenVisit, SentHandOff};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -47,9 +48,7 @@
     pub(crate) purges: Purges,
     /// Maximum age of copies while purges may have been missed: the time in which a purge has to be obeyed.
     pub(crate) unverified_max_age: Option<Span>,
-    /// Maximum age of copies while the change log is silent: the time after which its purges have to be
-    /// obeyed whether or not they arrived.
-    pub(crate) log_silence_max_age: Option<Span>,
+    pub(crate) unread_changes: UnreadChanges,
     pub(crate) cached_copies: BTreeMap<CachedCopyId, CachedCopy>,
     pub(crate) class_stats: Vec<ClassStats>,
     /// Average seconds of work of a hand-off to a cache.
@@ -83,7 +82,7 @@
             popularity: Default::default(),
             purges: Default::default(),
             unverified_max_age: None,
-            log_silence_max_age: None,
+            unread_changes: Default::default(),
             cached_copies: Default::default(),
             timers: Default::default(),
             undecided: Default::default(),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -18,6 +18,8 @@
 //! - `ran HOST AGO ID BAND OBJECT`: a visit of which an earlier attempt may have been executed at HOST
 //! - `end ID OUTCOME [NOTE]`: the visit's latest hand-off ends
 //! - `purge OBJECT|group AGO`; `unproven on|off`: purges may have been missed
+//! - `log-read AT MAX`: all changes up to AT are known, later ones count as announced MAX after they were made;
+//!   `announced NOTED AT`: all that the log has at AT counts as announced from then on, as noted at NOTED
 //! - `busy NAME VALUE`: the load that a host reports with answers and to probes; without it none is reported
 //! - `answer NAME,..|from:NAME OUTCOME NOTE MS`: how hosts answer from now on; `silent`: never
 //! - `flow N BAND EVERY OBJECTS`: a series of visits
@@ -412,6 +414,16 @@
                 let is_unverified = *state == "on";
                 self.call_module(|engine, _| engine.set_purges_unverified(is_unverified));
             }
+            ["log-read", at, max_delay] => {
+                let (at, max_delay) = (Time(START + micros(at)), Span(micros(max_delay)));
+                self.call_module(|engine, _| engine.changes_read(at, max_delay));
+            }
+            ["announced", noted_at, announced_at] => {
+                let [noted_at, announced_at] = [noted_at, announced_at].map(|at| Time(START + micros(at)));
+                self.call_module(|engine, _| {
+                    engine.changes_announced(noted_at, announced_at);
+                });
+            }
             ["purge", object, ago] => {
                 let (object, ago) = (object.parse().ok().map(ObjectId), Span(micros(ago)));
                 self.call_module(|engine, now| engine.record_purge(now, GroupId(1), object, ago));
@@ -499,6 +511,7 @@
 #[test_case(include_str!("scenarios/popular.txt"); "popular")]
 #[test_case(include_str!("scenarios/purge.txt"); "purge")]
 #[test_case(include_str!("scenarios/purges_unverified.txt"); "purges_unverified")]
+#[test_case(include_str!("scenarios/purges_announced.txt"); "purges_announced")]
 #[test_case(include_str!("scenarios/attempt_before_restart.txt"); "attempt_before_restart")]
 #[test_case(include_str!("scenarios/repeat_window.txt"); "repeat_window")]
 #[test_case(include_str!("scenarios/restart.txt"); "restart")]
