Unread withdrawals are found by their framing: bodies of other requests cancel none

Cause: before an attempt starts, unread bytes of its client's connection were searched for the word "withdraw" and an array with the request's id (CancelToken::check_live, msgpack::withdraws). Bodies of other requests hold such bytes too; the request was closed as one whose client had left. The search also saw 4,096 bytes alone, so that a withdrawal behind a long body was missed.

Change: the look ahead (client_input.rs) continues with the bytes that the reader holds and decodes messages as the reader does. Where more than 16 kB are unread, or a part of a message, it decides nothing: the hand-off is held back, 5 ms at a time, until the reader has come to the end of what the client has written, as a closed receive window may keep withdrawals and a close in the client's own buffers. The search is gone; poll is called again if a signal interrupts it.

Evidence: sockets/client_bodies.txt (bodies of 300 B to 40 kB that withdraw everything) and client_leaves_behind_bodies.txt (withdrawals and a close behind 32 requests while the process is stopped) fail on the code before. The codec test's assertion on withdrawals in every form goes through the look ahead now.

--- a/crates/dispatcher/src/cancellation.rs
+++ b/crates/dispatcher/src/cancellation.rs
@@ -1,58 +1,46 @@
 //! Cancellation of requests. The thread that reads clients marks a request as cancelled at once, ahead of the
 //! router's queue, so that no attempt starts after its client has left.
-use crate::connection::Connection;
-use crate::msgpack;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::{Arc, Weak};
+use crate::client_input::{CancelMark, ClientInput, LookAhead};
+use std::sync::Arc;
 
 /// Tells whether a request is still wanted by its client.
 #[derive(Clone, Debug)]
 pub struct CancelToken {
-    connection: Arc<Connection>,
-    /// The request's id on its connection.
-    id: u32,
-    cancelled: Arc<AtomicBool>,
+    input: Arc<ClientInput>,
+    cancelled: CancelMark,
 }
 
-/// Cancels a request; held by the thread that reads the client.
-#[derive(Debug)]
-pub struct CancelHandle(Weak<AtomicBool>);
+/// Whether an attempt of a request may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    Live,
+    /// The client has withdrawn the request or closed the connection.
+    Cancelled,
+    /// The client has written more than was looked at, in which it may have withdrawn the request.
+    Unknown,
+}
 
 impl CancelToken {
-    pub fn new(connection: Arc<Connection>, id: u32) -> CancelToken {
-        CancelToken { connection, id, cancelled: Arc::default() }
-    }
-
-    /// A handle that cancels the request.
-    pub fn handle(&self) -> CancelHandle {
-        CancelHandle(Arc::downgrade(&self.cancelled))
+    pub fn new(input: Arc<ClientInput>, cancelled: CancelMark) -> CancelToken {
+        CancelToken { input, cancelled }
     }
 
     /// Whether the request is not known to be cancelled.
     pub fn is_live(&self) -> bool {
-        !self.cancelled.load(Relaxed) && !self.connection.is_closed()
+        !self.cancelled.is_set() && !self.input.connection().is_closed()
     }
 
-    /// Like [`Self::is_live`], but also checks the socket for a close or a withdraw that has not been read
-    /// yet. Called right before an attempt starts.
-    pub fn check_live(&self) -> bool {
-        let withdraws = |unread: &[u8]| msgpack::withdraws(unread, self.id);
-        let _reads_locked = self.connection.lock_reads();
-        let is_live = self.is_live() && !self.connection.check_closed(withdraws);
-        self.cancelled.fetch_or(!is_live, Relaxed);
-        is_live
-    }
-}
-
-impl CancelHandle {
-    pub fn cancel(&self) {
-        if let Some(cancelled) = self.0.upgrade() {
-            cancelled.store(true, Relaxed);
+    /// Like [`Self::is_live`], but also looks for a close or a withdrawal that has not been read yet. Called right
+    /// before an attempt starts.
+    pub fn check(&self) -> Liveness {
+        let look_ahead = self.input.look_ahead();
+        if look_ahead == LookAhead::Closed {
+            self.cancelled.set();
+        }
+        match look_ahead {
+            _ if self.cancelled.is_set() => Liveness::Cancelled,
+            LookAhead::Backlog => Liveness::Unknown,
+            LookAhead::Closed | LookAhead::Complete => Liveness::Live,
         }
-    }
-
-    /// Whether a token of the request still exists.
-    pub fn is_open(&self) -> bool {
-        self.0.strong_count() > 0
     }
 }
--- a/crates/dispatcher/src/clients/client.rs
+++ b/crates/dispatcher/src/clients/client.rs
@@ -1,16 +1,16 @@
 //! The reading side of a client connection.
-use crate::cancellation::{CancelHandle, CancelToken};
+use crate::cancellation::CancelToken;
 use crate::capacity::Gauge;
+use crate::client_input::{ClientInput, InputState, ReceivedMessages};
 use crate::clock;
 use crate::connection::{CloseReason, Connection};
 use crate::ids::ClientId;
 use crate::inbox::{FromClient, Input};
-use crate::msgpack::{self, Message, VisitRequest};
-use bytes::BytesMut;
+use crate::msgpack::{Message, VisitRequest};
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::Sender;
 use nix::sys::epoll::{Epoll, EpollEvent, EpollFlags};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 
@@ -25,8 +25,6 @@
 const IDLE_TIMEOUT: Span = Span::millis(4_500);
 /// A connection unused for less than this may be about to send a request and is not evicted.
 pub(super) const MIN_EVICTION_AGE: Span = Span::millis(250);
-/// With this many open requests, finished ones are removed.
-const PRUNE_OPEN_AT: usize = 64;
 
 /// The router's channels: a bounded one for requests, an unbounded one for closed connections.
 pub struct RouterSenders {
@@ -43,12 +41,10 @@
     /// Counts open visits, and answers to them that are not written yet.
     in_use: Gauge,
     pub(super) has_sent: bool,
-    buffer: BytesMut,
+    input: Arc<ClientInput>,
     /// Messages read and not forwarded yet, and whether reading is paused for that.
     pub(super) unforwarded: VecDeque<FromClient>,
     pub(super) is_paused: bool,
-    /// Requests that may be open, by id.
-    open_requests: BTreeMap<u32, CancelHandle>,
     /// The id of the last message.
     last_id: u32,
     visit_count: u64,
@@ -63,17 +59,17 @@
 
 impl Client {
     pub(super) fn new(id: ClientId, stream: TcpStream, address: SocketAddr) -> Client {
+        let connection = Arc::new(Connection::new(stream));
         Client {
             id,
             address,
-            connection: Arc::new(Connection::new(stream)),
+            input: Arc::new(ClientInput::new(connection.clone())),
+            connection,
             opened_at: clock::now(),
             in_use: Gauge::default(),
             has_sent: false,
-            buffer: BytesMut::new(),
             unforwarded: VecDeque::new(),
             is_paused: false,
-            open_requests: BTreeMap::new(),
             last_id: 0,
             visit_count: 0,
             is_closing: false,
@@ -139,12 +135,11 @@
 
     /// Reads once, so that a client that sends much waits its turn, and decodes all complete messages.
     pub(super) fn read(&mut self) -> Result<(), CloseReason> {
-        let connection = self.connection.clone();
-        let _reads_locked = connection.lock_reads();
-        let Some(received_at) = self.connection.try_read(&mut self.buffer, READ_BYTES)? else {
+        let input = self.input.clone();
+        let mut input = input.lock();
+        let Some(ReceivedMessages { messages, received_at }) = input.read(READ_BYTES)? else {
             return Ok(());
         };
-        let messages = self.decode_messages()?;
         if messages.is_empty() || self.connection.is_closed() {
             return Ok(());
         }
@@ -152,24 +147,10 @@
         if !std::mem::replace(&mut self.has_sent, true) {
             self.unforwarded.push_back(FromClient::Opened { connection: self.connection.clone() });
         }
-        messages.into_iter().for_each(|message| self.queue_message(message, received_at));
+        messages.into_iter().for_each(|message| self.queue_message(&mut input, message, received_at));
         Ok(())
     }
 
-    /// Takes all complete messages from the buffer.
-    fn decode_messages(&mut self) -> Result<Vec<Message>, CloseReason> {
-        let mut messages = Vec::new();
-        while let Some(message) = msgpack::next(&mut self.buffer)? {
-            messages.push(message);
-        }
-        self.connection.messages_taken(&self.buffer, !messages.is_empty());
-        if self.buffer.is_empty() {
-            // Releases the memory of large messages on idle connections.
-            self.buffer = BytesMut::new();
-        }
-        Ok(messages)
-    }
-
     /// Checks that ids increase, so that no answer can be taken for that of another message. No message of a
     /// read is processed otherwise.
     fn check_ids(&mut self, messages: &[Message]) -> Result<(), CloseReason> {
@@ -185,26 +166,29 @@
     }
 
     /// Queues a message for the router.
-    fn queue_message(&mut self, message: Message, received_at: Time) {
+    fn queue_message(&mut self, input: &mut InputState, message: Message, received_at: Time) {
         match message {
-            Message::Visit(id, request) => self.queue_visit(id, request, received_at),
+            Message::Visit(id, request) => self.queue_visit(input, id, request, received_at),
             Message::Malformed(id, field) => self.unforwarded.push_back(FromClient::Malformed { id, field }),
             Message::Status(id) => self.unforwarded.push_back(FromClient::Status { id }),
             Message::Withdraw(ids) => {
-                ids.iter().filter_map(|id| self.open_requests.get(id)).for_each(CancelHandle::cancel);
+                input.withdraw(&ids);
                 self.unforwarded.push_back(FromClient::Withdraw { ids });
             }
             Message::Unknown => {}
         }
     }
 
-    fn queue_visit(&mut self, id: u32, request: Box<VisitRequest>, received_at: Time) {
+    fn queue_visit(
+        &mut self,
+        input: &mut InputState,
+        id: u32,
+        request: Box<VisitRequest>,
+        received_at: Time,
+    ) {
         self.visit_count += 1;
-        let (in_use, cancel) = (self.in_use.reserve(1), CancelToken::new(self.connection.clone(), id));
-        if self.open_requests.len() >= PRUNE_OPEN_AT {
-            self.open_requests.retain(|_, handle| handle.is_open());
-        }
-        self.open_requests.insert(id, cancel.handle());
+        let in_use = self.in_use.reserve(1);
+        let cancel = CancelToken::new(self.input.clone(), input.open_request(id));
         self.unforwarded.push_back(FromClient::Visit { id, request, received_at, in_use, cancel });
     }
 }
--- a/crates/dispatcher/src/connection.rs
+++ b/crates/dispatcher/src/connection.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::OnceLock;
 use std::thread::{Builder, JoinHandle};
 use std::time::Duration;
 
@@ -90,8 +90,14 @@
     }
 }
 
-/// How many unread bytes [`Connection::check_closed`] examines.
-const PEEK_BYTES: usize = 4096;
+/// What the kernel has received from a peer and nobody has read yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadInput {
+    None,
+    Bytes,
+    /// A close, also behind unread bytes.
+    Closed,
+}
 
 /// A connection to a client or a host.
 #[derive(Debug)]
@@ -103,8 +109,6 @@
     /// Time of the last read, and of the first byte of an incomplete message (0: none).
     last_read_at: AtomicU64,
     partial_since: AtomicU64,
-    /// Held from a read until its messages have been processed.
-    read_lock: Mutex<()>,
 }
 
 impl AsFd for Connection {
@@ -116,9 +120,8 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Connection {
         let (last_read_at, partial_since) = (AtomicU64::new(clock::now().0), AtomicU64::new(0));
-        let (close_reason, peer_closed, read_lock) =
-            (OnceLock::new(), AtomicBool::new(false), Mutex::new(()));
-        Connection { stream, close_reason, peer_closed, last_read_at, partial_since, read_lock }
+        let (close_reason, peer_closed) = (OnceLock::new(), AtomicBool::new(false));
+        Connection { stream, close_reason, peer_closed, last_read_at, partial_since }
     }
 
     /// Sets the socket options. Reads get no timeout, since the kernel interrupts all that have one when a
@@ -163,31 +166,35 @@
         self.is_peer_closed() || self.is_shut_down()
     }
 
-    /// Locks the reading side. The reader holds the lock from a read until it has processed the messages, so
-    /// that whoever else holds it finds a cancellation either unread in the socket or marked.
-    pub fn lock_reads(&self) -> MutexGuard<'_, ()> {
-        self.read_lock.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Whether the connection is closed, including a close that the kernel knows and nobody has read yet, or
-    /// whether the unread bytes satisfy `matches`.
-    pub fn check_closed(&self, matches: impl Fn(&[u8]) -> bool) -> bool {
-        if self.is_closed() {
-            return true;
-        }
+    /// What the kernel has received from the peer and nobody has read yet.
+    pub fn unread_input(&self) -> UnreadInput {
         let ends = PollFlags::from_bits_retain(libc::POLLRDHUP) | PollFlags::POLLHUP | PollFlags::POLLERR;
         let mut polled = [PollFd::new(self.as_fd(), ends | PollFlags::POLLIN)];
-        if !poll(&mut polled, PollTimeout::ZERO).is_ok_and(|ready| ready > 0) {
-            return false;
+        let ready = loop {
+            match poll(&mut polled, PollTimeout::ZERO) {
+                Err(Errno::EINTR) => {}
+                ready => break ready,
+            }
+        };
+        if !ready.is_ok_and(|ready| ready > 0) {
+            return UnreadInput::None;
         }
         // `nix` doesn't define POLLRDHUP, and returns no flags at all if an undefined one is set.
         if polled[0].revents().is_none_or(|events| events.intersects(ends)) {
             self.mark_peer_closed();
-            return true;
+            return UnreadInput::Closed;
         }
-        let mut unread = [0; PEEK_BYTES];
+        UnreadInput::Bytes
+    }
+
+    /// Appends unread bytes, which stay unread. Returns their number.
+    pub fn peek(&self, into: &mut bytes::BytesMut, max_bytes: usize) -> usize {
+        let old_length = into.len();
+        into.resize(old_length + max_bytes, 0);
         let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        recv(self.stream.as_raw_fd(), &mut unread, flags).is_ok_and(|length| matches(&unread[..length]))
+        let length = recv(self.stream.as_raw_fd(), &mut into[old_length..], flags).unwrap_or(0);
+        into.truncate(old_length + length);
+        length
     }
 
     /// The reason given by whoever closed the connection first.
--- a/crates/dispatcher/src/host_messages.rs
+++ b/crates/dispatcher/src/host_messages.rs
@@ -1,5 +1,5 @@
 //! Messages to the host actors, from the router and from the hosts' connections.
-use crate::cancellation::CancelToken;
+use crate::cancellation::{CancelToken, Liveness};
 use crate::capacity::Reservation;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
@@ -78,6 +78,14 @@
     Expired,
     /// It was decided by a list or purges that may be outdated.
     Outdated,
+    /// Its client may have left: too much that it has written is unread.
+    ClientUnread,
+}
+
+/// A hand-off that failed [`HandOff::start`] when its turn came.
+pub struct UnstartedHandOff {
+    pub hand_off: Box<HandOff>,
+    pub reason: NotStarted,
 }
 
 impl HandOff {
@@ -85,8 +93,10 @@
     /// byte, however long it waited for a connection, a record or a slow host. The clock is read last, so that a
     /// stop of the process during the other checks is noticed.
     pub fn start(&self, lease: &ChangeLogLease) -> Result<Time, NotStarted> {
-        if !self.cancel.check_live() {
-            return Err(NotStarted::Expired);
+        match self.cancel.check() {
+            Liveness::Live => {}
+            Liveness::Cancelled => return Err(NotStarted::Expired),
+            Liveness::Unknown => return Err(NotStarted::ClientUnread),
         }
         let now = clock::now();
         if now >= self.latest_start {
@@ -120,8 +130,7 @@
     Connected(ConnectionId, Arc<Connection>),
     /// A cancel was written.
     CancelSent(ConnectionId, HandOffId, Time),
-    /// A queued hand-off failed [`HandOff::start`] when its turn came.
-    NotStarted(ConnectionId, HandOffId, NotStarted),
+    NotStarted(ConnectionId, UnstartedHandOff),
     Answer(ConnectionId, Answer, Reservation, Time),
     Closed(ConnectionId, CloseReason, Time),
 }
--- a/crates/dispatcher/src/hosts/hand_offs.rs
+++ b/crates/dispatcher/src/hosts/hand_offs.rs
@@ -4,7 +4,7 @@
 use super::pool::{PendingHandOff, PooledConnection};
 use crate::clock;
 use crate::connection::{CloseReason, Connection};
-use crate::host_messages::{HandOff, NotStarted};
+use crate::host_messages::{HandOff, NotStarted, UnstartedHandOff};
 use crate::ids::{ConnectionId, HandOffId, Txn};
 use crate::inbox::{FromHost, Input};
 use crate::resp;
@@ -102,18 +102,26 @@
         }
     }
 
-    /// A hand-off was not sent, as it could not be started when its turn came. An outdated one is decided again.
-    pub(super) fn not_started(&mut self, connection: ConnectionId, id: HandOffId, reason: NotStarted) {
+    /// A hand-off was not sent, as it could not be started when its turn came. An outdated one is decided again; one
+    /// whose client has unread input goes back to the router, which sends it again.
+    pub(super) fn not_started(&mut self, connection: ConnectionId, unstarted: UnstartedHandOff) {
         let Some(pooled) = self.pool.get_mut(&connection) else { return };
-        let mut revoked =
-            pooled.in_flight.extract_if(.., |_, pending| pending.id == id && pending.send_state.revoke());
-        if revoked.next().is_some() {
-            drop(revoked);
-            let outcome = match reason {
-                NotStarted::Expired => Outcome::Expired,
-                NotStarted::Outdated => Outcome::NotSent,
-            };
-            self.report_end(id, outcome, None, clock::now());
+        let UnstartedHandOff { hand_off, reason } = unstarted;
+        let id = hand_off.id;
+        let is_held_back = reason == NotStarted::ClientUnread;
+        let mut ended = pooled
+            .in_flight
+            .extract_if(.., |_, pending| pending.id == id && (is_held_back || pending.send_state.revoke()));
+        if ended.next().is_none() {
+            return;
+        }
+        drop(ended);
+        match reason {
+            NotStarted::Expired => self.report_end(id, Outcome::Expired, None, clock::now()),
+            NotStarted::Outdated => self.report_end(id, Outcome::NotSent, None, clock::now()),
+            NotStarted::ClientUnread => {
+                let _ = self.shared.router.send(Input::HandOff(id, FromHost::HeldBack(hand_off)));
+            }
         }
     }
 
--- a/crates/dispatcher/src/hosts/host.rs
+++ b/crates/dispatcher/src/hosts/host.rs
@@ -78,7 +78,7 @@
             }
             ToHost::Connected(id, connection) => self.connected(id, connection),
             ToHost::CancelSent(connection, id, at) => self.cancel_sent(connection, id, at),
-            ToHost::NotStarted(connection, id, reason) => self.not_started(connection, id, reason),
+            ToHost::NotStarted(connection, unstarted) => self.not_started(connection, unstarted),
             ToHost::Answer(connection, answer, reservation, at) => {
                 self.handle_answer(connection, answer, reservation, at)
             }
--- a/crates/dispatcher/src/hosts/outgoing.rs
+++ b/crates/dispatcher/src/hosts/outgoing.rs
@@ -1,6 +1,6 @@
 //! Messages to write to the connections of a host.
 use crate::change_log_lease::ChangeLogLease;
-use crate::host_messages::{HandOff, NotStarted};
+use crate::host_messages::{HandOff, UnstartedHandOff};
 use crate::ids::{HandOffId, ProbeId};
 use crate::resp;
 use bytes::Bytes;
@@ -13,23 +13,43 @@
 }
 
 impl Outgoing {
-    /// Claims the message for sending and returns its beginning, or else the hand-off that must not be sent.
-    pub(super) fn start(&self, lease: &ChangeLogLease) -> Result<Bytes, (HandOffId, NotStarted)> {
+    /// Claims the message for sending, unless it is a hand-off that must not be sent.
+    pub(super) fn start(self, lease: &ChangeLogLease) -> Result<Started, UnstartedHandOff> {
         match self {
-            Outgoing::HandOff(hand_off) => {
-                let started_at = hand_off.start(lease).map_err(|reason| (hand_off.id, reason))?;
-                Ok(hand_off.head(started_at))
+            Outgoing::HandOff(hand_off) => hand_off.start_sending(lease),
+            Outgoing::Cancel(_, ref message) => {
+                let head = message.clone();
+                Ok(Started { message: self, head })
             }
-            Outgoing::Cancel(_, message) => Ok(message.clone()),
-            Outgoing::Probe(probe) => Ok(resp::probe_request(*probe).into()),
+            Outgoing::Probe(probe) => Ok(Started { message: self, head: resp::probe_request(probe).into() }),
         }
     }
+}
 
-    /// Writes the parts of a message that was started.
-    pub(super) fn with_parts<T>(&self, head: &[u8], write: impl FnOnce(&[&[u8]]) -> T) -> T {
-        match self {
-            Outgoing::HandOff(hand_off) => write(&[head, &hand_off.body, resp::CRLF]),
-            Outgoing::Cancel(..) | Outgoing::Probe(_) => write(&[head]),
+impl HandOff {
+    fn start_sending(self, lease: &ChangeLogLease) -> Result<Started, UnstartedHandOff> {
+        match self.start(lease) {
+            Ok(started_at) => {
+                let head = self.head(started_at);
+                Ok(Started { message: Outgoing::HandOff(self), head })
+            }
+            Err(reason) => Err(UnstartedHandOff { hand_off: Box::new(self), reason }),
+        }
+    }
+}
+
+/// A message that is being sent.
+pub(super) struct Started {
+    pub(super) message: Outgoing,
+    head: Bytes,
+}
+
+impl Started {
+    /// Writes the parts of the message.
+    pub(super) fn with_parts<T>(&self, write: impl FnOnce(&[&[u8]]) -> T) -> T {
+        match &self.message {
+            Outgoing::HandOff(hand_off) => write(&[&self.head, &hand_off.body, resp::CRLF]),
+            Outgoing::Cancel(..) | Outgoing::Probe(_) => write(&[&self.head]),
         }
     }
 }
--- a/crates/dispatcher/src/hosts/writing.rs
+++ b/crates/dispatcher/src/hosts/writing.rs
@@ -21,17 +21,19 @@
             let _ = slow_writer.send(QueuedWrite::Whole(message));
             return;
         }
-        let head = match message.start(&self.shared.lease) {
-            Ok(head) => head,
-            Err((hand_off, reason)) => return self.not_started(id, hand_off, reason),
+        let started = match message.start(&self.shared.lease) {
+            Ok(started) => started,
+            Err(unstarted) => return self.not_started(id, unstarted),
         };
-        match (message.with_parts(&head, |parts| write_available(&connection, parts)), &message) {
+        match (started.with_parts(|parts| write_available(&connection, parts)), &started.message) {
             (Ok(rest), Outgoing::HandOff(hand_off)) if rest.is_empty() => hand_off.send_state.mark_written(),
             (Ok(rest), Outgoing::Cancel(hand_off, _)) if rest.is_empty() => {
                 self.cancel_sent(id, *hand_off, clock::now());
             }
             (Ok(rest), Outgoing::Probe(_)) if rest.is_empty() => {}
-            (Ok(rest), _) => self.start_slow_writer(id, connection, QueuedWrite::Remainder(message, rest)),
+            (Ok(rest), _) => {
+                self.start_slow_writer(id, connection, QueuedWrite::Remainder(started.message, rest))
+            }
             (Err(_), _) => connection.shut_down(CloseReason::WriteFailed),
         }
     }
@@ -68,15 +70,15 @@
         let (message, written) = match queued {
             QueuedWrite::Remainder(message, rest) => (message, connection.write(&[&rest], 0)),
             QueuedWrite::Whole(message) => {
-                let head = match message.start(lease) {
-                    Ok(head) => head,
-                    Err((hand_off, reason)) => {
-                        let _ = host.send(ToHost::NotStarted(id, hand_off, reason));
+                let started = match message.start(lease) {
+                    Ok(started) => started,
+                    Err(unstarted) => {
+                        let _ = host.send(ToHost::NotStarted(id, unstarted));
                         continue;
                     }
                 };
-                let written = message.with_parts(&head, |parts| connection.write(parts, 0));
-                (message, written)
+                let written = started.with_parts(|parts| connection.write(parts, 0));
+                (started.message, written)
             }
         };
         if written.is_err() {
--- a/crates/dispatcher/src/inbox.rs
+++ b/crates/dispatcher/src/inbox.rs
@@ -3,6 +3,7 @@
 use crate::cancellation::CancelToken;
 use crate::capacity::Reservation;
 use crate::connection::Connection;
+use crate::host_messages::HandOff;
 use crate::ids::{ClientId, HandOffId, HostActorId, ProbeId};
 use crate::msgpack::VisitRequest;
 use crate::resp::Answer;
@@ -64,6 +65,8 @@
 
 /// A message of a host about a hand-off.
 pub enum FromHost {
+    /// The hand-off was not started, as its client may have left: too much that it has written is unread.
+    HeldBack(Box<HandOff>),
     /// The host was sent a cancel, or its connection has closed.
     CancelSent {
         at: Time,
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod change_decoding;
 pub mod change_log;
 pub mod change_log_lease;
+pub mod client_input;
 pub mod clients;
 pub mod clock;
 pub mod config;
--- a/crates/dispatcher/src/msgpack.rs
+++ b/crates/dispatcher/src/msgpack.rs
@@ -60,18 +60,6 @@
     decode_message(&message).map(Some)
 }
 
-/// Whether unread bytes withdraw a request. They may start in the middle of a message, so the method's name
-/// is searched for. A request body with the same bytes can only withdraw requests of its own client.
-pub fn withdraws(unread: &[u8], id: u32) -> bool {
-    const NAME: &[u8] = b"withdraw";
-    let named = unread.windows(NAME.len()).enumerate().filter(|(_, word)| *word == NAME);
-    named.into_iter().any(|(at, _)| {
-        let mut reader = Cursor::new(&unread[at + NAME.len()..]);
-        let count = decode::read_array_len(&mut reader).unwrap_or(0);
-        (0..count).map_while(|_| decode::read_int::<u32, _>(&mut reader).ok()).any(|other| other == id)
-    })
-}
-
 /// Why a value can't be skipped.
 enum SkipError {
     Incomplete,
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -101,6 +101,7 @@
         match input {
             Input::Client(id, message) => self.handle_client(id, message),
             Input::HandOff(id, FromHost::CancelSent { at }) => self.end_cancelled(id, at),
+            Input::HandOff(id, FromHost::HeldBack(hand_off)) => self.hold_back(id, hand_off),
             Input::HandOff(id, FromHost::Ended { outcome, answer, at }) => {
                 self.end_hand_off(id, outcome, answer, at)
             }
--- a/crates/dispatcher/src/router/hand_offs.rs
+++ b/crates/dispatcher/src/router/hand_offs.rs
@@ -14,6 +14,9 @@
 use cherrypass_keep::visits::{InDoubtVisit, WriteAhead, WriteResult};
 use std::collections::BTreeMap;
 
+/// How long a hand-off is held back while its client's input is read.
+const CLIENT_INPUT_WAIT: Span = Span::millis(5);
+
 /// A hand-off as the decision module decided it.
 pub(super) struct DecidedHandOff {
     pub(super) visit: VisitId,
@@ -50,7 +53,7 @@
             let effect = effect.unwrap_or(Effect::Idempotent);
             write_record(recorder, id, open, effect, in_doubt_visit(now, open, decided.host, host))
         });
-        let awaiting_record = awaits_record.then(|| Box::new(hand_off.clone()));
+        let held_back = awaits_record.then(|| Box::new(hand_off.clone()));
         let pending = PendingHandOff {
             host: decided.host,
             mailbox,
@@ -60,7 +63,7 @@
             send_state,
             fill: decided.fill,
             cancelled_as: None,
-            awaiting_record,
+            held_back,
         };
         self.hand_offs.insert(id, pending);
         self.push_hand_off_timers(id, decided);
@@ -95,13 +98,26 @@
         }
     }
 
+    /// Holds a hand-off back for a while, in which its client's input is read.
+    pub(super) fn hold_back(&mut self, id: HandOffId, hand_off: Box<HandOff>) {
+        let Some(pending) = self.hand_offs.get_mut(&id) else { return };
+        pending.held_back = Some(hand_off);
+        self.timers.push(clock::now() + CLIENT_INPUT_WAIT, Timer::SendHeldBack(id));
+    }
+
+    /// Sends a hand-off that was held back, unless it was cancelled meanwhile.
+    pub(super) fn send_held_back(&mut self, id: HandOffId) {
+        if let Some(hand_off) = self.hand_offs.get_mut(&id).and_then(|pending| pending.held_back.take()) {
+            self.send_hand_off(id, *hand_off, clock::now());
+        }
+    }
+
     /// The store has accepted or rejected a hand-off's record. The hand-off may have been cancelled
     /// meanwhile.
     pub(super) fn record_stored(&mut self, id: HandOffId, result: WriteResult) {
         let Some(recorder) = &mut self.recorder else { return };
         let may_be_sent = recorder.visits.record_result(id.0, result);
-        let Some(hand_off) = self.hand_offs.get_mut(&id).and_then(|pending| pending.awaiting_record.take())
-        else {
+        let Some(hand_off) = self.hand_offs.get_mut(&id).and_then(|pending| pending.held_back.take()) else {
             return;
         };
         if may_be_sent {
--- a/crates/dispatcher/src/router/state.rs
+++ b/crates/dispatcher/src/router/state.rs
@@ -35,6 +35,8 @@
     Wake,
     AnswerTimeout(HandOffId),
     ConnectTimeout(HandOffId),
+    /// The hand-off, which was held back for unread input of its client, is sent again.
+    SendHeldBack(HandOffId),
     /// Purges that may not have been read have to be obeyed.
     ChangesAnnounced,
     /// The hand-off must not be sent any more if it has not been started.
@@ -91,8 +93,8 @@
     pub(super) fill: Option<Fill>,
     /// The outcome with which the hand-off ends once its cancel has been sent.
     pub(super) cancelled_as: Option<Outcome>,
-    /// The hand-off to send once its record is stored.
-    pub(super) awaiting_record: Option<Box<HandOff>>,
+    /// The hand-off to send once its record is stored, or its client's input was read.
+    pub(super) held_back: Option<Box<HandOff>>,
 }
 
 /// A listed host.
--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -3,6 +3,7 @@
 use crate::cancellation::CancelToken;
 use crate::capacity::Gauge;
 use crate::change_log::host_id;
+use crate::client_input::{CancelMark, ClientInput};
 use crate::clock;
 use crate::config::Config;
 use crate::connection::Connection;
@@ -66,6 +67,10 @@
     connection
 }
 
+fn cancel_token(connection: Arc<Connection>) -> CancelToken {
+    CancelToken::new(Arc::new(ClientInput::new(connection)), CancelMark::default())
+}
+
 #[test_case(true; "sending has started")]
 #[test_case(false; "sending has not started")]
 fn no_next_hand_off_before_the_cancel_is_sent(is_started: bool) {
@@ -83,7 +88,7 @@
     let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa41500\
         \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
     let Ok(Some(msgpack::Message::Visit(id, request))) = msgpack::next(&mut fields.into()) else { panic!() };
-    let (in_use, cancel) = (Gauge::default().reserve(1), CancelToken::new(connection, 1));
+    let (in_use, cancel) = (Gauge::default().reserve(1), cancel_token(connection));
     router.handle(Input::Client(
         client,
         FromClient::Visit { id, request, received_at: clock::now(), in_use, cancel },
@@ -145,7 +150,7 @@
         \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
     let Ok(Some(msgpack::Message::Visit(id, request))) = msgpack::next(&mut fields.into()) else { panic!() };
     let start = clock::now();
-    let (in_use, cancel) = (Gauge::default().reserve(1), CancelToken::new(connection, 1));
+    let (in_use, cancel) = (Gauge::default().reserve(1), cancel_token(connection));
     router.handle(Input::Client(
         ClientId(0),
         FromClient::Visit { id, request, received_at: start, in_use, cancel },
@@ -179,7 +184,7 @@
     let Ok(Some(msgpack::Message::Visit(visit, request))) = msgpack::next(&mut fields.into()) else {
         panic!()
     };
-    let (in_use, cancel) = (Gauge::default().reserve(1), CancelToken::new(connection, 1));
+    let (in_use, cancel) = (Gauge::default().reserve(1), cancel_token(connection));
     let received_at = clock::now();
     let message = FromClient::Visit { id: visit, request, received_at, in_use, cancel };
     router.handle(Input::Client(ClientId(0), message));
--- a/crates/dispatcher/src/router/timers.rs
+++ b/crates/dispatcher/src/router/timers.rs
@@ -19,6 +19,7 @@
                 Timer::Wake => self.engine.tick(clock::now()),
                 Timer::AnswerTimeout(id) => self.time_out_answer(id, now),
                 Timer::ConnectTimeout(id) => self.time_out_connect(id),
+                Timer::SendHeldBack(id) => self.send_held_back(id),
                 Timer::ChangesAnnounced => self.apply_announced_changes(),
                 Timer::LatestStart(id) => self.expire_unsent(id),
                 Timer::ProbeTimeout(probe) => self.end_probe(probe, Report::default()),
--- a/crates/dispatcher/tests/codecs.rs
+++ b/crates/dispatcher/tests/codecs.rs
@@ -1,10 +1,16 @@
 //! The codecs, fed byte by byte, with arbitrary bytes and with every MessagePack form.
 use bytes::BytesMut;
 use cherrypass::calls::{Note, Outcome};
+use cherrypass_dispatcher::cancellation::{CancelToken, Liveness};
+use cherrypass_dispatcher::client_input::ClientInput;
+use cherrypass_dispatcher::connection::Connection;
 use cherrypass_dispatcher::msgpack::{self, Message};
 use cherrypass_dispatcher::resp::{self, Parsed};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 
 const VISIT: &[u8] = b"\x94\x00\x07\xa5video\x92\x85\xa3txn\xb09b1f03aa5c7e2d41\xa5limit\xa41500\xa4item\
     \xb07f3a9c21e0b4d655\xa5block\xa13\xa6family\xa217\xc4\x03abc";
@@ -175,8 +181,24 @@
                 };
                 assert_eq!((&ids[..], &request.body[..], request.block), (&[7, 9][..], &b"abc"[..], 3));
                 assert_eq!(request.cached_tag.as_deref(), Some(&b"4be0c1927d55a6f3"[..]));
-                assert!(msgpack::withdraws(&all, 7) && !msgpack::withdraws(&all, 8));
             }
         }
     }
 }
+
+/// A withdrawal that is still unread counts in every encoding, for the requests that it names.
+#[test]
+fn an_unread_withdrawal_in_every_form() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    for forms in &FORMS {
+        for integer in std::iter::once(forms.integer).chain(SIGNED) {
+            let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let connection = Connection::new(listener.accept().unwrap().0);
+            let input = Arc::new(ClientInput::new(Arc::new(connection)));
+            let [named, other] =
+                [7, 8].map(|id| CancelToken::new(input.clone(), input.lock().open_request(id)));
+            client.write_all(&forms.messages(integer).concat()).unwrap();
+            assert_eq!([named.check(), other.check()], [Liveness::Cancelled, Liveness::Live]);
+        }
+    }
+}
--- a/crates/dispatcher/tests/hand_off_ids.rs
+++ b/crates/dispatcher/tests/hand_off_ids.rs
@@ -6,6 +6,7 @@
 use cherrypass_dispatcher::cancellation::CancelToken;
 use cherrypass_dispatcher::capacity::HostCapacity;
 use cherrypass_dispatcher::change_log_lease::ChangeLogLease;
+use cherrypass_dispatcher::client_input::{CancelMark, ClientInput};
 use cherrypass_dispatcher::clock;
 use cherrypass_dispatcher::config::HostConnectionLimits;
 use cherrypass_dispatcher::connection::Connection;
@@ -65,7 +66,8 @@
     from_actor: Receiver<Input>,
     arrived: Receiver<Arrived>,
     /// Both ends of the connection of the client that waits for the visit.
-    client: (TcpStream, Arc<Connection>),
+    _client: TcpStream,
+    client_input: Arc<ClientInput>,
     hand_off_count: u8,
 }
 
@@ -74,7 +76,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let client = TcpStream::connect(address).unwrap();
-        let client = (client, Arc::new(Connection::new(listener.accept().unwrap().0)));
+        let connection = Arc::new(Connection::new(listener.accept().unwrap().0));
+        let client_input = Arc::new(ClientInput::new(connection));
         let (arrivals, arrived) = unbounded();
         spawn(move || {
             for (connection, stream) in listener.incoming().map_while(Result::ok).enumerate() {
@@ -100,7 +103,7 @@
         let mut hosts = Hosts::start(limits, capacity, sender, lease).unwrap();
         let mailbox = hosts.add("s-a", address);
         (0..other_hosts).for_each(|number| drop(hosts.add(&format!("s-{number}"), address)));
-        Fixture { hosts, mailbox, from_actor, arrived, client, hand_off_count: 0 }
+        Fixture { hosts, mailbox, from_actor, arrived, _client: client, client_input, hand_off_count: 0 }
     }
 
     /// Sends a hand-off with this id; returns how it arrived.
@@ -118,7 +121,7 @@
             deadline,
             visit_deadline: deadline,
             latest_start: deadline,
-            cancel: CancelToken::new(self.client.1.clone(), 1),
+            cancel: CancelToken::new(self.client_input.clone(), CancelMark::default()),
             send_state: SendState::default(),
         }));
         let arrived = self.arrived.recv_timeout(TIMEOUT).expect("no hand-off has arrived");
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -51,6 +51,8 @@
 #[test_case(include_str!("sockets/client_leaves_before_retry.txt"); "client_leaves_before_retry")]
 #[test_case(include_str!("sockets/client_leaves_slow_host.txt"); "client_leaves_slow_host")]
 #[test_case(include_str!("sockets/client_leaves_before_hand_off.txt"); "client_leaves_before_hand_off")]
+#[test_case(include_str!("sockets/client_leaves_behind_bodies.txt"); "client_leaves_behind_bodies")]
+#[test_case(include_str!("sockets/client_bodies.txt"); "client_bodies")]
 #[test_case(include_str!("sockets/host_restarts.txt"); "host_restarts")]
 #[test_case(include_str!("sockets/host_duplicate_answer.txt"); "host_duplicate_answer")]
 #[test_case(include_str!("sockets/host_answers_when_removed.txt"); "host_answers_when_removed")]
--- a/crates/dispatcher/tests/sockets_bed/client_commands.rs
+++ b/crates/dispatcher/tests/sockets_bed/client_commands.rs
@@ -1,5 +1,7 @@
 //! Commands on the clients.
-use super::clients::{encode_request, encode_status_requests, Client};
+use super::clients::{
+    encode_request, encode_request_with_body, encode_status_requests, encode_withdraw, Client,
+};
 use super::scenario::Scenario;
 use super::QUIET;
 use std::io::Write;
@@ -48,10 +50,8 @@
                 );
             }
             ["withdraw", client, id] => {
-                let mut out = vec![0x93, 2, 0xa8];
-                out.extend(b"withdraw");
-                out.extend([0x91, id.parse().unwrap()]);
-                self.clients.get_mut(*client).unwrap().stream.write_all(&out).unwrap();
+                let message = encode_withdraw(id.parse().unwrap());
+                self.clients.get_mut(*client).unwrap().stream.write_all(&message).unwrap();
             }
             ["raw", name, hex] => {
                 let bytes: Vec<u8> = (0..hex.len() / 2)
@@ -83,6 +83,20 @@
                     sleep(Duration::from_millis(1));
                 }
             }
+            ["burst", client, from, to, bytes, ends @ ..] => {
+                let client = self.clients.get_mut(*client).unwrap();
+                let port = client.stream.local_addr().unwrap().port();
+                let ids = from.parse::<u32>().unwrap()..=to.parse().unwrap();
+                let withdrawals: Vec<u8> = ids.clone().flat_map(encode_withdraw).collect();
+                let body: Vec<u8> = withdrawals.into_iter().cycle().take(bytes.parse().unwrap()).collect();
+                client.sent_at.extend(ids.clone().map(|id| (id, Instant::now())));
+                let encode =
+                    |id: u32| encode_request_with_body(port, id, "once", &format!("{id:x}"), &[], &body);
+                let mut messages: Vec<u8> = ids.flat_map(encode).collect();
+                messages.extend(ends.iter().flat_map(|id| encode_withdraw(id.parse().unwrap())));
+                let mut stream = client.stream.try_clone().unwrap();
+                spawn(move || stream.write_all(&messages).unwrap());
+            }
             ["statuses", client, count] => {
                 let requests = encode_status_requests(1..=count.parse().unwrap());
                 self.clients.get_mut(*client).unwrap().stream.write_all(&requests).unwrap();
--- a/crates/dispatcher/tests/sockets_bed/clients.rs
+++ b/crates/dispatcher/tests/sockets_bed/clients.rs
@@ -85,6 +85,19 @@
 }
 
 pub fn encode_request(port: u16, id: u32, class: &str, object: &str, given: &[&str]) -> Vec<u8> {
+    let body_bytes = given.iter().find_map(|word| word.strip_prefix("body="));
+    let body = vec![b'y'; body_bytes.map_or(0, |bytes| bytes.parse().unwrap())];
+    encode_request_with_body(port, id, class, object, given, &body)
+}
+
+pub fn encode_request_with_body(
+    port: u16,
+    id: u32,
+    class: &str,
+    object: &str,
+    given: &[&str],
+    body: &[u8],
+) -> Vec<u8> {
     use rmp::encode::*;
     let mut fields: BTreeMap<&str, String> = BTreeMap::new();
     fields.insert("txn", format!("{port:08x}{id:08x}"));
@@ -92,10 +105,9 @@
     fields.insert("item", format!("{object:0>16}"));
     fields.insert("block", "0".into());
     fields.insert("family", "7".into());
-    let mut body = 0;
     for (name, value) in given.iter().map(|word| word.split_once('=').unwrap()) {
         match name {
-            "body" => body = value.parse().unwrap(),
+            "body" => {}
             _ if value.is_empty() => drop(fields.remove(name)),
             _ => drop(fields.insert(name, value.into())),
         }
@@ -111,10 +123,15 @@
         write_str(&mut out, name).unwrap();
         write_str(&mut out, &value).unwrap();
     }
-    write_bin(&mut out, &vec![b'y'; body]).unwrap();
+    write_bin(&mut out, body).unwrap();
     out
 }
 
+/// A message that withdraws a request with an id below 128.
+pub fn encode_withdraw(id: u32) -> Vec<u8> {
+    [&[0x93, 2, 0xa8][..], b"withdraw", &[0x91, id as u8]].concat()
+}
+
 pub fn encode_status_requests(ids: std::ops::RangeInclusive<u8>) -> Vec<u8> {
     ids.flat_map(|id| [&[0x94, 0, id, 0xa6][..], b"status", &[0xc0]].concat()).collect()
 }
--- a/crates/dispatcher/tests/sockets_bed/notation.rs
+++ b/crates/dispatcher/tests/sockets_bed/notation.rs
@@ -40,6 +40,8 @@
 //! - `ask CLIENT ID BAND OBJECT [FIELD=VALUE|body=N]`, `withdraw CLIENT ID`, `raw CLIENT|HOST HEX`
 //! - `each CLIENT FROM TO`: requests for these objects one after another, each served
 //! - `pipe CLIENT FROM TO BYTES`: all these requests at once, written in pieces of this size
+//! - `burst CLIENT FROM TO BYTES [ID …]`: requests of the class once in one write, with bodies full of messages that withdraw them all,
+//!   and behind these withdrawals of the given ids
 //! - `statuses CLIENT N`: status requests at once; `babble CLIENT`: status requests without end
 //! - `flood CLIENT HOST`: requests with large answers until the client's connection ends
 //! - `close CLIENT`, `half-close CLIENT`, `reset HOST|CLIENT`, `hear HOST|CLIENT`
