--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -10,7 +10,7 @@
 
 pub use self::answer::read_answer;
 pub use self::changes::OnChange;
-use self::connections::{Connections, PollFailure};
+use self::connections::{Connections, PollFailure, PollLimits};
 use self::poll_state::PollState;
 pub(crate) use self::time_limits::CHECK_INTERVAL;
 pub use self::time_limits::MAX_ANNOUNCEMENT_DELAY;
@@ -50,73 +50,120 @@
 
 /// Follows the change log until the router has stopped.
 pub fn follow(options: FollowOptions) {
-    let FollowOptions {
-        address,
-        new_addresses,
-        names,
-        mut last_change,
-        max_change_bytes,
-        seed,
-        router,
-        lease,
-        delivery,
-    } = options;
-    let mut source = Source::new(delivery, lease.clone());
-    let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut connections = Connections::new(address, new_addresses, max_change_bytes, lease.clone());
-    let mut state = PollState::default();
-    loop {
-        if source.apply_delivered(&names, &mut last_change, &router).is_err() {
-            return;
+    let mut follower = Follower::new(options);
+    while follower.run_once().is_ok() {}
+}
+
+/// The router has stopped.
+struct RouterStopped;
+
+/// A poll that has ended, with or without a complete answer.
+struct EndedPoll {
+    started_at: Time,
+    limits: PollLimits,
+    /// The last known change at its start.
+    since: u64,
+    /// The first change that was told again.
+    repeated: Option<u64>,
+    /// The number of the log's last change.
+    answer: Result<Option<u64>, PollFailure>,
+}
+
+/// Follows the change log, one poll after another.
+struct Follower {
+    names: WireNames,
+    /// Number of the last known change.
+    last_change: u64,
+    router: Sender<Input>,
+    lease: ChangeLogLease,
+    source: Source,
+    connections: Connections,
+    state: PollState,
+    random: Pcg64Mcg,
+}
+
+impl Follower {
+    fn new(options: FollowOptions) -> Follower {
+        let FollowOptions { address, new_addresses, max_change_bytes, lease, .. } = options;
+        Follower {
+            names: options.names,
+            last_change: options.last_change,
+            router: options.router,
+            source: Source::new(options.delivery, lease.clone()),
+            connections: Connections::new(address, new_addresses, max_change_bytes, lease.clone()),
+            lease,
+            state: PollState::default(),
+            random: Pcg64Mcg::seed_from_u64(options.seed),
         }
-        for reload in connections.update_address() {
-            state.reset_retry_delay();
-            if router.send(Input::ChangesAnnounced(announced_by_reload(reload))).is_err() {
-                return;
-            }
+    }
+
+    /// Applies what carriers have delivered and new addresses, and polls once.
+    fn run_once(&mut self) -> Result<(), RouterStopped> {
+        let delivered = self.source.apply_delivered(&self.names, &mut self.last_change, &self.router);
+        delivered.map_err(|_| RouterStopped)?;
+        for reload in self.connections.update_address() {
+            self.state.reset_retry_delay();
+            self.send(Input::ChangesAnnounced(announced_by_reload(reload)))?;
         }
-        let (polled_at, polled_instant) = (clock::now(), Instant::now());
-        let since = last_change;
-        let mut decoder = ChangeDecoder::new(&names, &mut last_change, state.known_invalid());
-        let limits = state.limits(lease.is_valid(polled_at));
-        let answer = connections.poll(since, limits, &mut |result| {
+        let poll = self.poll();
+        self.handle(poll)
+    }
+
+    fn send(&self, input: Input) -> Result<(), RouterStopped> {
+        self.router.send(input).map_err(|_| RouterStopped)
+    }
+
+    /// Polls the log, and passes on each change as soon as it has arrived.
+    fn poll(&mut self) -> EndedPoll {
+        let (started_at, start_instant) = (clock::now(), Instant::now());
+        let since = self.last_change;
+        let limits = self.state.limits(self.lease.is_valid(started_at));
+        let mut decoder = ChangeDecoder::new(&self.names, &mut self.last_change, self.state.known_invalid());
+        let answer = self.connections.poll(since, limits, &mut |result| {
             let before = decoder.last();
             let change = decoder.decode(result)?;
             if decoder.last() > before {
-                source.change_read(decoder.last(), result);
+                self.source.change_read(decoder.last(), result);
             }
             change.map_or(Ok(()), |change| {
-                lease.change_sent();
-                router.send(Input::Change(change)).map_err(|_| ChangeLogError::RouterStopped)
+                self.lease.change_sent();
+                self.router.send(Input::Change(change)).map_err(|_| ChangeLogError::RouterStopped)
             })
         });
-        state.note_duration(clock::now() - polled_at);
         let repeated = decoder.first_repeated();
-        source.answer_ended(last_change, answer.is_ok().then_some(polled_instant));
-        if answer.is_ok() && router.send(Input::ChangeLogReadUpTo(polled_at)).is_err() {
-            return;
-        }
-        state.note_repeated(repeated, last_change);
-        let fault = match answer {
-            Err(PollFailure { fault: ChangeLogError::AddressChanged, .. }) => continue,
-            Err(PollFailure { fault: ChangeLogError::RouterStopped, .. }) => return,
+        self.state.note_duration(clock::now() - started_at);
+        self.source.answer_ended(self.last_change, answer.is_ok().then_some(start_instant));
+        EndedPoll { started_at, limits, since, repeated, answer }
+    }
+
+    /// Tells the router what an ended poll means, and waits until the next one is due.
+    fn handle(&mut self, poll: EndedPoll) -> Result<(), RouterStopped> {
+        self.state.note_repeated(poll.repeated, self.last_change);
+        let fault = match poll.answer {
+            Ok(seq) => {
+                self.send(Input::ChangeLogReadUpTo(poll.started_at))?;
+                self.state.note_sequence(seq, poll.since);
+                None
+            }
+            Err(PollFailure { fault: ChangeLogError::AddressChanged, .. }) => return Ok(()),
+            Err(PollFailure { fault: ChangeLogError::RouterStopped, .. }) => return Err(RouterStopped),
             Err(PollFailure { fault, requested_at }) => {
-                let announced = requested_at.map(|at| announced_by_failure(at, limits.wait));
-                if announced.is_some_and(|changes| router.send(Input::ChangesAnnounced(changes)).is_err()) {
-                    return;
+                if let Some(requested_at) = requested_at {
+                    let announced = announced_by_failure(requested_at, poll.limits.wait);
+                    self.send(Input::ChangesAnnounced(announced))?;
                 }
                 Some(fault)
             }
-            Ok(seq) => {
-                state.note_sequence(seq, since);
-                None
-            }
         };
-        state.note_result(fault.as_ref(), last_change);
-        let since_poll = clock::now() - polled_at;
-        let delay = state.retry_delay(fault.as_ref(), since_poll, &mut random);
-        if let Some(delay) = delay.max(source.poll_delay(since_poll)) {
-            connections.wait(delay);
+        self.state.note_result(fault.as_ref(), self.last_change);
+        self.wait(fault.as_ref(), clock::now() - poll.started_at);
+        Ok(())
+    }
+
+    fn wait(&mut self, fault: Option<&ChangeLogError>, since_poll: Span) {
+        let delay = self.state.retry_delay(fault, since_poll, &mut self.random);
+        if let Some(delay) = delay.max(self.source.poll_delay(since_poll)) {
+            self.connections.wait(delay);
         }
     }
 }
