A fill after a miss stays on its connection, where a second copy is known by its word

Since an id is sent once on a connection, each miss that is followed by the same host needed another one.

Connections grew by a tenth.

Change: an attempt whose source fetches what it lacks may follow on the same connection if all attempts before it with that id there could be answered by a miss and were. The protocol knows no miss for it, so a miss that comes then is a copy and ends nothing; no other word can be a copy of a miss. After any other answer, a cancel, or for an attempt that may itself be answered by a miss, another connection is taken as before.

--- a/crates/dispatcher/src/host_messages.rs
+++ b/crates/dispatcher/src/host_messages.rs
@@ -61,6 +61,8 @@
     pub client_tag: Option<Bytes>,
     /// Whether the answer is a cached copy; the answer to a write is not, even through a cache.
     pub expects_copy: bool,
+    /// Whether the host may answer with a miss: it has no source to fill from, or one that gives only what it holds.
+    pub can_miss: bool,
     /// Deadline for the answer.
     pub deadline: Time,
     /// When the client stops waiting; the visit is not handed off again after that.
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -9,6 +9,7 @@
 mod writing;
 
 use self::host::{Host, Shared};
+use self::pool::HandOffKey;
 use crate::capacity::HostCapacity;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
@@ -16,7 +17,7 @@
 use crate::connection::{spawn, CloseReason};
 use crate::host_connections::HostConnections;
 use crate::host_messages::{HandOff, HostMailbox, HostThreadMessage, NewHost, ToHost};
-use crate::ids::{HostActorId, Txn};
+use crate::ids::HostActorId;
 use crate::inbox::{FromHost, Input};
 use crate::mailbox;
 use cherrypass::calls::Outcome;
@@ -96,7 +97,7 @@
     shared: &Shared,
 ) {
     if let ToHost::HandOff(hand_off) = &message {
-        free_connection_for(hosts, actor, Txn::parse(&hand_off.txn));
+        free_connection_for(hosts, actor, HandOffKey::from(hand_off));
     }
     match (hosts.get_mut(&actor), message) {
         (Some(host), message) => {
@@ -115,12 +116,12 @@
     }
 }
 
-/// Closes the connection that has been idle longest if the host has none for this id and all are in use, so that
+/// Closes the connection that has been idle longest if the host has none for the hand-off and all are in use, so that
 /// connections follow the traffic when there are more hosts than connections. Visits that alternate between
 /// more hosts than that open a connection each.
-fn free_connection_for(hosts: &mut BTreeMap<HostActorId, Box<Host>>, actor: HostActorId, txn: Txn) {
+fn free_connection_for(hosts: &mut BTreeMap<HostActorId, Box<Host>>, actor: HostActorId, key: HandOffKey) {
     let Some(host) = hosts.get(&actor) else { return };
-    let has_connection = host.pool.values().any(|pooled| pooled.is_usable_for(txn));
+    let has_connection = host.pool.values().any(|pooled| pooled.is_usable_for(key));
     if has_connection || host.is_removed || host.shared.capacity.reserve_connection().is_some() {
         return;
     }
--- a/crates/dispatcher/src/hosts/answers.rs
+++ b/crates/dispatcher/src/hosts/answers.rs
@@ -36,14 +36,16 @@
             return;
         }
         let txn = Txn::parse(&answer.id);
-        // An id is sent once on a connection, so the answer can belong to no earlier hand-off of the visit.
+        // The earlier hand-offs with this id on the connection, if any, were all answered by misses.
+        let is_second_copy = answer.outcome == Outcome::Miss && pooled.used_ids.contains_key(&txn);
         let is_expected = pooled.in_flight.get(&txn).is_some_and(|pending| pending.txn == answer.id);
-        let Some(pending) = is_expected.then(|| pooled.in_flight.remove(&txn)).flatten() else {
+        let Some(pending) = (is_expected && !is_second_copy).then(|| pooled.in_flight.remove(&txn)).flatten()
+        else {
             // An answer to a cancelled or unknown hand-off, or a second copy of one, is dropped.
             return;
         };
         if answer.outcome != Outcome::Served {
-            pooled.mark_used(txn, pending.visit_deadline);
+            pooled.mark_used(txn, &pending, answer.outcome);
         }
         // An unusable answer reaches no client, nor does anything after it on this connection.
         if pending.rejects(&answer) {
--- a/crates/dispatcher/src/hosts/closing.rs
+++ b/crates/dispatcher/src/hosts/closing.rs
@@ -82,7 +82,7 @@
     pub(super) fn sweep(&mut self, now: Time) {
         let idle = self.shared.limits.idle_timeout.times(0.8);
         for pooled in self.pool.values_mut() {
-            pooled.used_ids.retain(|_, visit_deadline| now < *visit_deadline);
+            pooled.used_ids.retain(|_, used| now < used.visit_deadline);
             let Some(connection) = pooled.connection.as_ref().filter(|_| !pooled.is_closing) else {
                 continue;
             };
--- a/crates/dispatcher/src/hosts/hand_offs.rs
+++ b/crates/dispatcher/src/hosts/hand_offs.rs
@@ -1,11 +1,11 @@
 //! Assigns hand-offs to the connections of a host, and cancels or revokes them.
 use super::host::Host;
 use super::outgoing::Outgoing;
-use super::pool::{PendingHandOff, PooledConnection};
+use super::pool::{HandOffKey, PendingHandOff, PooledConnection};
 use crate::clock;
 use crate::connection::{CloseReason, Connection};
 use crate::host_messages::{HandOff, NotStarted, UnstartedHandOff};
-use crate::ids::{ConnectionId, HandOffId, Txn};
+use crate::ids::{ConnectionId, HandOffId};
 use crate::inbox::{FromHost, Input};
 use crate::resp;
 use cherrypass::calls::Outcome;
@@ -24,14 +24,14 @@
             self.report_end(hand_off.id, Outcome::Expired, None, clock::now());
             return;
         }
-        let txn = Txn::parse(&hand_off.txn);
-        let connection = self.connection_for(txn);
+        let key = HandOffKey::from(&hand_off);
+        let connection = self.connection_for(key);
         let Some(pooled) = connection.and_then(|id| self.pool.get_mut(&id)) else {
             // A lack of connections doesn't count as a failure of the host.
             self.report_end(hand_off.id, Outcome::Expired, None, clock::now());
             return;
         };
-        pooled.in_flight.insert(txn, PendingHandOff::new(&hand_off));
+        pooled.in_flight.insert(key.txn, PendingHandOff::new(&hand_off));
         match connection.filter(|_| pooled.connection.is_some()) {
             Some(id) => self.write(id, Outgoing::HandOff(hand_off)),
             None => pooled.waiting.push_back(hand_off),
@@ -39,24 +39,24 @@
     }
 
     /// The connection with the fewest hand-offs in flight, or a new one if that is loaded.
-    fn connection_for(&mut self, txn: Txn) -> Option<ConnectionId> {
+    fn connection_for(&mut self, key: HandOffKey) -> Option<ConnectionId> {
         let streams = self.shared.limits.streams_per_connection;
-        let free = self.pool.iter().filter(|(_, pooled)| pooled.accepts(txn, streams));
+        let free = self.pool.iter().filter(|(_, pooled)| pooled.accepts(key, streams));
         let best = free.min_by_key(|(_, pooled)| {
             (pooled.in_flight.len(), pooled.connection.is_none(), Reverse(pooled.last_used))
         });
         let best = best.map(|(id, pooled)| (*id, pooled.in_flight.len()));
         match best {
             Some((id, load)) if load < (streams / LIGHT_LOAD_DIVISOR).max(1) => Some(id),
-            loaded => self.open_connection(Some(txn)).or(loaded.map(|(id, _)| id)),
+            loaded => self.open_connection(Some(key)).or(loaded.map(|(id, _)| id)),
         }
     }
 
-    /// Opens a connection if the host's share allows it. Those that were already used for the id of the hand-off
+    /// Opens a connection if the host's share allows it. Those that can't be used again for the id of the hand-off
     /// to be sent don't count: a visit may be handed off again to a host that has a single connection.
-    pub(super) fn open_connection(&mut self, txn: Option<Txn>) -> Option<ConnectionId> {
+    pub(super) fn open_connection(&mut self, key: Option<HandOffKey>) -> Option<ConnectionId> {
         let is_counted = |pooled: &&PooledConnection| {
-            pooled.is_usable() && txn.is_none_or(|txn| !pooled.used_ids.contains_key(&txn))
+            pooled.is_usable() && key.is_none_or(|key| pooled.can_tell_apart(key))
         };
         let usable = self.pool.values().filter(is_counted).count();
         if self.is_removed || usable >= self.shared.capacity.connections_per_host() {
@@ -83,7 +83,7 @@
             return;
         }
         pooled.unsent_cancels.push(id);
-        pooled.mark_used(txn, pending.visit_deadline);
+        pooled.mark_used(txn, &pending, Outcome::Cancelled);
         // A silent connection would look the least loaded; it must not get new hand-offs.
         let is_silent = |connection: &Arc<Connection>| {
             pending.send_state.written_at().is_some_and(|at| connection.last_read_at() < at)
--- a/crates/dispatcher/src/hosts/pool.rs
+++ b/crates/dispatcher/src/hosts/pool.rs
@@ -6,6 +6,7 @@
 use crate::host_messages::{HandOff, SendState};
 use crate::ids::{HandOffId, Txn};
 use bytes::Bytes;
+use cherrypass::calls::Outcome;
 use cherrypass::time::Time;
 use crossbeam_channel::Sender;
 use std::collections::{BTreeMap, VecDeque};
@@ -18,6 +19,8 @@
     pub(super) txn: Bytes,
     pub(super) client_tag: Option<Bytes>,
     pub(super) expects_copy: bool,
+    /// See [`HandOff::can_miss`].
+    pub(super) can_miss: bool,
     pub(super) deadline: Time,
     /// See [`HandOff::visit_deadline`].
     pub(super) visit_deadline: Time,
@@ -31,6 +34,7 @@
             txn: hand_off.txn.clone(),
             client_tag: hand_off.client_tag.clone(),
             expects_copy: hand_off.expects_copy,
+            can_miss: hand_off.can_miss,
             deadline: hand_off.deadline,
             visit_deadline: hand_off.visit_deadline,
             send_state: hand_off.send_state.clone(),
@@ -38,6 +42,28 @@
     }
 }
 
+/// An id whose hand-offs on a connection have all ended without the visit being served.
+pub(super) struct UsedId {
+    /// The visit is not handed off again after this.
+    pub(super) visit_deadline: Time,
+    /// Whether all of them were answered by a miss that was possible. A second copy of one is a miss too, which ends no
+    /// hand-off that can't be answered by one.
+    pub(super) has_only_missed: bool,
+}
+
+/// What decides which connections a hand-off may be sent on.
+#[derive(Clone, Copy)]
+pub(super) struct HandOffKey {
+    pub(super) txn: Txn,
+    pub(super) can_miss: bool,
+}
+
+impl From<&HandOff> for HandOffKey {
+    fn from(hand_off: &HandOff) -> HandOffKey {
+        HandOffKey { txn: Txn::parse(&hand_off.txn), can_miss: hand_off.can_miss }
+    }
+}
+
 /// A connection of a host's pool.
 pub(super) struct PooledConnection {
     pub(super) connection: Option<Arc<Connection>>,
@@ -49,10 +75,9 @@
     /// Hand-offs that wait for the connection to be established.
     pub(super) waiting: VecDeque<HandOff>,
     pub(super) in_flight: BTreeMap<Txn, PendingHandOff>,
-    /// Ids whose hand-off on this connection has ended without the visit being served, each until the visit's
-    /// deadline. A late answer to such a hand-off, or a second copy of its answer, can't be told from the answer
-    /// to a further hand-off with the same id, so the connection is not used for one.
-    pub(super) used_ids: BTreeMap<Txn, Time>,
+    /// Ids that were sent on this connection. A late answer to such a hand-off, or a second copy of its answer, must
+    /// not end a further hand-off with the same id.
+    pub(super) used_ids: BTreeMap<Txn, UsedId>,
     /// Cancelled hand-offs whose cancel has not been written yet.
     pub(super) unsent_cancels: Vec<HandOffId>,
     pub(super) last_used: Time,
@@ -81,19 +106,27 @@
         }
     }
 
-    /// Whether a hand-off with this id may be sent on the connection once fewer are in flight.
-    pub(super) fn is_usable_for(&self, txn: Txn) -> bool {
-        self.is_usable() && !self.in_flight.contains_key(&txn) && !self.used_ids.contains_key(&txn)
+    /// Whether the answers to a hand-off can be told from those to earlier ones with its id on this connection.
+    pub(super) fn can_tell_apart(&self, key: HandOffKey) -> bool {
+        self.used_ids.get(&key.txn).is_none_or(|used| used.has_only_missed && !key.can_miss)
+    }
+
+    /// Whether a hand-off may be sent on the connection once fewer are in flight.
+    pub(super) fn is_usable_for(&self, key: HandOffKey) -> bool {
+        self.is_usable() && !self.in_flight.contains_key(&key.txn) && self.can_tell_apart(key)
     }
 
-    /// Whether a hand-off with this id may be sent on the connection now.
-    pub(super) fn accepts(&self, txn: Txn, streams: usize) -> bool {
-        self.is_usable_for(txn) && self.in_flight.len() < streams
+    /// Whether a hand-off may be sent on the connection now.
+    pub(super) fn accepts(&self, key: HandOffKey, streams: usize) -> bool {
+        self.is_usable_for(key) && self.in_flight.len() < streams
     }
 
     /// Notes that a hand-off, which may have been sent, has ended without the visit being served.
-    pub(super) fn mark_used(&mut self, txn: Txn, visit_deadline: Time) {
-        self.used_ids.insert(txn, visit_deadline);
+    pub(super) fn mark_used(&mut self, txn: Txn, ended: &PendingHandOff, outcome: Outcome) {
+        let visit_deadline = ended.visit_deadline;
+        let has_missed = outcome == Outcome::Miss && ended.can_miss;
+        let used = self.used_ids.entry(txn).or_insert(UsedId { visit_deadline, has_only_missed: true });
+        used.has_only_missed &= has_missed;
     }
 
     /// Whether the connection may take more hand-offs.
--- a/crates/dispatcher/src/router/hand_offs.rs
+++ b/crates/dispatcher/src/router/hand_offs.rs
@@ -152,6 +152,7 @@
         body: request.body.clone(),
         client_tag: request.cached_tag.clone(),
         expects_copy: fill.is_some() && !is_write,
+        can_miss: source.is_none() || fill.is_some_and(|fill| fill.cached_only),
         deadline: decided.deadline,
         visit_deadline: open.deadline(),
         latest_start: decided.latest_start,
--- a/crates/dispatcher/tests/hand_off_ids.rs
+++ b/crates/dispatcher/tests/hand_off_ids.rs
@@ -1,5 +1,5 @@
-//! Answers and the hand-offs they end. All hand-offs of a visit have the same id on the wire, so an id is sent once
-//! on a connection: guards against an earlier hand-off's answer, late or a second time, that ends a later one.
+//! Answers and the hand-offs they end. All hand-offs of a visit have the same id on the wire. Guards against an earlier
+//! hand-off's answer, late or a second time, that ends a later one.
 use cherrypass::calls::Outcome;
 use cherrypass::ids::{HandOffNumber, VisitId};
 use cherrypass::time::Span;
@@ -29,6 +29,15 @@
 const ID: &str = "9b1f03aa5c7e2d41";
 const OTHER_ID: &str = "0000000000000002";
 
+/// What a host does that lacks the object.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Filling {
+    /// It has no source, or one that gives only what it holds.
+    CanMiss,
+    /// It has a source that fetches the object.
+    Fetches,
+}
+
 /// A message that arrived at the simulated host, and the connection that it came on.
 struct Arrived {
     connection: usize,
@@ -106,8 +115,8 @@
         Fixture { hosts, mailbox, from_actor, arrived, _client: client, client_input, hand_off_count: 0 }
     }
 
-    /// Sends a hand-off with this id; returns how it arrived.
-    fn hand_off(&mut self, txn: &'static str) -> (HandOffId, Arrived) {
+    /// Sends a hand-off with this id, to be filled by a source or not; returns how it arrived.
+    fn hand_off(&mut self, txn: &'static str, filling: Filling) -> (HandOffId, Arrived) {
         self.hand_off_count += 1;
         let id = HandOffId(VisitId(1), HandOffNumber(self.hand_off_count));
         let deadline = clock::now() + VISIT_TIME;
@@ -118,6 +127,7 @@
             body: Default::default(),
             client_tag: None,
             expects_copy: false,
+            can_miss: filling == Filling::CanMiss,
             deadline,
             visit_deadline: deadline,
             latest_start: deadline,
@@ -153,25 +163,50 @@
 }
 
 /// A visit that runs was refused or handed off again: the second copy of an earlier answer ended its hand-off.
-#[test_case("LACK", Outcome::Miss, SecondCopy::WithTheFirst; "a miss, in one write")]
-#[test_case("LACK", Outcome::Miss, SecondCopy::AfterTheNextHandOff; "a miss")]
-#[test_case("LACK", Outcome::Miss, SecondCopy::MuchLater; "a miss, much later")]
-#[test_case("WAIT", Outcome::Full, SecondCopy::AfterTheNextHandOff; "a full host")]
-#[test_case("WAIT", Outcome::Full, SecondCopy::MuchLater; "a full host, much later")]
-#[test_case("BROKE", Outcome::Error, SecondCopy::AfterTheNextHandOff; "an error")]
-#[test_case("PAST", Outcome::Expired, SecondCopy::MuchLater; "a request that was over, much later")]
-fn a_second_copy_ends_no_later_hand_off(word: &str, outcome: Outcome, second_copy: SecondCopy) {
-    let mut fixture = Fixture::start(8, 0);
-    let (first_id, first) = fixture.hand_off(ID);
-    first.answer(word, if second_copy == SecondCopy::WithTheFirst { 2 } else { 1 });
-    fixture.expect_end(first_id, outcome);
-    if second_copy == SecondCopy::MuchLater {
-        fixture.hosts.sweep(clock::now() + Span::millis(10_000));
+#[test_case("LACK", Outcome::Miss, Filling::CanMiss; "a miss")]
+#[test_case("LACK", Outcome::Miss, Filling::Fetches; "a miss before a fill")]
+#[test_case("WAIT", Outcome::Full, Filling::CanMiss; "a full host")]
+#[test_case("WAIT", Outcome::Full, Filling::Fetches; "a full host before a fill")]
+#[test_case("BROKE", Outcome::Error, Filling::CanMiss; "an error")]
+#[test_case("BROKE", Outcome::Error, Filling::Fetches; "an error before a fill")]
+#[test_case("PAST", Outcome::Expired, Filling::Fetches; "a request that was over")]
+fn a_second_copy_ends_no_later_hand_off(word: &str, outcome: Outcome, next_filling: Filling) {
+    for second_copy in [SecondCopy::WithTheFirst, SecondCopy::AfterTheNextHandOff, SecondCopy::MuchLater] {
+        let mut fixture = Fixture::start(8, 0);
+        let (first_id, first) = fixture.hand_off(ID, Filling::CanMiss);
+        first.answer(word, if second_copy == SecondCopy::WithTheFirst { 2 } else { 1 });
+        fixture.expect_end(first_id, outcome);
+        if second_copy == SecondCopy::MuchLater {
+            fixture.hosts.sweep(clock::now() + Span::millis(10_000));
+        }
+        let (next_id, next) = fixture.hand_off(ID, next_filling);
+        if second_copy != SecondCopy::WithTheFirst {
+            first.answer(word, 1);
+        }
+        fixture.expect_quiet();
+        next.answer("DONE", 1);
+        fixture.expect_end(next_id, Outcome::Served);
     }
-    let (next_id, next) = fixture.hand_off(ID);
-    if second_copy != SecondCopy::WithTheFirst {
-        first.answer(word, 1);
+}
+
+/// What came before a miss, or after one, counts as well: copies of all of it may still come.
+#[test_case(&[("WAIT", Filling::CanMiss)], Filling::Fetches; "a full host")]
+#[test_case(&[("LACK", Filling::CanMiss), ("WAIT", Filling::Fetches)], Filling::Fetches; "a full host after a miss")]
+#[test_case(&[("LACK", Filling::CanMiss), ("BROKE", Filling::Fetches)], Filling::Fetches; "an error after a miss")]
+#[test_case(&[("LACK", Filling::Fetches)], Filling::Fetches; "a miss in spite of a source")]
+#[test_case(&[("LACK", Filling::CanMiss), ("LACK", Filling::CanMiss)], Filling::CanMiss; "two misses")]
+fn copies_of_all_earlier_answers_are_dropped(earlier: &[(&str, Filling)], filling: Filling) {
+    let mut fixture = Fixture::start(8, 0);
+    let mut answered = Vec::new();
+    for (word, filling) in earlier {
+        let (id, arrived) = fixture.hand_off(ID, *filling);
+        arrived.answer(word, 1);
+        let ended = fixture.from_actor.recv_timeout(TIMEOUT);
+        assert!(matches!(ended, Ok(Input::HandOff(ended, FromHost::Ended { .. })) if ended == id));
+        answered.push((arrived, *word));
     }
+    let (next_id, next) = fixture.hand_off(ID, filling);
+    answered.iter().for_each(|(arrived, word)| arrived.answer(word, 1));
     fixture.expect_quiet();
     next.answer("DONE", 1);
     fixture.expect_end(next_id, Outcome::Served);
@@ -183,7 +218,7 @@
 #[test_case("LACK"; "a miss")]
 fn answers_after_a_cancel_end_no_later_hand_off(word: &str) {
     let mut fixture = Fixture::start(8, 0);
-    let (first_id, first) = fixture.hand_off(ID);
+    let (first_id, first) = fixture.hand_off(ID, Filling::CanMiss);
     fixture.mailbox.send(ToHost::Cancel(first_id));
     let cancel = fixture.arrived.recv_timeout(TIMEOUT).unwrap();
     assert_eq!(cancel.words, ["never_mind", ID]);
@@ -191,27 +226,40 @@
     assert!(matches!(cancelled, Ok(Input::HandOff(id, FromHost::CancelSent { .. })) if id == first_id));
     first.answer(word, 1);
     fixture.expect_quiet();
-    let (next_id, next) = fixture.hand_off(ID);
+    let (next_id, next) = fixture.hand_off(ID, Filling::Fetches);
     first.answer(word, 1);
     fixture.expect_quiet();
     next.answer("DONE", 1);
     fixture.expect_end(next_id, Outcome::Served);
 }
 
-/// What tells answers apart costs no connection and no time: the first connection goes on with other ids, and the
-/// same host takes a visit again after a miss, even if its share is one connection.
+/// A miss is followed by a fill at the same host on the same connection, which costs no connect.
+#[test]
+fn a_fill_after_a_miss_takes_the_same_connection() {
+    let mut fixture = Fixture::start(8, 0);
+    let (first_id, first) = fixture.hand_off(ID, Filling::CanMiss);
+    first.answer("LACK", 1);
+    fixture.expect_end(first_id, Outcome::Miss);
+    let (next_id, next) = fixture.hand_off(ID, Filling::Fetches);
+    assert_eq!(next.connection, first.connection);
+    next.answer("WAIT", 1);
+    fixture.expect_end(next_id, Outcome::Full);
+}
+
+/// Where answers can't be told apart, the first connection goes on with other ids, and the same host takes a visit again
+/// after a miss, even if its share is one connection.
 #[test_case(2, 1; "a share of one connection")]
 #[test_case(1, 0; "one connection in all")]
 fn a_miss_is_followed_by_the_same_host(max_connections: usize, other_hosts: usize) {
     let mut fixture = Fixture::start(max_connections, other_hosts);
-    let (first_id, first) = fixture.hand_off(ID);
+    let (first_id, first) = fixture.hand_off(ID, Filling::CanMiss);
     first.answer("LACK", 1);
     fixture.expect_end(first_id, Outcome::Miss);
-    let (next_id, next) = fixture.hand_off(ID);
+    let (next_id, next) = fixture.hand_off(ID, Filling::CanMiss);
     assert_ne!(next.connection, first.connection);
     next.answer("DONE", 1);
     fixture.expect_end(next_id, Outcome::Served);
-    let (other_id, other) = fixture.hand_off(OTHER_ID);
+    let (other_id, other) = fixture.hand_off(OTHER_ID, Filling::CanMiss);
     other.answer("LACK", 1);
     fixture.expect_end(other_id, Outcome::Miss);
     let is_open = || !matches!((&first.stream).take(1).read(&mut [0]), Ok(0));
@@ -223,10 +271,10 @@
 #[test]
 fn an_id_is_forgotten_after_its_visit() {
     let mut fixture = Fixture::start(8, 0);
-    let (first_id, first) = fixture.hand_off(ID);
+    let (first_id, first) = fixture.hand_off(ID, Filling::CanMiss);
     first.answer("WAIT", 1);
     fixture.expect_end(first_id, Outcome::Full);
     fixture.hosts.sweep(clock::now() + VISIT_TIME + Span::millis(1));
-    let (_, next) = fixture.hand_off(ID);
+    let (_, next) = fixture.hand_off(ID, Filling::CanMiss);
     assert_eq!(next.connection, first.connection);
 }
