Stop points count the calls in which threads wait on arm64 too

Why: `stop_points.rs` names `epoll_wait` and `poll`, calls that arm64 does not have; there the C library's functions of these names make `epoll_pwait` and `ppoll`.

Change: `WAITS` has the two old names on x86-64 alone, and `epoll_pwait` and `ppoll` on both. All other entries stay, and so does every other constant, bound and check.

Not run: the build for x86-64, for which this machine has no standard library; the two names that are left to it are the ones that the list had there before.

--- a/crates/faultbed/src/stop_points.rs
+++ b/crates/faultbed/src/stop_points.rs
@@ -5,12 +5,17 @@
 use std::io;
 
 /// System calls in which a thread waits for work. Signals are received from a socket, which blocks in `recvfrom`; all
-/// other sockets are read without blocking.
-const WAITS: [i64; 6] = [
+/// other sockets are read without blocking. Where a machine has no `epoll_wait` and no `poll`, the C library's functions
+/// of these names make the two calls after them.
+const WAITS: &[i64] = &[
     nix::libc::SYS_futex,
     nix::libc::SYS_recvfrom,
+    #[cfg(target_arch = "x86_64")]
     nix::libc::SYS_epoll_wait,
+    #[cfg(target_arch = "x86_64")]
     nix::libc::SYS_poll,
+    nix::libc::SYS_epoll_pwait,
+    nix::libc::SYS_ppoll,
     nix::libc::SYS_clock_nanosleep,
     nix::libc::SYS_restart_syscall,
 ];
