Review case 7: bad clients that ask for unknown objects have the dispatcher killed for memory

The case: six bad clients on one connection each ask at full speed for objects that no cache host knows, with a millisecond left, and read their refusals.

--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -14,6 +15,8 @@
 
 extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn sched_getaffinity(process: i32, size: usize, cores: *mut u64) -> i32;
+    fn sched_setaffinity(process: i32, size: usize, cores: *const u64) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -135,6 +138,35 @@
 
 impl Dispatcher {
     pub fn start(name: &str, address: SocketAddr, config: &str, environment: &[(&str, String)]) -> Dispatcher {
+        Dispatcher::start_with(name, address, config, environment, |_| ())
+    }
+
+    /// One that runs on the first of this program's cores alone, as each has one.
+    pub fn start_on_one_core(name: &str, address: SocketAddr, config: &str) -> Dispatcher {
+        Dispatcher::start_with(name, address, config, &[], |command| {
+            let keep_to_one = || {
+                let mut cores = [0_u64; 16];
+                let size = std::mem::size_of_val(&cores);
+                if unsafe { sched_getaffinity(0, size, cores.as_mut_ptr()) } > 0 {
+                    let first = cores.iter().position(|word| *word != 0).unwrap_or(0);
+                    let core = cores[first] & cores[first].wrapping_neg();
+                    cores = [0; 16];
+                    cores[first] = core;
+                    unsafe { sched_setaffinity(0, size, cores.as_ptr()) };
+                }
+                Ok(())
+            };
+            unsafe { command.pre_exec(keep_to_one) };
+        })
+    }
+
+    fn start_with(
+        name: &str,
+        address: SocketAddr,
+        config: &str,
+        environment: &[(&str, String)],
+        prepare: impl FnOnce(&mut Command),
+    ) -> Dispatcher {
         let folder = temp_folder();
         let path = folder.join(format!("{name}.json"));
         fs::write(&path, config).unwrap();
@@ -147,6 +179,7 @@
         command.env("TMPDIR", private).stdin(Stdio::null());
         command.stdout(log.try_clone().unwrap()).stderr(log);
         command.envs(environment.iter().map(|(name, value)| (name, value)));
+        prepare(&mut command);
         let child = command.spawn().expect("the dispatcher can't be started");
         STARTED.lock().unwrap().push(child.id());
         note(format!("dispatcher {name} started"));
@@ -397,16 +430,28 @@
     pub streams: Arc<Mutex<HashMap<u64, TcpStream>>>,
     handler: Arc<Handler>,
     is_open: Arc<AtomicBool>,
+    /// Bytes a second of one answer, and the size of the pieces in which it is written.
+    pace: Option<(usize, usize)>,
 }
 
 impl Host {
     pub fn start(name: &str, handler: impl Fn(&Want) -> Option<Reply> + Send + Sync + 'static) -> Host {
-        Host::start_at(name, "127.0.0.1:0".parse().unwrap(), handler)
+        Host::start_at(name, "127.0.0.1:0".parse().unwrap(), None, handler)
+    }
+
+    pub fn start_paced(
+        name: &str,
+        bytes_per_s: usize,
+        piece: usize,
+        handler: impl Fn(&Want) -> Option<Reply> + Send + Sync + 'static,
+    ) -> Host {
+        Host::start_at(name, "127.0.0.1:0".parse().unwrap(), Some((bytes_per_s, piece)), handler)
     }
 
     pub fn start_at(
         name: &str,
         address: SocketAddr,
+        pace: Option<(usize, usize)>,
         handler: impl Fn(&Want) -> Option<Reply> + Send + Sync + 'static,
     ) -> Host {
         let listener = TcpListener::bind(address).expect("a host's address is taken");
@@ -418,6 +463,7 @@
             streams: Arc::default(),
             handler: Arc::new(handler),
             is_open: Arc::new(AtomicBool::new(true)),
+            pace,
         };
         let own = host.clone();
         thread::spawn(move || {
@@ -485,7 +531,7 @@
                         }
                         let bytes = encode_reply(&want.id, &reply);
                         let mut writer = writer.lock().unwrap();
-                        if writer.write_all(&bytes).is_ok() {
+                        if write_paced(&mut writer, &bytes, own.pace).is_ok() {
                             own.see(Seen::Answered { id: want.id.clone(), word: reply.word, at: now_ms() });
                         }
                     };
@@ -513,6 +559,15 @@
     }
 }
 
+fn write_paced(stream: &mut TcpStream, bytes: &[u8], pace: Option<(usize, usize)>) -> std::io::Result<()> {
+    let Some((bytes_per_s, piece)) = pace else { return stream.write_all(bytes) };
+    for piece in bytes.chunks(piece) {
+        stream.write_all(piece)?;
+        thread::sleep(Duration::from_secs_f64(piece.len() as f64 / bytes_per_s as f64));
+    }
+    Ok(())
+}
+
 pub fn encode_reply(id: &str, reply: &Reply) -> Vec<u8> {
     let Reply { word, fields, body } = reply;
     let mut bytes = format!(
@@ -632,6 +687,8 @@
     next_id: u32,
     pub asked: Arc<Mutex<BTreeMap<u32, Asked>>>,
     pub is_closed: Arc<AtomicBool>,
+    /// Whether each request and answer is on record.
+    pub is_noted: Arc<AtomicBool>,
 }
 
 impl Client {
@@ -639,8 +696,9 @@
         let stream = TcpStream::connect_timeout(&address, Duration::from_millis(1_000)).ok()?;
         let _ = stream.set_nodelay(true);
         let asked: Arc<Mutex<BTreeMap<u32, Asked>>> = Arc::default();
-        let is_closed: Arc<AtomicBool> = Arc::default();
+        let (is_closed, is_noted) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(true)));
         let (mut reader, own, end) = (stream.try_clone().ok()?, asked.clone(), is_closed.clone());
+        let notes = is_noted.clone();
         let read = move || {
             let (mut buffer, mut piece) = (Vec::new(), vec![0; 64 << 10]);
             loop {
@@ -657,7 +715,9 @@
                             Ending::Served { body, keep } => format!("served {} bytes keep {keep}", body.len()),
                             ending => format!("{ending:?}"),
                         };
-                        note(format!("client: {} {text}", asked.visit.txn));
+                        if notes.load(SeqCst) {
+                            note(format!("client: {} {text}", asked.visit.txn));
+                        }
                         asked.ended.push(Ended { ending: ending.clone(), at });
                     });
                 }
@@ -670,7 +730,26 @@
             }
         };
         thread::Builder::new().stack_size(256 << 10).spawn(read).unwrap();
-        Some(Client { stream, next_id: 0, asked, is_closed })
+        Some(Client { stream, next_id: 0, asked, is_closed, is_noted })
+    }
+
+    /// Sends requests in one write.
+    pub fn send_at_once(&mut self, visits: &[Visit]) {
+        let (mut bytes, sent_ms) = (Vec::new(), now_ms());
+        for visit in visits {
+            self.next_id += 1;
+            bytes.extend(visit.encode(self.next_id));
+            let asked = Asked { visit: visit.clone(), sent_ms, ended: Vec::new(), is_withdrawn: false };
+            self.asked.lock().unwrap().insert(self.next_id, asked);
+        }
+        let _ = (&self.stream).write_all(&bytes);
+    }
+
+    /// Waits until nothing is open.
+    pub fn wait_for_all(&self) {
+        while self.open_count() > 0 && !self.is_closed.load(SeqCst) {
+            thread::sleep(Duration::from_micros(200));
+        }
     }
 
     /// Sends a request; its number on this connection.
