Review case 10: an order that a client tries again within its window is sent after it, and runs twice

The case: the origin is cut off for 6 s when two keyed orders run there. Their clients try again at once, three times, each within the 6 s in which the origin drops repeats. The last try is sent once the origin is reached again.

--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -17,6 +18,7 @@
     fn kill(process: i32, signal: i32) -> i32;
     fn sched_getaffinity(process: i32, size: usize, cores: *mut u64) -> i32;
     fn sched_setaffinity(process: i32, size: usize, cores: *const u64) -> i32;
+    fn listen(socket: i32, backlog: i32) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -432,6 +434,9 @@
     is_open: Arc<AtomicBool>,
     /// Bytes a second of one answer, and the size of the pieces in which it is written.
     pace: Option<(usize, usize)>,
+    /// Whether nothing gets through to it or from it.
+    is_cut_off: Arc<AtomicBool>,
+    socket: i32,
 }
 
 impl Host {
@@ -464,10 +469,13 @@
             handler: Arc::new(handler),
             is_open: Arc::new(AtomicBool::new(true)),
             pace,
+            is_cut_off: Arc::default(),
+            socket: listener.as_raw_fd(),
         };
         let own = host.clone();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().flatten().enumerate() {
+                own.wait_while_cut_off();
                 if !own.is_open.load(SeqCst) {
                     return;
                 }
@@ -478,6 +486,27 @@
         host
     }
 
+    fn wait_while_cut_off(&self) {
+        while self.is_cut_off.load(SeqCst) {
+            sleep_ms(1);
+        }
+    }
+
+    /// Cuts the host off for a while: its open connections stay open and silent, and new ones don't come up, as nobody
+    /// accepts them and no more may wait than already do.
+    pub fn cut_off(&self, ms: u64) {
+        self.is_cut_off.store(true, SeqCst);
+        note(format!("{}: cut off", self.name));
+        unsafe { listen(self.socket, 0) };
+        let fill = || TcpStream::connect_timeout(&self.address, Duration::from_millis(20)).ok();
+        let waiting: Vec<Option<TcpStream>> = (0..4).map(|_| fill()).collect();
+        sleep_ms(ms);
+        unsafe { listen(self.socket, 128) };
+        drop(waiting);
+        self.is_cut_off.store(false, SeqCst);
+        note(format!("{}: reached again", self.name));
+    }
+
     /// Ends its process: resets connections and closes its address.
     pub fn stop(&self) {
         self.is_open.store(false, SeqCst);
@@ -509,6 +538,7 @@
         let given_up: Arc<Mutex<Vec<String>>> = Arc::default();
         let mut reader = BufReader::with_capacity(64 << 10, stream);
         while let Some((words, first_ms)) = read_words(&mut reader) {
+            self.wait_while_cut_off();
             let text = |index: usize| String::from_utf8_lossy(&words[index]).into_owned();
             match (&text(0)[..], words.len()) {
                 ("want", 4) => {
@@ -521,6 +551,7 @@
                     let (own, writer, given_up) = (self.clone(), writer.clone(), given_up.clone());
                     let answer = move || {
                         let Some(reply) = (own.handler)(&want) else { return };
+                        own.wait_while_cut_off();
                         let is_given_up = {
                             let mut given_up = given_up.lock().unwrap();
                             let place = given_up.iter().position(|id| *id == want.id);
