Review cases 6 to 10 in the order of their weight

The orders that run twice are case 6 now, the memory case stays 7, the cold host is 8, slow discovery 9, the fleet's carriers 10. Beside that, a stand-in's client takes a request that it sends on an ended connection as not answered; the cases' own checks are as they were.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,168 +1,183 @@
-//! A keyed order runs at the origin, which is then cut off for 6 s. The client tries again within its window.
+//! A fleet whose change log is delivered by two carriers: both are killed at once, and a cache host begins to drain.
 #[path = "../bed-2/bed.rs"]
 mod bed;
 use bed::*;
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 
-/// How long the origin drops a repeat, from when the order first ran there.
-const MEMORY_MS: u64 = 6_000;
-const DEADLINE_MS: u64 = 3_000;
-/// A try is given up after 50 to 100 % of the deadline; three more may follow, at once.
-const LIMIT_MS: u64 = 1_900;
-const TRIES: u32 = 4;
-/// For how long the origin's zone is cut off.
-const CUT_OFF_MS: u64 = 6_000;
-const ORDERS: u64 = 2;
-/// How long it takes the origin to run an order.
-const WORK_MS: u64 = 40;
+const MEMBERS: usize = 8;
+const CARRIERS: usize = 2;
+const DRAIN_GRACE_MS: u64 = 500;
+/// At the latest, what the change log has to tell counts as told this long after it was made.
+const TOLD_MS: u64 = 7_000;
+/// Every time limit is so much longer on sockets, and so much is left for the way to the host.
+const SLACK_MS: u64 = 50 + 50;
+/// When a killed dispatcher is back.
+const BACK_MS: u64 = 7_300;
+const WATCHED_MS: u64 = 10_500;
 
-/// What the origin knows of an order.
-struct Order {
-    ran_at: u64,
-    runs: Vec<u64>,
+fn cache(name: &str) -> Host {
+    let copies: Arc<Mutex<HashMap<(String, String), u64>>> = Arc::default();
+    Host::start(name, move |want| {
+        let key = (want.field("k").to_owned(), want.field("p").to_owned());
+        let copy = copies.lock().unwrap().get(&key).copied();
+        if copy.is_none() && want.field("from").is_empty() {
+            return Some(Reply { word: "LACK", fields: "-".to_owned(), body: Vec::new() });
+        }
+        sleep_ms(if copy.is_some() { 10 } else { 30 });
+        let note = if copy.is_some() { "cached" } else { "fetched" };
+        let born = *copies.lock().unwrap().entry(key).or_insert_with(now_ms);
+        let fields = format!("ver={born:x},born={born},note={note}");
+        Some(Reply { word: "DONE", fields, body: vec![b'x'; 2_000] })
+    })
 }
 
-fn main() {
-    open_record(std::path::Path::new(&std::env::args().nth(1).expect("the record's path")));
-    let orders: Arc<Mutex<HashMap<String, Order>>> = Arc::default();
-    let kept = orders.clone();
-    let origin = Host::start("o-1", move |want| {
-        let born = now_ms();
-        let reply = Reply { word: "DONE", fields: format!("ver={born:x},born={born}"), body: b"ok".to_vec() };
-        if want.field("c") != "order" {
-            return Some(reply);
-        }
-        let unique = want.field("i").to_owned();
-        {
-            let mut kept = kept.lock().unwrap();
-            let order = kept.entry(unique.clone()).or_insert(Order { ran_at: 0, runs: Vec::new() });
-            if now_ms() >= order.ran_at + MEMORY_MS {
-                order.ran_at = now_ms();
-                order.runs.push(now_ms());
-                note(format!("o-1: order {unique} runs, time {}", order.runs.len()));
-            } else {
-                note(format!("o-1: order {unique} is a repeat and dropped"));
-            }
-        }
-        sleep_ms(WORK_MS);
-        Some(reply)
-    });
-    let cache = Host::start("s-1", |_| {
-        let born = now_ms();
-        Some(Reply { word: "DONE", fields: format!("ver={born:x},born={born},note=cached"), body: vec![b'x'; 500] })
-    });
-    let listed = |host: &Host, zone, kind| Listed {
-        name: host.name.clone(),
-        address: host.address,
-        zone,
-        kind,
-        cell: 0,
-        weight: 20.0,
-        started_ms: 0,
-    };
-    let log = ChangeLog::start();
-    let entries = [listed(&cache, "edge", "small"), listed(&origin, "hub", "origin")];
-    log.append_hosts(true, &[(&entries[0], "in_service"), (&entries[1], "in_service")]);
-    let address = free_address();
-    let config = format!(
-        r#"{{"name":"n1","listen":"{address}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"changelog":"{}",
-        "flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{},
-        "settings":{{"balancers":1,"me":0,"zone":1,"zones":["hub","edge"],"models":["small","parent","origin"],
-        "weight_source":"rough",
-        "services":[{{"name":"photo","aim":250000,"deadline":2500000,"effect":"idempotent"}},
-        {{"name":"order","aim":800000,"deadline":{},"effect":"deduplicated","group":"all","memory_span":{}}}],
-        "bounds":{{"connect_timeout":400000,"conn_idle":15000000,"streams_per_conn":32,"cancel":true,"max_attempts":6}},
-        "rules":{{"cold_from":0.2,"cold":15000000,"overload_factor":2.0,"overload_for":1500000,"drain_grace":500000}},
-        "domain":{{"parent_kind":1,"source_kind":2,"may_pass_by":true,"obey_after":1000000,"purge_done":6000000,
-        "goes_through":[false,true]}}}}}}"#,
-        log.address,
-        log.results(0),
-        DEADLINE_MS * 1_000,
-        MEMORY_MS * 1_000
-    );
-    let dispatcher = Dispatcher::start("n1", address, &config, &[]);
-    if !dispatcher.is_ready_within(10_000) {
-        verdict(2, "the dispatcher is not ready");
-    }
-    // Other clients, whose requests are served by the cache.
-    let is_over: Arc<AtomicBool> = Arc::default();
-    let end = is_over.clone();
-    std::thread::spawn(move || read_photos(address, end));
-    sleep_ms(3_000);
-    let first_at = now_ms();
-    let buyers: Vec<std::thread::JoinHandle<bool>> =
-        (1..=ORDERS).map(|number| std::thread::spawn(move || buy(address, number, first_at))).collect();
-    // Once all orders run, and before they are answered.
-    while orders.lock().unwrap().len() < ORDERS as usize {
-        if now_ms() > first_at + 1_000 {
-            verdict(2, "an order never came to the origin");
-        }
-        sleep_ms(1);
-    }
-    if has_trouble() {
-        origin.cut_off(CUT_OFF_MS);
-    }
-    let settled = buyers.into_iter().map(|buyer| buyer.join().unwrap_or(false)).filter(|settled| *settled).count();
-    is_over.store(true, SeqCst);
-    sleep_ms(300);
-    let orders = orders.lock().unwrap();
-    let twice: Vec<String> = orders
-        .iter()
-        .filter(|(_, order)| order.runs.len() > 1)
-        .map(|(unique, order)| format!("{} after {} ms", &unique[28..], order.runs[1] - order.runs[0]))
-        .collect();
-    let text = format!("{} of {ORDERS} orders ran twice ({}), {settled} were settled", twice.len(), twice.join(", "));
-    verdict(i32::from(!twice.is_empty()), &text)
+fn free_udp_address() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).unwrap()
 }
 
-/// Places an order, and tries again at once for as long as the repeat is known as one. Returns whether it was settled.
-fn buy(address: SocketAddr, number: u64, first_at: u64) -> bool {
-    let mut client = Client::connect(address).expect("a client can't connect");
-    for attempt in 1..=TRIES {
-        if now_ms() >= first_at + MEMORY_MS {
-            return false;
-        }
-        if client.is_closed.load(SeqCst) {
-            client = Client::connect(address).expect("a client can't connect");
-        }
-        let visit = Visit {
-            class: "order".to_owned(),
-            txn: format!("{:016x}", number << 8 | u64::from(attempt)),
-            limit: LIMIT_MS,
-            unique: Some(format!("{number:032x}")),
-            item: format!("{number:016x}"),
-            family: 1,
-            body: vec![b'o'; 200],
-            ..Visit::default()
-        };
-        let id = client.send(&visit);
-        match client.wait(id, LIMIT_MS) {
-            Some(Ended { ending: Ending::Served { .. }, .. }) => return true,
-            Some(_) => {}
-            None => client.withdraw(id),
-        }
+/// A member of the fleet: where it listens for clients and for the others.
+struct Member {
+    name: String,
+    address: SocketAddr,
+    fleet: SocketAddr,
+}
+
+impl Member {
+    fn config(&self, me: usize, log: &ChangeLog) -> String {
+        let (name, address) = (&self.name, self.address);
+        format!(
+            r#"{{"name":"{name}","listen":"{address}","seed":"{:x}",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"changelog":"{}",
+            "flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{},
+            "settings":{{"balancers":{MEMBERS},"me":{me},"zone":1,"zones":["hub","edge"],
+            "models":["small","parent","origin"],"weight_source":"rough",
+            "services":[{{"name":"photo","aim":250000,"deadline":2500000,"effect":"idempotent"}}],
+            "bounds":{{"connect_timeout":400000,"conn_idle":15000000,"streams_per_conn":32,"cancel":true,
+            "max_attempts":6}},
+            "rules":{{"cold_from":0.2,"cold":15000000,"overload_factor":2.0,"overload_for":1500000,
+            "drain_grace":{}}},
+            "domain":{{"parent_kind":1,"source_kind":2,"may_pass_by":true,"obey_after":1000000,
+            "purge_done":6000000}}}}}}"#,
+            now_ms() * 31 + me as u64,
+            log.address,
+            log.results(0),
+            DRAIN_GRACE_MS * 1_000
+        )
+    }
+
+    /// Starts it with the operators' file of `deploy/operator.jsonnet`, of which the delivery is enabled.
+    fn start(&self, me: usize, all: &[Member], log: &ChangeLog) -> Dispatcher {
+        let entries: Vec<String> = all
+            .iter()
+            .map(|member| {
+                format!(r#"{{"name":"{}","address":"{}","location":"edge"}}"#, member.name, member.fleet)
+            })
+            .collect();
+        let carriers: Vec<String> = all[..CARRIERS].iter().map(|member| format!("\"{}\"", member.name)).collect();
+        let operator = format!(
+            r#"{{"fleet":{{"name":"shop","me":"{}","listen":"{}","members":[{}],
+            "delivery":{{"log":"main","carriers":[{}],"fallback_ms":5000,"proof_ms":1100,"unproven":"strict"}}}}}}"#,
+            self.name,
+            self.fleet,
+            entries.join(","),
+            carriers.join(",")
+        );
+        let path = temp_folder().join(format!("{}.operator.json", self.name));
+        std::fs::write(&path, operator).unwrap();
+        let environment = [("CHERRYPASS_OPERATOR", path.display().to_string())];
+        Dispatcher::start(&self.name, self.address, &self.config(me, log), &environment)
     }
-    false
 }
 
-fn read_photos(address: SocketAddr, is_over: Arc<AtomicBool>) {
-    let Some(mut client) = Client::connect(address) else { return };
-    let mut number = 1_u64 << 40;
-    while !is_over.load(SeqCst) && !client.is_closed.load(SeqCst) {
+fn main() {
+    open_record(std::path::Path::new(&std::env::args().nth(1).expect("the record's path")));
+    let names = ["s-1", "s-2", "s-3", "s-4", "p-1", "o-1"];
+    let hosts: Vec<Host> = names.iter().map(|name| cache(name)).collect();
+    let listed: Vec<Listed> = hosts
+        .iter()
+        .map(|host| {
+            let (zone, kind) = match &host.name[..1] {
+                "s" => ("edge", "small"),
+                "p" => ("hub", "parent"),
+                _ => ("hub", "origin"),
+            };
+            let (name, address) = (host.name.clone(), host.address);
+            Listed { name, address, zone, kind, cell: 0, weight: 40.0, started_ms: 0 }
+        })
+        .collect();
+    let log = ChangeLog::start();
+    log.append_hosts(true, &listed.iter().map(|host| (host, "in_service")).collect::<Vec<_>>());
+    let members: Vec<Member> = (1..=MEMBERS)
+        .map(|number| Member { name: format!("d{number}"), address: free_address(), fleet: free_udp_address() })
+        .collect();
+    let mut dispatchers: Vec<Dispatcher> =
+        members.iter().enumerate().map(|(me, member)| member.start(me, &members, &log)).collect();
+    if !dispatchers.iter().all(|dispatcher| dispatcher.is_ready_within(10_000)) {
+        verdict(2, "a dispatcher is not ready");
+    }
+    // Clients of those that are not killed.
+    let mut clients: Vec<Client> =
+        members[CARRIERS..].iter().filter_map(|member| Client::connect(member.address)).collect();
+    if clients.len() < MEMBERS - CARRIERS {
+        verdict(2, "a client can't connect");
+    }
+    let (start, mut random) = (now_ms(), Random(7));
+    let (mut number, mut killed_at, mut drained_at, mut is_back) = (0_u64, 0, 0, false);
+    while drained_at == 0 || now_ms() < drained_at + WATCHED_MS {
         number += 1;
         let visit = Visit {
             class: "photo".to_owned(),
             txn: format!("{number:016x}"),
             limit: 2_500,
-            item: format!("{:016x}", number % 50),
-            family: 2,
+            item: format!("{:016x}", random.below(300)),
+            family: 3,
             ..Visit::default()
         };
-        client.send(&visit);
-        sleep_ms(25);
+        let count = clients.len();
+        clients[number as usize % count].send(&visit);
+        if killed_at == 0 && now_ms() > start + 4_000 {
+            killed_at = now_ms();
+            if has_trouble() {
+                for carrier in &dispatchers[..CARRIERS] {
+                    carrier.signal(SIGKILL);
+                }
+            }
+        }
+        if drained_at == 0 && killed_at > 0 && now_ms() > killed_at + 100 {
+            log.append_hosts(false, &[(&listed[0], "terminating")]);
+            drained_at = now_ms();
+        }
+        if has_trouble() && !is_back && killed_at > 0 && now_ms() > killed_at + BACK_MS {
+            is_back = true;
+            for me in 0..CARRIERS {
+                dispatchers[me].end();
+                dispatchers[me] = members[me].start(me, &members, &log);
+            }
+        }
+        sleep_ms(4);
+    }
+    let binding_at = drained_at + TOLD_MS + DRAIN_GRACE_MS + SLACK_MS;
+    let wants = |host: &Host| host.wants().into_iter();
+    let late: Vec<u64> = hosts
+        .iter()
+        .flat_map(|host| wants(host).map(|want| (host.name == "s-1" || want.field("from") == "s-1", want.first_ms)))
+        .filter(|(is_to_draining, at)| *is_to_draining && *at > binding_at)
+        .map(|(_, at)| at)
+        .collect();
+    if wants(&hosts[0]).filter(|want| want.first_ms < drained_at).count() < 10 {
+        verdict(2, "the host that drains had no work before");
+    }
+    match late.iter().max() {
+        Some(at) => verdict(
+            1,
+            &format!(
+                "{} requests to s-1 more than 7.6 s after its drain was in the change log, the last one {} ms after",
+                late.len(),
+                at - drained_at
+            ),
+        ),
+        None => verdict(0, "nothing was sent to s-1 once its drain bound"),
     }
 }
--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -799,6 +799,13 @@
             visit.body.len()
         ));
         let _ = (&self.stream).write_all(&bytes);
+        if self.is_closed.load(SeqCst) {
+            // Nobody reads any more.
+            let ended = Ended { ending: Ending::Closed, at: now_ms() };
+            self.asked.lock().unwrap().get_mut(&id).filter(|asked| asked.ended.is_empty()).into_iter().for_each(|asked| {
+                asked.ended.push(ended.clone());
+            });
+        }
         id
     }
 
