--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -495,12 +495,13 @@
     /// Cuts the host off for a while: its open connections stay open and silent, and new ones don't come up, as nobody
     /// accepts them and no more may wait than already do.
     pub fn cut_off(&self, ms: u64) {
+        let until = Instant::now() + Duration::from_millis(ms);
         self.is_cut_off.store(true, SeqCst);
         note(format!("{}: cut off", self.name));
         unsafe { listen(self.socket, 0) };
         let fill = || TcpStream::connect_timeout(&self.address, Duration::from_millis(20)).ok();
         let waiting: Vec<Option<TcpStream>> = (0..4).map(|_| fill()).collect();
-        sleep_ms(ms);
+        thread::sleep(until.saturating_duration_since(Instant::now()));
         unsafe { listen(self.socket, 128) };
         drop(waiting);
         self.is_cut_off.store(false, SeqCst);
