--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -779,6 +779,9 @@
         for visit in visits {
             self.next_id += 1;
             bytes.extend(visit.encode(self.next_id));
+            if self.is_noted.load(SeqCst) {
+                note(format!("client: {} {} item {} at once", visit.txn, visit.class, visit.item));
+            }
             let asked = Asked { visit: visit.clone(), sent_ms, ended: Vec::new(), is_withdrawn: false };
             self.asked.lock().unwrap().insert(self.next_id, asked);
         }
