--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -18,7 +18,9 @@
     fn kill(process: i32, signal: i32) -> i32;
     fn sched_getaffinity(process: i32, size: usize, cores: *mut u64) -> i32;
     fn sched_setaffinity(process: i32, size: usize, cores: *const u64) -> i32;
-    fn listen(socket: i32, backlog: i32) -> i32;
+    /// Sets how many connections may wait to be accepted.
+    #[link_name = "listen"]
+    fn set_backlog(socket: i32, backlog: i32) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -436,7 +438,7 @@
     pace: Option<(usize, usize)>,
     /// Whether nothing gets through to it or from it.
     is_cut_off: Arc<AtomicBool>,
-    socket: i32,
+    listener: Arc<TcpListener>,
 }
 
 impl Host {
@@ -459,7 +461,7 @@
         pace: Option<(usize, usize)>,
         handler: impl Fn(&Want) -> Option<Reply> + Send + Sync + 'static,
     ) -> Host {
-        let listener = TcpListener::bind(address).expect("a host's address is taken");
+        let listener = Arc::new(TcpListener::bind(address).expect("a host's address is taken"));
         let address = listener.local_addr().unwrap();
         let host = Host {
             name: name.to_owned(),
@@ -470,12 +472,16 @@
             is_open: Arc::new(AtomicBool::new(true)),
             pace,
             is_cut_off: Arc::default(),
-            socket: listener.as_raw_fd(),
+            listener: listener.clone(),
         };
         let own = host.clone();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().flatten().enumerate() {
-                own.wait_while_cut_off();
+                if own.is_cut_off.load(SeqCst) {
+                    // It must not come up: it is dropped once the host is reached again.
+                    own.wait_while_cut_off();
+                    continue;
+                }
                 if !own.is_open.load(SeqCst) {
                     return;
                 }
@@ -498,11 +504,15 @@
         let until = Instant::now() + Duration::from_millis(ms);
         self.is_cut_off.store(true, SeqCst);
         note(format!("{}: cut off", self.name));
-        unsafe { listen(self.socket, 0) };
+        unsafe { set_backlog(self.listener.as_raw_fd(), 0) };
         let fill = || TcpStream::connect_timeout(&self.address, Duration::from_millis(20)).ok();
         let waiting: Vec<Option<TcpStream>> = (0..4).map(|_| fill()).collect();
         thread::sleep(until.saturating_duration_since(Instant::now()));
-        unsafe { listen(self.socket, 128) };
+        // What waits came up during the cut, so nothing that was written to it then gets through.
+        let _ = self.listener.set_nonblocking(true);
+        while self.listener.accept().is_ok() {}
+        let _ = self.listener.set_nonblocking(false);
+        unsafe { set_backlog(self.listener.as_raw_fd(), 128) };
         drop(waiting);
         self.is_cut_off.store(false, SeqCst);
         note(format!("{}: reached again", self.name));
