Object counts have a bound: a flood of new objects no longer fills the memory

Cause: the count of each object stays for 30 s and more, and nothing bounds their number. Change: counts are held in a map with a limit that follows from memory_mb (a sixteenth, at 128 bytes an entry, 65,536 at most). At the limit a new object replaces the least asked for of 16, one that is not admitted first; no index by value, so a visit costs the same. A request that is refused at once still counts, as r_i of the paper is the number of requests.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of a dispatcher, decoded from its JSON file.
 use crate::change_log_lease;
-use cherrypass::settings::Settings;
+use cherrypass::settings::{Settings, StateLimits};
 use cherrypass::time::Span;
 use cherrypass_settings as settings;
 use serde_json::Value;
@@ -96,6 +96,8 @@
 /// Minimum of limits/sockets. An idle process holds standard streams, listener, two pollers, two for the
 /// change log and two for signals; with fewer there is none left for a client and a host.
 const MIN_SOCKETS: f64 = 16.0;
+/// Memory of an entry of the decision module's maps, with what the map itself takes for it.
+const STATE_ENTRY_BYTES: usize = 128;
 /// Maximum length of an invalid value in a message.
 const MAX_SHOWN_CHARS: usize = 60;
 
@@ -164,7 +166,8 @@
         };
         let class_deadlines = services.iter().enumerate().map(deadline).collect::<Result<_, Error>>()?;
         let drain_grace = settings::number(settings_json, "/rules/drain_grace").unwrap_or_default();
-        let settings = settings::read(settings_json)?;
+        let state_limits = state_limits(sixteenth);
+        let settings = Settings { state_limits, ..settings::read(settings_json)? };
         Ok(Config {
             name: string(&document, "name")?.to_owned(),
             listen: address(&document, "listen")?,
@@ -219,6 +222,13 @@
     }
 }
 
+/// What the decision module may remember, with a sixteenth of the memory for each kind.
+fn state_limits(sixteenth: usize) -> StateLimits {
+    let entries = sixteenth / STATE_ENTRY_BYTES;
+    let StateLimits { objects, copies } = StateLimits::MAX;
+    StateLimits { objects: entries.min(objects), copies: entries.min(copies) }
+}
+
 fn invalid(key: &'static str, value: &Value, expected: impl Into<String>) -> Error {
     let shown: String = value.to_string().chars().take(MAX_SHOWN_CHARS).collect();
     Error::InvalidValue(key, shown, expected.into())
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub use check::{check, InvalidSetting};
 use cherrypass::ids::{KindId, LocationId};
-use cherrypass::settings::{ClassSettings, ColdStart, Effect, Group, Settings};
+use cherrypass::settings::{ClassSettings, ColdStart, Effect, Group, Settings, StateLimits};
 use cherrypass::time::Span;
 use serde_json::Value;
 
@@ -143,5 +143,6 @@
         },
         purge_drop_time: span(root, "/domain/purge_done"),
         purge_obey_time: span(root, "/domain/obey_after"),
+        state_limits: StateLimits::default(),
     })
 }
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -22,6 +22,14 @@
         self.next_sequence += 1;
     }
 
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Due time of the first item.
     pub fn next_due(&self) -> Option<Time> {
         self.entries.first_key_value().map(|(key, _)| key.0)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod allowance;
+pub mod bounded_map;
 mod cached_copies;
 pub mod calls;
 mod circuit_breaker;
--- a/src/popularity.rs
+++ b/src/popularity.rs
@@ -1,7 +1,10 @@
 //! Request counts by object, and the admitted set that decides which objects are popular.
+//!
+//! Every request counts, also one that is refused at once. The number of counted objects is bounded: beyond it a new
+//! object takes the place of one that is not admitted and has been asked for least.
+use crate::bounded_map::BoundedMap;
 use crate::ids::ObjectId;
 use crate::time::{Span, Time};
-use std::collections::BTreeMap;
 
 /// α: an object is popular if its count is above α·r_ave.
 const POPULARITY_ALPHA: f64 = 1.0;
@@ -23,10 +26,18 @@
     pub best_time: Option<Span>,
 }
 
+impl ObjectStats {
+    /// The order in which objects are forgotten at the limit: those that are not admitted first, then by demand.
+    fn retention_rank(&self) -> (bool, u64, Time) {
+        // The bits of floating-point numbers that are not negative are in the order of the numbers.
+        (self.is_admitted, self.visits.to_bits(), self.last_visit_at)
+    }
+}
+
 /// Demand by object, with the sums over all objects and over the admitted set.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Popularity {
-    pub objects: BTreeMap<ObjectId, ObjectStats>,
+    objects: BoundedMap<ObjectId, ObjectStats>,
     pub admitted_objects: u32,
     pub admitted_bytes: f64,
     pub known_bytes: f64,
@@ -34,9 +45,31 @@
 }
 
 impl Popularity {
+    /// Counts for this many objects at most.
+    pub fn new(max_objects: usize) -> Popularity {
+        Popularity {
+            objects: BoundedMap::new(max_objects),
+            admitted_objects: 0,
+            admitted_bytes: 0.0,
+            known_bytes: 0.0,
+            admitted_visits: 0.0,
+        }
+    }
+
+    /// Number of objects that are counted.
+    pub fn object_count(&self) -> usize {
+        self.objects.len()
+    }
+
+    /// What is known of an object.
+    pub fn object(&self, object: ObjectId) -> Option<&ObjectStats> {
+        self.objects.get(&object)
+    }
+
     /// Counts one visit; `bytes` is the size of its part, added the first time the part is requested.
     pub fn record_visit(&mut self, now: Time, object: ObjectId, part: u32, bytes: f64) {
-        let stats = self.objects.entry(object).or_default();
+        self.make_room(object);
+        let stats = self.objects.get_or_default(object);
         let part = 1u64 << part.min(63);
         let new_bytes = if stats.seen_parts & part == 0 { bytes } else { 0.0 };
         stats.visits += 1.0;
@@ -50,6 +83,19 @@
         }
     }
 
+    /// Forgets an object if there is no room for one more.
+    fn make_room(&mut self, object: ObjectId) {
+        let Some(forgotten) = self.objects.make_room(&object, |stats| Some(stats.retention_rank())) else {
+            return;
+        };
+        self.known_bytes -= forgotten.known_bytes;
+        if forgotten.is_admitted {
+            self.admitted_objects -= 1;
+            self.admitted_visits -= forgotten.visits;
+            self.admitted_bytes -= forgotten.known_bytes;
+        }
+    }
+
     /// r_ave: mean visit count over the admitted set.
     fn mean_admitted_visits(&self) -> f64 {
         self.admitted_visits / f64::from(self.admitted_objects.max(1))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -51,6 +51,26 @@
     pub overload_window: Span,
 }
 
+/// Limits on what the decision module remembers. They follow from the memory that it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StateLimits {
+    /// Objects of which the demand is counted.
+    pub objects: usize,
+    /// Copies that are known to be at a cache.
+    pub copies: usize,
+}
+
+impl StateLimits {
+    /// The most of each, so that what walks them all takes some milliseconds at most.
+    pub const MAX: StateLimits = StateLimits { objects: 65_536, copies: 65_536 };
+}
+
+impl Default for StateLimits {
+    fn default() -> StateLimits {
+        StateLimits::MAX
+    }
+}
+
 /// All settings that the decision module reads.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -90,6 +110,7 @@
     pub purge_drop_time: Span,
     /// Time within which a purge has to be obeyed.
     pub purge_obey_time: Span,
+    pub state_limits: StateLimits,
 }
 
 impl Settings {
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,16 @@
     pub kilobytes: MovingAverage,
 }
 
+/// Numbers of the entries that requests leave behind in the module.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StateSize {
+    /// Objects of which the demand is counted.
+    pub objects: usize,
+    /// Copies at caches.
+    pub copies: usize,
+    pub timers: usize,
+}
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug)]
 pub enum Timer {
@@ -73,13 +83,12 @@
     pub(crate) fn with_settings(settings: Settings, seed: u64) -> DecisionEngine {
         DecisionEngine {
             class_stats: settings.classes.iter().map(|_| ClassStats::default()).collect(),
-            settings,
             mean_cache_work: Default::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             hosts: Default::default(),
             visits: Default::default(),
             in_flight: Default::default(),
-            popularity: Default::default(),
+            popularity: Popularity::new(settings.state_limits.objects),
             purges: Default::default(),
             unverified_max_age: None,
             unread_changes: Default::default(),
@@ -96,6 +105,16 @@
             allowances: Default::default(),
             origin_usage: Default::default(),
             retry_usage: Default::default(),
+            settings,
+        }
+    }
+
+    /// How much is remembered of requests.
+    pub fn state_size(&self) -> StateSize {
+        StateSize {
+            objects: self.popularity.object_count(),
+            copies: self.cached_copies.len(),
+            timers: self.timers.len(),
         }
     }
 
