Timers end with the visits and hand-offs that they belong to

Cause: the timer of each visit's deadline, and up to three timers of each hand-off, stayed until they were due, however early the request had ended: memory by the rate of requests times the time that their clients gave. Change: TimerQueue::push returns a key; a visit that closes and a hand-off that ends take their timers out.

--- a/crates/dispatcher/src/router/decisions.rs
+++ b/crates/dispatcher/src/router/decisions.rs
@@ -33,7 +33,9 @@
                     self.fleet_connection.iter_mut().for_each(FleetConnection::count_failed);
                     self.finish_visit(visit, msgpack::failed, None);
                 }
-                Decision::Wake { after } => self.timers.push(now + after, Timer::Wake),
+                Decision::Wake { after } => {
+                    self.timers.push(now + after, Timer::Wake);
+                }
                 Decision::Probe { host } => self.send_probe(now, host),
                 Decision::Log(line) => tracing::info!("module: {line}"),
             }
--- a/crates/dispatcher/src/router/hand_off_ends.rs
+++ b/crates/dispatcher/src/router/hand_off_ends.rs
@@ -21,7 +21,7 @@
         answer: Option<(Answer, Reservation)>,
         at: Time,
     ) {
-        let Some(pending) = self.hand_offs.remove(&id) else { return };
+        let Some(pending) = self.remove_hand_off(id) else { return };
         self.log_attempt(id, &pending, outcome, at);
         if let Some(recorder) = &mut self.recorder {
             recorder.visits.hand_off_ended(id.0, outcome.is_not_executed());
--- a/crates/dispatcher/src/router/hand_offs.rs
+++ b/crates/dispatcher/src/router/hand_offs.rs
@@ -1,6 +1,6 @@
 //! Starts the hand-offs that the decision module decides: builds, records and sends them.
 use super::hand_off_fields;
-use super::state::{HostEntry, OpenVisit, PendingHandOff, Router, Timer};
+use super::state::{HandOffTimers, HostEntry, OpenVisit, PendingHandOff, Router, Timer};
 use crate::clock;
 use crate::config::Config;
 use crate::durable_state::StateRecorder;
@@ -64,9 +64,9 @@
             fill: decided.fill,
             cancelled_as: None,
             held_back,
+            timers: self.start_timers(id, decided),
         };
         self.hand_offs.insert(id, pending);
-        self.push_hand_off_timers(id, decided);
         if !awaits_record {
             self.send_hand_off(id, hand_off, now);
         }
@@ -79,11 +79,12 @@
         self.engine.hand_off_ended(now, end);
     }
 
-    fn push_hand_off_timers(&mut self, id: HandOffId, decided: &DecidedHandOff) {
-        self.timers.push(decided.deadline, Timer::AnswerTimeout(id));
-        if decided.latest_start < decided.deadline {
-            self.timers.push(decided.latest_start, Timer::LatestStart(id));
-        }
+    fn start_timers(&mut self, id: HandOffId, decided: &DecidedHandOff) -> HandOffTimers {
+        let DecidedHandOff { deadline, latest_start, .. } = *decided;
+        let answer_timeout = self.timers.push(deadline, Timer::AnswerTimeout(id));
+        let latest_start =
+            (latest_start < deadline).then(|| self.timers.push(latest_start, Timer::LatestStart(id)));
+        HandOffTimers { answer_timeout: Some(answer_timeout), latest_start, connect_timeout: None }
     }
 
     /// Sends a hand-off to its host, whose response time counts from `at`. Without a record that is the time of the
@@ -92,7 +93,10 @@
         let Some(pending) = self.hand_offs.get_mut(&id) else { return };
         if pending.mailbox.send(ToHost::HandOff(hand_off)) {
             pending.sent_at = at;
-            self.timers.push(at + self.config.host_connections.connect_timeout, Timer::ConnectTimeout(id));
+            let connect_timeout = self.config.host_connections.connect_timeout;
+            let timer = self.timers.push(at + connect_timeout, Timer::ConnectTimeout(id));
+            let previous = pending.timers.connect_timeout.replace(timer);
+            previous.into_iter().for_each(|timer| self.timers.cancel(timer));
         } else {
             self.end_hand_off(id, Outcome::ConnectFailed, None, clock::now());
         }
--- a/crates/dispatcher/src/router/state.rs
+++ b/crates/dispatcher/src/router/state.rs
@@ -17,7 +17,7 @@
 use crate::latency::Latencies;
 use crate::msgpack::VisitRequest;
 use cherrypass::calls::{Fill, Outcome};
-use cherrypass::containers::TimerQueue;
+use cherrypass::containers::{TimerKey, TimerQueue};
 use cherrypass::decision_engine::DecisionEngine;
 use cherrypass::ids::{ClassId, HostId, VisitId};
 use cherrypass::time::{Span, Time};
@@ -95,6 +95,23 @@
     pub(super) cancelled_as: Option<Outcome>,
     /// The hand-off to send once its record is stored, or its client's input was read.
     pub(super) held_back: Option<Box<HandOff>>,
+    /// Timers of the hand-off, which are of no use once it has ended.
+    pub(super) timers: HandOffTimers,
+}
+
+/// The timers that a hand-off has while it is pending.
+#[derive(Default)]
+pub(super) struct HandOffTimers {
+    pub(super) answer_timeout: Option<TimerKey>,
+    pub(super) latest_start: Option<TimerKey>,
+    pub(super) connect_timeout: Option<TimerKey>,
+}
+
+impl HandOffTimers {
+    fn cancel(self, queue: &mut TimerQueue<Timer>) {
+        let timers = [self.answer_timeout, self.latest_start, self.connect_timeout];
+        timers.into_iter().flatten().for_each(|timer| queue.cancel(timer));
+    }
 }
 
 /// A listed host.
@@ -145,6 +162,13 @@
 }
 
 impl Router {
+    /// Takes a hand-off that has ended out of the pending ones.
+    pub(super) fn remove_hand_off(&mut self, id: HandOffId) -> Option<PendingHandOff> {
+        let mut pending = self.hand_offs.remove(&id)?;
+        std::mem::take(&mut pending.timers).cancel(&mut self.timers);
+        Some(pending)
+    }
+
     /// Creates the router and starts the host actors, which answer through `sender`.
     pub fn new(
         config: Config,
--- a/crates/dispatcher/src/router/tests.rs
+++ b/crates/dispatcher/src/router/tests.rs
@@ -13,7 +13,7 @@
 use crate::inbox::{Change, FromClient, FromHost, Input, ListedHost};
 use crate::mailbox;
 use crate::msgpack;
-use cherrypass::calls::{Listing, Phase};
+use cherrypass::calls::{Listing, Outcome, Phase};
 use cherrypass::ids::{CellId, HostId, KindId, LocationId};
 use cherrypass::time::Span;
 use cherrypass_operator as operator;
@@ -169,6 +169,36 @@
     assert_eq!(was_sent, is_sent);
 }
 
+/// Guards against timers that outlast their hand-offs: memory that grows with the time that clients give.
+#[test]
+fn timers_end_with_their_hand_off() {
+    let (mut router, _sender) = router();
+    let (id, host) = (host_id("a"), unbounded());
+    router.hosts.insert(id, host_entry(&host.0));
+    router.engine.update_hosts(clock::now(), &[listing(id, 0, Phase::Ready)], true);
+    router.carry_out_decisions();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let connection = open_client(&mut router, &listener, ClientId(0));
+    let fields: &[u8] = b"\x94\x00\x01\xa5video\x92\x85\xa3txn\xb00000000000000001\xa5limit\xa45000\
+        \xa4item\xb00000000000000001\xa5block\xa10\xa6family\xa10\xc4\x00";
+    let Ok(Some(msgpack::Message::Visit(visit, request))) = msgpack::next(&mut fields.into()) else {
+        panic!()
+    };
+    let (in_use, cancel) = (Gauge::default().reserve(1), cancel_token(connection));
+    let before = router.timers.len();
+    let message = FromClient::Visit { id: visit, request, received_at: clock::now(), in_use, cancel };
+    router.handle(Input::Client(ClientId(0), message));
+    router.carry_out_decisions();
+    let Ok(HostThreadMessage::ToHost(_, ToHost::HandOff(hand_off))) = host.1.try_recv() else {
+        panic!("not handed off")
+    };
+    assert!(router.timers.len() > before);
+    let ended = FromHost::Ended { outcome: Outcome::Error, answer: None, at: clock::now() };
+    router.handle(Input::HandOff(hand_off.id, ended));
+    router.carry_out_decisions();
+    assert_eq!(router.timers.len(), before);
+}
+
 /// Guards against a hand-off that a delayed hosts thread writes to a draining host: once the router has applied the
 /// drain, a hand-off that was decided before can't be started any more.
 #[test]
--- a/src/containers.rs
+++ b/src/containers.rs
@@ -3,10 +3,14 @@
 use crate::time::Time;
 use std::collections::BTreeMap;
 
+/// Identifies an item of a [`TimerQueue`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerKey(Time, u64);
+
 /// Items ordered by due time, then by insertion.
 #[derive(Debug)]
 pub struct TimerQueue<T> {
-    entries: BTreeMap<(Time, u64), T>,
+    entries: BTreeMap<TimerKey, T>,
     next_sequence: u64,
 }
 
@@ -17,9 +21,16 @@
 }
 
 impl<T> TimerQueue<T> {
-    pub fn push(&mut self, at: Time, item: T) {
-        self.entries.insert((at, self.next_sequence), item);
+    pub fn push(&mut self, at: Time, item: T) -> TimerKey {
+        let key = TimerKey(at, self.next_sequence);
+        self.entries.insert(key, item);
         self.next_sequence += 1;
+        key
+    }
+
+    /// Takes an item out before it is due. Nothing happens if it was taken out before.
+    pub fn cancel(&mut self, key: TimerKey) {
+        self.entries.remove(&key);
     }
 
     pub fn len(&self) -> usize {
@@ -32,7 +43,7 @@
 
     /// Due time of the first item.
     pub fn next_due(&self) -> Option<Time> {
-        self.entries.first_key_value().map(|(key, _)| key.0)
+        self.entries.first_key_value().map(|(TimerKey(at, _), _)| *at)
     }
 
     /// Takes the first item out if it is due.
--- a/src/decision_engine.rs
+++ b/src/decision_engine.rs
@@ -131,8 +131,8 @@
         if let Some((stats, kilobytes)) = stats_and_size {
             stats.kilobytes.push(kilobytes, 0.01);
         }
-        self.visits.insert(visit.id, OpenVisit::new(visit, is_popular, now));
-        self.timers.push(visit.deadline - ANSWER_MARGIN, Timer::Deadline(visit.id));
+        let deadline_timer = self.timers.push(visit.deadline - ANSWER_MARGIN, Timer::Deadline(visit.id));
+        self.visits.insert(visit.id, OpenVisit::new(visit, is_popular, now, deadline_timer));
         self.undecided.push_back(visit.id);
     }
 
--- a/src/in_flight.rs
+++ b/src/in_flight.rs
@@ -9,7 +9,9 @@
 impl DecisionEngine {
     /// Drops a visit whose client has left or has its final answer, and cancels its hand-offs in flight.
     pub fn close_visit(&mut self, id: VisitId) {
-        if self.visits.remove(&id).is_none() || !self.settings.can_cancel {
+        let Some(open) = self.visits.remove(&id) else { return };
+        self.timers.cancel(open.deadline_timer);
+        if !self.settings.can_cancel {
             return;
         }
         let in_flight = self.in_flight.range((id, HandOffNumber(0))..=(id, HandOffNumber(u8::MAX)));
--- a/src/visits.rs
+++ b/src/visits.rs
@@ -1,6 +1,7 @@
 //! Visits without a final answer, and their hand-offs in flight.
 use crate::cached_copies::CachedCopyId;
 use crate::calls::{HandOffEnd, Outcome, Visit};
+use crate::containers::TimerKey;
 use crate::ids::{ClassId, HostId};
 use crate::time::Time;
 
@@ -29,10 +30,11 @@
     pub failed_hosts: Vec<HostId>,
     /// Hand-offs that ended in a fast error, held until it is known whether hosts or the visit are at fault.
     pub unattributed_errors: Vec<SentHandOff>,
+    pub deadline_timer: TimerKey,
 }
 
 impl OpenVisit {
-    pub fn new(visit: Visit, is_popular: bool, arrived_at: Time) -> OpenVisit {
+    pub fn new(visit: Visit, is_popular: bool, arrived_at: Time, deadline_timer: TimerKey) -> OpenVisit {
         OpenVisit {
             visit,
             hand_offs: 0,
@@ -44,6 +46,7 @@
             first_possible_run: None,
             failed_hosts: Vec::new(),
             unattributed_errors: Vec::new(),
+            deadline_timer,
         }
     }
 
--- a/tests/state_bounds.rs
+++ b/tests/state_bounds.rs
@@ -167,6 +167,34 @@
     }
 }
 
+fn visit(number: u32, object: u64, deadline: Time) -> Visit {
+    Visit {
+        id: VisitId(number),
+        class: ClassId(0),
+        object: ObjectId(object),
+        group: GroupId(9),
+        part: 0,
+        kilobytes: None,
+        deadline,
+    }
+}
+
+/// Guards against timers that outlast their visits: memory that grows with the time that clients give.
+#[test]
+fn timers_end_with_their_visits() {
+    let mut engine = DecisionEngine::new(engine_settings(StateLimits::MAX), 1, Time(0));
+    let before = engine.state_size().timers;
+    for number in 0..20_000_u32 {
+        let now = Time(u64::from(number) * 30);
+        engine.visit_arrived(now, visit(number, 7, now + Span::millis(60_000)));
+        if number % 2 == 0 {
+            engine.close_visit(VisitId(number));
+        }
+        std::iter::from_fn(|| engine.next_decision(now)).for_each(drop);
+        assert_eq!(engine.state_size().timers, before, "after {number} visits");
+    }
+}
+
 /// Guards against memory that grows with each object that is asked for, however its request ends (`review/7`).
 #[test]
 fn objects_of_refused_visits_are_bounded() {
@@ -174,16 +202,7 @@
     let mut engine = DecisionEngine::new(engine_settings(state_limits), 1, Time(0));
     for number in 0..20_000_u32 {
         let now = Time(u64::from(number) * 30);
-        let visit = Visit {
-            id: VisitId(number),
-            class: ClassId(0),
-            object: ObjectId(u64::from(number) << 20),
-            group: GroupId(9),
-            part: 0,
-            kilobytes: None,
-            deadline: now + Span::millis(1),
-        };
-        engine.visit_arrived(now, visit);
+        engine.visit_arrived(now, visit(number, u64::from(number) << 20, now + Span::millis(1)));
         let mut decisions = std::iter::from_fn(|| engine.next_decision(now));
         assert!(decisions.any(|decision| matches!(decision, Decision::Refuse { .. })));
         decisions.for_each(drop);
