Known copies have a bound, and a fill that ended leaves no entry behind

Cause: each hand-off that may fill a part makes an entry for its copy, which stayed until the next halving (10 s) although nothing was known of it once the fill had failed; and each copy that was served stayed for 30 to 40 s, in any number. Change: CachedCopies keeps an entry while something is known of the copy, and at most as many as follow from memory_mb; past that the copy confirmed longest ago of 16 is forgotten, which makes the estimate of a later hit less certain and nothing else.

--- a/src/decision_engine.rs
+++ b/src/decision_engine.rs
@@ -143,7 +143,7 @@
         self.record_end(now, &sent, &end);
         self.attribute_errors(now, &sent, &end);
         if end.outcome == Outcome::Served && sent.host == sent.copy.cache {
-            self.cached_copies.entry(sent.copy).or_default().confirmed_at = Some(now);
+            self.cached_copies.confirm(now, sent.copy);
         }
         if end.is_final {
             return self.close_visit(end.visit);
@@ -238,9 +238,7 @@
 
     fn decay_counts(&mut self, now: Time) {
         self.popularity.decay(now - STATS_RETENTION);
-        self.cached_copies.retain(|_, copy| {
-            copy.fills_in_flight > 0 || copy.confirmed_at.is_some_and(|at| now < at + STATS_RETENTION)
-        });
+        self.cached_copies.forget(now - STATS_RETENTION);
         self.timers.push(now + COUNT_HALF_LIFE, Timer::DecayCounts);
     }
 
--- a/src/in_flight.rs
+++ b/src/in_flight.rs
@@ -51,8 +51,7 @@
             host.in_flight = host.in_flight.saturating_add_signed(change);
         }
         if sent.is_first_fill {
-            let copy = self.cached_copies.entry(sent.copy).or_default();
-            copy.fills_in_flight = copy.fills_in_flight.saturating_add_signed(change);
+            self.cached_copies.count_fill(sent.copy, change);
         }
         let change = f64::from(change);
         self.fill_limiter.expected_fills =
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! State of the decision module, and the basic queries on it.
 use crate::allowance::{Allowance, Usage};
-use crate::cached_copies::{CachedCopy, CachedCopyId};
+use crate::cached_copies::{CachedCopies, CachedCopyId};
 use crate::calls::{Decision, SharedLimit, Visit};
 use crate::containers::{rendezvous, MovingAverage, TimerQueue, TokenBucket};
 use crate::fill_limiter::FillLimiter;
@@ -59,7 +59,7 @@
     /// Maximum age of copies while purges may have been missed: the time in which a purge has to be obeyed.
     pub(crate) unverified_max_age: Option<Span>,
     pub(crate) unread_changes: UnreadChanges,
-    pub(crate) cached_copies: BTreeMap<CachedCopyId, CachedCopy>,
+    pub(crate) cached_copies: CachedCopies,
     pub(crate) class_stats: Vec<ClassStats>,
     /// Average seconds of work of a hand-off to a cache.
     pub(crate) mean_cache_work: MovingAverage,
@@ -92,7 +92,7 @@
             purges: Default::default(),
             unverified_max_age: None,
             unread_changes: Default::default(),
-            cached_copies: Default::default(),
+            cached_copies: CachedCopies::new(settings.state_limits.copies),
             timers: Default::default(),
             undecided: Default::default(),
             decisions: Default::default(),
--- a/tests/state_bounds.rs
+++ b/tests/state_bounds.rs
@@ -1,8 +1,10 @@
 //! What requests leave behind in the decision module is bounded, whatever is asked for, and the bound changes no
 //! decision before it is reached.
-use cherrypass::calls::{Decision, Visit};
+use cherrypass::calls::{Decision, HandOffEnd, Listing, Note, Outcome, Phase, Report, Visit};
 use cherrypass::decision_engine::DecisionEngine;
-use cherrypass::ids::{ClassId, GroupId, ObjectId, VisitId};
+use cherrypass::ids::{
+    CellId, ClassId, GroupId, HandOffNumber, HostId, KindId, LocationId, ObjectId, VisitId,
+};
 use cherrypass::popularity::Popularity;
 use cherrypass::settings::{ClassSettings, Effect, Settings, StateLimits};
 use cherrypass::time::{Span, Time};
@@ -16,6 +18,7 @@
 const RETENTION: Span = Span::millis(30_000);
 const ADMITTED_BYTES_SHARE: f64 = 0.05;
 const OBJECT_BYTES: f64 = 2_000.0;
+const PARENT_KIND: KindId = KindId(1);
 
 /// The count without a bound that the paper describes, written down once more. All objects have the same size.
 #[derive(Default)]
@@ -160,6 +163,7 @@
         dispatchers: 1,
         location_dispatchers: 1,
         classes: vec![class],
+        parent_kind: Some(PARENT_KIND),
         can_cancel: true,
         max_hand_offs: 6,
         state_limits,
@@ -209,3 +213,62 @@
         assert!(engine.state_size().objects <= state_limits.objects, "{:?}", engine.state_size());
     }
 }
+
+fn listing(host: HostId, kind: KindId) -> Listing {
+    Listing {
+        host,
+        location: LocationId(0),
+        kind,
+        cell: CellId(0),
+        weight: 1.0,
+        started_at: None,
+        phase: Phase::Ready,
+    }
+}
+
+/// Sends visits for ever new objects to a cache that ends each with this outcome; returns the most copies and the
+/// last number of copies that the module had entries for.
+fn copies_after_hand_offs(outcome: Outcome, state_limits: StateLimits) -> (usize, usize) {
+    let mut engine = DecisionEngine::new(engine_settings(state_limits), 1, Time(0));
+    let (cache, parent) = (listing(HostId(1), KindId(0)), listing(HostId(2), PARENT_KIND));
+    engine.update_hosts(Time(0), &[cache, parent], true);
+    let mut most = 0;
+    for number in 0..5_000_u32 {
+        let now = Time(u64::from(number) * 1_000);
+        engine.visit_arrived(now, visit(number, u64::from(number) << 20, now + Span::millis(2_500)));
+        while let Some(decision) = engine.next_decision(now) {
+            let Decision::HandOff { visit, .. } = decision else { continue };
+            engine.hand_off_ended(
+                now,
+                HandOffEnd {
+                    visit,
+                    number: HandOffNumber(0),
+                    outcome,
+                    note: Note::Unspecified,
+                    duration: Span::millis(1),
+                    report: Report::default(),
+                    is_final: true,
+                },
+            );
+        }
+        most = most.max(engine.state_size().copies);
+    }
+    (most, engine.state_size().copies)
+}
+
+/// Guards against memory that grows with each object that a cache was asked for: at the limit for objects that are
+/// there, and not at all for those that are not.
+#[test_case(Outcome::Served, 1_000; "served")]
+#[test_case(Outcome::Error, 1; "failed")]
+#[test_case(Outcome::Miss, 1; "not there")]
+fn known_copies_are_bounded(outcome: Outcome, max_copies: usize) {
+    let state_limits = StateLimits { objects: 1_000, copies: 1_000 };
+    let (most, _) = copies_after_hand_offs(outcome, state_limits);
+    assert!(most <= max_copies, "{most}");
+}
+
+/// Guards the test above: below the limit each copy that was served is known.
+#[test]
+fn served_copies_are_known() {
+    assert_eq!(copies_after_hand_offs(Outcome::Served, StateLimits::MAX), (5_000, 5_000));
+}
