A connection that has used 512 ids without an answer is retired, which bounds its memory

Cause: each such request's id stayed on its connection until the time that its client had given was over, in any number. Change: at 512 ids the connection takes no new hand-offs (ids-used-up) and ends once none is in flight; the next ones go on another one. What is in flight there is answered as before.

--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -10,6 +10,7 @@
 
 use self::host::{Host, Shared};
 use self::pool::HandOffKey;
+pub use self::pool::MAX_USED_IDS;
 use crate::capacity::HostCapacity;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
--- a/crates/dispatcher/src/hosts/pool.rs
+++ b/crates/dispatcher/src/hosts/pool.rs
@@ -12,6 +12,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+/// How many used ids a connection remembers. Past that it is retired, so that their memory is bounded whatever time
+/// clients give their requests.
+pub const MAX_USED_IDS: usize = 512;
+
 /// A hand-off assigned to a connection and not answered yet.
 pub(super) struct PendingHandOff {
     pub(super) id: HandOffId,
@@ -127,6 +131,9 @@
         let has_missed = outcome == Outcome::Miss && ended.can_miss;
         let used = self.used_ids.entry(txn).or_insert(UsedId { visit_deadline, has_only_missed: true });
         used.has_only_missed &= has_missed;
+        if self.used_ids.len() >= MAX_USED_IDS {
+            self.retire_reason.get_or_insert(CloseReason::IdsUsedUp);
+        }
     }
 
     /// Whether the connection may take more hand-offs.
--- a/crates/dispatcher/tests/hand_off_ids.rs
+++ b/crates/dispatcher/tests/hand_off_ids.rs
@@ -11,7 +11,7 @@
 use cherrypass_dispatcher::config::HostConnectionLimits;
 use cherrypass_dispatcher::connection::Connection;
 use cherrypass_dispatcher::host_messages::{HandOff, HostMailbox, SendState, ToHost};
-use cherrypass_dispatcher::hosts::Hosts;
+use cherrypass_dispatcher::hosts::{Hosts, MAX_USED_IDS};
 use cherrypass_dispatcher::ids::HandOffId;
 use cherrypass_dispatcher::inbox::{FromHost, Input};
 use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError};
@@ -77,7 +77,7 @@
     /// Both ends of the connection of the client that waits for the visit.
     _client: TcpStream,
     client_input: Arc<ClientInput>,
-    hand_off_count: u8,
+    hand_off_count: u32,
 }
 
 impl Fixture {
@@ -116,13 +116,15 @@
     }
 
     /// Sends a hand-off with this id, to be filled by a source or not; returns how it arrived.
-    fn hand_off(&mut self, txn: &'static str, filling: Filling) -> (HandOffId, Arrived) {
+    fn hand_off(&mut self, txn: &str, filling: Filling) -> (HandOffId, Arrived) {
         self.hand_off_count += 1;
-        let id = HandOffId(VisitId(1), HandOffNumber(self.hand_off_count));
+        let [number, visit @ ..] = self.hand_off_count.to_le_bytes();
+        let visit = VisitId(u32::from_le_bytes([visit[0], visit[1], visit[2], 0]));
+        let id = HandOffId(visit, HandOffNumber(number));
         let deadline = clock::now() + VISIT_TIME;
         self.mailbox.send(ToHost::HandOff(HandOff {
             id,
-            txn: txn.into(),
+            txn: txn.to_owned().into(),
             fields: "c=photo".into(),
             body: Default::default(),
             client_tag: None,
@@ -278,3 +280,25 @@
     let (_, next) = fixture.hand_off(ID, Filling::CanMiss);
     assert_eq!(next.connection, first.connection);
 }
+
+/// Guards against memory that grows with each request that a host does not serve, for as long as its client gives it. A
+/// connection on which many ids were used takes no more, and ends once the hand-offs on it have.
+#[test]
+fn the_ids_that_a_connection_remembers_are_bounded() {
+    let mut fixture = Fixture::start(8, 0);
+    let (open_id, open) = fixture.hand_off(ID, Filling::CanMiss);
+    for number in 0..MAX_USED_IDS {
+        let (id, arrived) = fixture.hand_off(&format!("{:016x}", number + 1), Filling::CanMiss);
+        assert_eq!(arrived.connection, open.connection, "after {number} ids");
+        arrived.answer("LACK", 1);
+        fixture.expect_end(id, Outcome::Miss);
+    }
+    let (next_id, next) = fixture.hand_off("00000000ffffffff", Filling::CanMiss);
+    assert_ne!(next.connection, open.connection);
+    open.stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    open.answer("DONE", 1);
+    fixture.expect_end(open_id, Outcome::Served);
+    assert_eq!((&open.stream).take(1).read(&mut [0]).unwrap(), 0, "the connection is still open");
+    next.answer("DONE", 1);
+    fixture.expect_end(next_id, Outcome::Served);
+}
