An answer of the change log is read however late it comes, beside the next poll

Cause: a poll whose answer had not begun after 1.1 s (RESPONSE_DEADLINE) was given up, and the next one began anew. Change: such a poll goes on, and the next one begins beside it as early as before. After two late answers in a row the log is asked to wait 1.5 s, and a poll begins at the end of each wait, so that one is always waiting. Four are unanswered at most. An overdue poll announces what it would tell as before; its own empty answer takes that back. A quick log is asked no more often.

--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -10,7 +10,7 @@
 
 pub use self::answer::read_answer;
 pub use self::changes::OnChange;
-use self::connections::{Connections, PollFailure, PollLimits};
+use self::connections::{Connections, PendingPoll, PollStart};
 use self::poll_state::PollState;
 pub(crate) use self::time_limits::CHECK_INTERVAL;
 pub use self::time_limits::MAX_ANNOUNCEMENT_DELAY;
@@ -26,8 +26,8 @@
 use crossbeam_channel::{Receiver, Sender};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::time::Instant;
 
 /// Parameters of [`follow`].
 pub struct FollowOptions {
@@ -57,19 +57,22 @@
 /// The router has stopped.
 struct RouterStopped;
 
-/// A poll that has ended, with or without a complete answer.
-struct EndedPoll {
-    started_at: Time,
-    limits: PollLimits,
-    /// The last known change at its start.
+/// An answer that has ended, complete or not.
+struct EndedAnswer {
+    started: PollStart,
+    /// All changes that the log had at this time are known, if the answer is complete.
+    complete_up_to: Time,
+    end_of_wait: Time,
+    /// The last known change when the poll was requested.
     since: u64,
     /// The first change that was told again.
     repeated: Option<u64>,
     /// The number of the log's last change.
-    answer: Result<Option<u64>, PollFailure>,
+    result: Result<Option<u64>, ChangeLogError>,
 }
 
-/// Follows the change log, one poll after another.
+/// Follows the change log, one poll after another. One that is not answered in time goes on beside the next ones, so that
+/// an answer that comes is read, however late.
 struct Follower {
     names: WireNames,
     /// Number of the last known change.
@@ -79,6 +82,8 @@
     source: Source,
     connections: Connections,
     state: PollState,
+    /// When the next poll is due, unless one is waiting for its answer.
+    next_poll_at: Time,
     random: Pcg64Mcg,
 }
 
@@ -93,33 +98,85 @@
             connections: Connections::new(address, new_addresses, max_change_bytes, lease.clone()),
             lease,
             state: PollState::default(),
+            next_poll_at: Time(0),
             random: Pcg64Mcg::seed_from_u64(options.seed),
         }
     }
 
-    /// Applies what carriers have delivered and new addresses, and polls once.
+    /// Applies what carriers have delivered and new addresses; then begins a poll, or waits for an answer.
     fn run_once(&mut self) -> Result<(), RouterStopped> {
         let delivered = self.source.apply_delivered(&self.names, &mut self.last_change, &self.router);
         delivered.map_err(|_| RouterStopped)?;
         for reload in self.connections.update_address() {
-            self.state.reset_retry_delay();
+            self.state.address_changed();
+            self.next_poll_at = clock::now();
             self.send(Input::ChangesAnnounced(announced_by_reload(reload)))?;
         }
-        let poll = self.poll();
-        self.handle(poll)
+        let (now, poll_due_at) = (clock::now(), self.poll_due_at());
+        if poll_due_at.is_some_and(|at| now >= at) {
+            return self.begin_poll();
+        }
+        let overdue_at = self.unanswered_poll().map(PendingPoll::overdue_at);
+        let until = poll_due_at.into_iter().chain(overdue_at).fold(now + CHECK_INTERVAL, Time::min);
+        match self.connections.wait_for_answer(until) {
+            Ok(Some(poll)) => self.read_answer(poll),
+            Ok(None) => self.check_overdue(clock::now()),
+            Err(error) => self.handle_failure(&error.into(), clock::now()),
+        }
+    }
+
+    /// The last poll, if its answer is awaited and not late.
+    fn unanswered_poll(&self) -> Option<&PendingPoll> {
+        self.connections.newest_poll().filter(|poll| !poll.is_overdue)
+    }
+
+    /// When the next poll is due, if the answer to the last one is not awaited first.
+    fn poll_due_at(&self) -> Option<Time> {
+        let Some(poll) = self.unanswered_poll() else {
+            return Some(self.next_poll_at.max(self.connections.room_for_poll_at()));
+        };
+        // What a process missed that was stopped is wanted at once.
+        let is_catch_up = poll.limits.is_for_slow_log() && !self.lease.is_valid(clock::now());
+        is_catch_up.then_some(self.next_poll_at)
+    }
+
+    fn begin_poll(&mut self) -> Result<(), RouterStopped> {
+        let started = PollStart::now();
+        let limits = self.state.limits(self.lease.is_valid(started.at));
+        match self.connections.request(started, self.last_change, limits) {
+            Ok(_) | Err(ChangeLogError::AddressChanged) => Ok(()),
+            Err(fault) => self.handle_failure(&fault, started.at),
+        }
+    }
+
+    /// Has another poll begin where the answer to the last one is late. What it would tell counts as announced, unless
+    /// it is read before.
+    fn check_overdue(&mut self, now: Time) -> Result<(), RouterStopped> {
+        let overdue = self.unanswered_poll().filter(|poll| now >= poll.overdue_at());
+        let Some(poll) = overdue else { return Ok(()) };
+        let (noted_at, announced_at) = (poll.overdue_at(), poll.end_of_wait() + ANNOUNCED_AFTER);
+        self.connections.set_newest_overdue();
+        self.send(Input::ChangesAnnounced(AnnouncedChanges { noted_at, announced_at }))?;
+        if self.state.note_overdue() {
+            let fault = ChangeLogError::Interrupted(ErrorKind::TimedOut.into());
+            self.state.note_result(Some(&fault), self.last_change);
+        }
+        self.next_poll_at = now;
+        Ok(())
     }
 
     fn send(&self, input: Input) -> Result<(), RouterStopped> {
         self.router.send(input).map_err(|_| RouterStopped)
     }
 
-    /// Polls the log, and passes on each change as soon as it has arrived.
-    fn poll(&mut self) -> EndedPoll {
-        let (started_at, start_instant) = (clock::now(), Instant::now());
-        let since = self.last_change;
-        let limits = self.state.limits(self.lease.is_valid(started_at));
+    /// Reads an answer that has begun, and passes on each change as soon as it has arrived.
+    fn read_answer(&mut self, poll: PendingPoll) -> Result<(), RouterStopped> {
+        let PendingPoll { since, started, requested_at, limits, is_overdue, .. } = poll;
+        let (began_at, end_of_wait) = (clock::now(), poll.end_of_wait());
+        let mut has_changes = false;
         let mut decoder = ChangeDecoder::new(&self.names, &mut self.last_change, self.state.known_invalid());
-        let answer = self.connections.poll(since, limits, &mut |result| {
+        let result = self.connections.read(poll, &mut |result| {
+            has_changes = true;
             let before = decoder.last();
             let change = decoder.decode(result)?;
             if decoder.last() > before {
@@ -130,49 +187,60 @@
                 self.router.send(Input::Change(change)).map_err(|_| ChangeLogError::RouterStopped)
             })
         });
-        let repeated = decoder.first_repeated();
-        self.state.note_duration(clock::now() - started_at);
-        self.source.answer_ended(self.last_change, answer.is_ok().then_some(start_instant));
-        EndedPoll { started_at, limits, since, repeated, answer }
+        // Later changes may have been told by another poll meanwhile.
+        let repeated = decoder.first_repeated().filter(|number| *number <= since);
+        if result.is_ok() {
+            self.state.note_answer_time(began_at - requested_at, limits);
+        }
+        let complete_up_to = if is_overdue && !has_changes { end_of_wait.min(began_at) } else { started.at };
+        self.state.note_duration(clock::now() - started.at);
+        self.source.answer_ended(self.last_change, result.is_ok().then_some(started.instant));
+        self.handle(EndedAnswer { started, complete_up_to, end_of_wait, since, repeated, result })
     }
 
-    /// Tells the router what an ended poll means, and waits until the next one is due.
-    fn handle(&mut self, poll: EndedPoll) -> Result<(), RouterStopped> {
-        self.state.note_repeated(poll.repeated, self.last_change);
-        let fault = match poll.answer {
+    /// Tells the router what an ended answer means.
+    fn handle(&mut self, ended: EndedAnswer) -> Result<(), RouterStopped> {
+        self.state.note_repeated(ended.repeated, self.last_change);
+        match ended.result {
             Ok(seq) => {
-                self.send(Input::ChangeLogReadUpTo(poll.started_at))?;
-                self.state.note_sequence(seq, poll.since);
-                None
+                self.send(Input::ChangeLogReadUpTo(ended.complete_up_to))?;
+                self.state.note_sequence(seq, ended.since);
+                self.state.note_result(None, self.last_change);
+                self.postpone_poll(None, ended.started.at);
+                Ok(())
             }
-            Err(PollFailure { fault: ChangeLogError::AddressChanged, .. }) => return Ok(()),
-            Err(PollFailure { fault: ChangeLogError::RouterStopped, .. }) => return Err(RouterStopped),
-            Err(PollFailure { fault, requested_at }) => {
-                if let Some(requested_at) = requested_at {
-                    let announced = announced_by_failure(requested_at, poll.limits.wait);
-                    self.send(Input::ChangesAnnounced(announced))?;
-                }
-                Some(fault)
+            Err(ChangeLogError::AddressChanged) => Ok(()),
+            Err(ChangeLogError::RouterStopped) => Err(RouterStopped),
+            Err(fault) => {
+                let announced = announced_by_failure(ended.end_of_wait);
+                self.send(Input::ChangesAnnounced(announced))?;
+                self.handle_failure(&fault, ended.started.at)
             }
-        };
-        self.state.note_result(fault.as_ref(), self.last_change);
-        self.wait(fault.as_ref(), clock::now() - poll.started_at);
+        }
+    }
+
+    /// A poll that began at this time has failed, or is not answered in time.
+    fn handle_failure(&mut self, fault: &ChangeLogError, started_at: Time) -> Result<(), RouterStopped> {
+        self.state.note_failure();
+        self.state.note_result(Some(fault), self.last_change);
+        self.postpone_poll(Some(fault), started_at);
         Ok(())
     }
 
-    fn wait(&mut self, fault: Option<&ChangeLogError>, since_poll: Span) {
-        let delay = self.state.retry_delay(fault, since_poll, &mut self.random);
-        if let Some(delay) = delay.max(self.source.poll_delay(since_poll)) {
-            self.connections.wait(delay);
-        }
+    /// Sets when the next poll is due.
+    fn postpone_poll(&mut self, fault: Option<&ChangeLogError>, started_at: Time) {
+        let now = clock::now();
+        let delay = self.state.retry_delay(fault, now - started_at, &mut self.random);
+        let delay = delay.max(self.source.poll_delay(now - started_at));
+        self.next_poll_at = now + delay.unwrap_or(Span::ZERO);
     }
 }
 
 /// What counts as announced after a poll without a complete answer: it broke off, stopped, was not answered in time, or
 /// can't be used.
-fn announced_by_failure(requested_at: Time, wait: Span) -> AnnouncedChanges {
+fn announced_by_failure(end_of_wait: Time) -> AnnouncedChanges {
     let noted_at = clock::now();
-    AnnouncedChanges { noted_at, announced_at: noted_at.min(requested_at + wait) + ANNOUNCED_AFTER }
+    AnnouncedChanges { noted_at, announced_at: noted_at.min(end_of_wait) + ANNOUNCED_AFTER }
 }
 
 /// What counts as announced after a reload, unless it is read at the new address before.
--- a/crates/dispatcher/src/change_log/answer_stream.rs
+++ b/crates/dispatcher/src/change_log/answer_stream.rs
@@ -13,7 +13,7 @@
 /// Waits until a stream is ready, but no longer than `until` or the check interval; returns which streams are
 /// ready.
 pub(super) fn ready(streams: &[&TcpStream], events: PollFlags, until: Time) -> io::Result<Vec<bool>> {
-    let wait = (until - clock::now()).min(CHECK_INTERVAL).0 / 1000 + 1;
+    let wait = (until - clock::now()).min(CHECK_INTERVAL).0.div_ceil(1000);
     let mut polled: Vec<PollFd> = streams.iter().map(|stream| PollFd::new(stream.as_fd(), events)).collect();
     match poll(&mut polled, PollTimeout::from(wait as u16)) {
         Ok(_) => Ok(polled.iter().map(|polled| polled.any().unwrap_or(true)).collect()),
@@ -22,15 +22,13 @@
     }
 }
 
-/// Reads one answer. Ends an answer that stalls or trickles at one deadline for all of it, and stops waiting
+/// Reads one answer that has begun. Ends an answer that stalls or trickles at one deadline for all of it, and stops waiting
 /// when the change log's address changes. After the deadline, bytes that are already buffered are still read
 /// up to a limit, so that a stall of this process loses no changes.
 pub(super) struct AnswerStream<'a> {
     pub(super) stream: &'a TcpStream,
     pub(super) new_addresses: &'a Receiver<NewAddress>,
-    /// The current deadline: first for the beginning of the answer, then for its end.
     pub(super) deadline: Time,
-    pub(super) end_deadline: Time,
     /// Bytes that may still be read after the deadline.
     pub(super) late_bytes_left: usize,
     /// Renewed whenever nothing is left to read.
@@ -49,7 +47,6 @@
                     return Err(ErrorKind::TimedOut.into())
                 }
                 Ok(length) => {
-                    self.deadline = self.end_deadline;
                     self.late_bytes_left -= if is_late { length } else { 0 };
                     return Ok(length);
                 }
--- a/crates/dispatcher/src/change_log/connections.rs
+++ b/crates/dispatcher/src/change_log/connections.rs
@@ -1,8 +1,11 @@
-//! The connections to the change log: establishes, polls and reuses them.
+//! The connections to the change log: establishes and reuses them, and has the polls on them that are not answered.
 use super::answer::read_answer;
 use super::answer_stream::{ready, AnswerStream};
 use super::changes::OnChange;
-use super::time_limits::{CHECK_INTERVAL, CONNECT_TIMEOUT, REDIAL_AFTER, RESPONSE_DEADLINE};
+use super::time_limits::{
+    CHECK_INTERVAL, CONNECT_TIMEOUT, MAX_ANSWER_DELAY, MAX_PENDING_POLLS, POLL_WAIT, REDIAL_AFTER,
+    RESPONSE_DEADLINE, TRANSFER_TIMEOUT,
+};
 use crate::change_decoding::ChangeLogError;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
@@ -10,8 +13,13 @@
 use cherrypass::time::{Span, Time};
 use crossbeam_channel::Receiver;
 use nix::poll::PollFlags;
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::Instant;
+
+/// How often polls that are not answered are looked at while another connection is being established.
+const PENDING_CHECK_INTERVAL: Span = Span::millis(10);
 
 /// A connection that is being established.
 struct Dial {
@@ -38,18 +46,74 @@
     pub(super) response_timeout: Span,
 }
 
-/// A poll without a complete answer.
-pub(super) struct PollFailure {
-    pub(super) fault: ChangeLogError,
-    /// When the log was asked, if a connection was established.
-    pub(super) requested_at: Option<Time>,
+impl PollLimits {
+    pub(super) fn is_for_slow_log(&self) -> bool {
+        self.wait > POLL_WAIT
+    }
+
+    /// How long after the request the answer has to begin. On a slow log the next poll begins at the end of the wait.
+    fn patience(&self) -> Span {
+        if self.is_for_slow_log() {
+            self.wait
+        } else {
+            (self.wait + self.response_timeout).min(RESPONSE_DEADLINE)
+        }
+    }
+}
+
+/// A poll that was requested and is not answered yet.
+pub(super) struct PendingPoll {
+    stream: TcpStream,
+    /// The last known change when it was requested.
+    pub(super) since: u64,
+    pub(super) started: PollStart,
+    pub(super) requested_at: Time,
+    pub(super) limits: PollLimits,
+    /// Whether the answer did not begin within the limits.
+    pub(super) is_overdue: bool,
+}
+
+/// When a poll began, before a connection was established for it.
+#[derive(Clone, Copy)]
+pub(super) struct PollStart {
+    pub(super) at: Time,
+    pub(super) instant: Instant,
+}
+
+impl PollStart {
+    pub(super) fn now() -> PollStart {
+        PollStart { at: clock::now(), instant: Instant::now() }
+    }
+}
+
+impl PendingPoll {
+    /// When the answer should have begun, so that another poll is due.
+    pub(super) fn overdue_at(&self) -> Time {
+        self.requested_at + self.limits.patience()
+    }
+
+    /// The end of the wait that was asked for: an answer without changes tells that the log had none by then.
+    pub(super) fn end_of_wait(&self) -> Time {
+        self.requested_at + self.limits.wait
+    }
+
+    /// When an answer that begins now has to be complete.
+    fn end_deadline(&self, now: Time) -> Time {
+        if self.is_overdue || self.limits.is_for_slow_log() {
+            now + TRANSFER_TIMEOUT
+        } else {
+            self.requested_at + RESPONSE_DEADLINE
+        }
+    }
 }
 
-/// The connections to the change log between polls.
+/// The connections to the change log, with the polls on them.
 pub(super) struct Connections {
     address: SocketAddr,
     new_addresses: Receiver<NewAddress>,
     idle: Option<TcpStream>,
+    /// In the order of their requests.
+    pending: VecDeque<PendingPoll>,
     dials: Vec<Dial>,
     max_change_bytes: usize,
     lease: ChangeLogLease,
@@ -62,7 +126,8 @@
         max_change_bytes: usize,
         lease: ChangeLogLease,
     ) -> Connections {
-        Connections { address, new_addresses, idle: None, dials: Vec::new(), max_change_bytes, lease }
+        let (idle, pending, dials) = Default::default();
+        Connections { address, new_addresses, idle, pending, dials, max_change_bytes, lease }
     }
 
     /// Takes the new addresses of the change log, and closes the connections if there is one.
@@ -70,28 +135,56 @@
         let new: Vec<NewAddress> = self.new_addresses.try_iter().collect();
         if let Some(NewAddress { address, .. }) = new.last() {
             (self.address, self.idle, self.dials) = (*address, None, Vec::new());
+            self.pending.clear();
         }
         new
     }
 
-    /// Waits, but no longer than until the address changes. Without a connection there is nothing to read, so the
-    /// lease is renewed.
-    pub(super) fn wait(&self, delay: Span) {
-        let until = clock::now() + delay;
-        let mut select = crossbeam_channel::Select::new();
-        select.recv(&self.new_addresses);
+    /// The poll that was requested last, if it is not answered.
+    pub(super) fn newest_poll(&self) -> Option<&PendingPoll> {
+        self.pending.back()
+    }
+
+    /// When another poll may begin: while as many as allowed are pending, once the oldest one can be given up.
+    pub(super) fn room_for_poll_at(&self) -> Time {
+        let oldest = self.pending.front().filter(|_| self.pending.len() >= MAX_PENDING_POLLS);
+        oldest.map_or(Time(0), |poll| poll.end_of_wait() + MAX_ANSWER_DELAY)
+    }
+
+    /// Marks the poll that was requested last as overdue.
+    pub(super) fn set_newest_overdue(&mut self) {
+        self.pending.back_mut().into_iter().for_each(|poll| poll.is_overdue = true);
+    }
+
+    /// Waits for the beginning of an answer, or the end of its connection, until a time or until the address changes.
+    /// While there is nothing to read the lease is renewed.
+    pub(super) fn wait_for_answer(&mut self, until: Time) -> io::Result<Option<PendingPoll>> {
         loop {
             let now = clock::now();
+            if let Some(index) = self.answered_poll(now)? {
+                return Ok(self.pending.remove(index));
+            }
             self.lease.renew(now);
-            if now >= until || select.ready_timeout(clock::to_std((until - now).min(CHECK_INTERVAL))).is_ok()
-            {
-                return;
+            if now >= until || !self.new_addresses.is_empty() {
+                return Ok(None);
             }
+            let streams: Vec<&TcpStream> = self.pending.iter().map(|poll| &poll.stream).collect();
+            ready(&streams, PollFlags::POLLIN, until)?;
         }
     }
 
-    /// Returns the first connection to be established.
-    fn connect(&mut self) -> Result<TcpStream, ChangeLogError> {
+    /// The first poll of which the answer has begun.
+    fn answered_poll(&self, now: Time) -> io::Result<Option<usize>> {
+        if self.pending.is_empty() {
+            return Ok(None);
+        }
+        let streams: Vec<&TcpStream> = self.pending.iter().map(|poll| &poll.stream).collect();
+        Ok(ready(&streams, PollFlags::POLLIN, now)?.iter().position(|is_ready| *is_ready))
+    }
+
+    /// Returns the first connection to be established, or none once an earlier poll is answered: establishing goes on
+    /// with the next call.
+    fn connect(&mut self) -> Result<Option<TcpStream>, ChangeLogError> {
         loop {
             if !self.new_addresses.is_empty() {
                 return Err(ChangeLogError::AddressChanged);
@@ -102,15 +195,19 @@
                 self.dials.push(dial(self.address).map_err(ChangeLogError::Unreachable)?);
             }
             let streams: Vec<&TcpStream> = self.dials.iter().map(|dial| &dial.stream).collect();
-            let ready = ready(&streams, PollFlags::POLLOUT, now + CHECK_INTERVAL)?;
+            let wait = if self.pending.is_empty() { CHECK_INTERVAL } else { PENDING_CHECK_INTERVAL };
+            let ready = ready(&streams, PollFlags::POLLOUT, now + wait)?;
             if let Some(index) = ready.iter().position(|is_ready| *is_ready) {
                 let Dial { stream, .. } = self.dials.swap_remove(index);
                 self.dials.clear();
                 return match stream.take_error().map_err(ChangeLogError::Unreachable)? {
                     Some(error) => Err(ChangeLogError::Unreachable(error)),
-                    None => Ok(stream),
+                    None => Ok(Some(stream)),
                 };
             }
+            if self.answered_poll(now)?.is_some() {
+                return Ok(None);
+            }
             if self.dials.first().is_some_and(|dial| clock::now() - dial.since >= CONNECT_TIMEOUT) {
                 self.dials.remove(0);
                 return Err(ChangeLogError::Unreachable(ErrorKind::TimedOut.into()));
@@ -118,60 +215,68 @@
         }
     }
 
-    /// Requests the changes after a given one and passes each of them on; returns the number of the log's
-    /// last change.
-    pub(super) fn poll(
+    /// Requests the changes after a given one. Returns whether it was sent: not if an earlier poll was answered while
+    /// the connection was being established.
+    pub(super) fn request(
         &mut self,
+        started: PollStart,
         since: u64,
         limits: PollLimits,
-        on_change: &mut OnChange,
-    ) -> Result<Option<u64>, PollFailure> {
-        let stream = self.take_connection().map_err(|fault| PollFailure { fault, requested_at: None })?;
-        let requested_at = Some(clock::now());
-        self.request(stream, since, limits, on_change).map_err(|fault| PollFailure { fault, requested_at })
+    ) -> Result<bool, ChangeLogError> {
+        let Some(stream) = self.take_connection()? else { return Ok(false) };
+        let (wait_ms, address) = (limits.wait.0 / 1000, self.address);
+        let request = format!(
+            "GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {address}\r\n\
+             Accept: application/json\r\n\r\n"
+        );
+        let requested_at = clock::now();
+        // Where the connection has ended meanwhile, that is read as the answer.
+        let _ = (&stream).write_all(request.as_bytes());
+        if self.pending.len() >= MAX_PENDING_POLLS {
+            self.pending.pop_front();
+        }
+        self.pending.push_back(PendingPoll {
+            stream,
+            since,
+            started,
+            requested_at,
+            limits,
+            is_overdue: false,
+        });
+        Ok(true)
     }
 
-    /// Sends a request and reads the answer.
-    fn request(
+    /// Reads an answer that has begun, and passes on each change; returns the number of the log's last change.
+    pub(super) fn read(
         &mut self,
-        stream: TcpStream,
-        since: u64,
-        PollLimits { wait, response_timeout }: PollLimits,
+        poll: PendingPoll,
         on_change: &mut OnChange,
     ) -> Result<Option<u64>, ChangeLogError> {
-        let (wait_ms, address) = (wait.0 / 1000, self.address);
-        let request = format!(
-            "GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {address}\r\n\
-             Accept: application/json\r\n\r\n"
-        );
-        (&stream).write_all(request.as_bytes())?;
-        let now = clock::now();
         let answer_stream = AnswerStream {
-            stream: &stream,
+            stream: &poll.stream,
             new_addresses: &self.new_addresses,
-            deadline: now + (wait + response_timeout).min(RESPONSE_DEADLINE),
-            end_deadline: now + RESPONSE_DEADLINE,
+            deadline: poll.end_deadline(clock::now()),
             late_bytes_left: self.max_change_bytes,
             lease: &self.lease,
         };
-        let answer = read_answer(answer_stream, since, self.max_change_bytes, on_change);
+        let answer = read_answer(answer_stream, poll.since, self.max_change_bytes, on_change);
         if !self.new_addresses.is_empty() && !matches!(answer, Err(ChangeLogError::RouterStopped)) {
             return Err(ChangeLogError::AddressChanged);
         }
         let (seq, is_reusable) = answer?;
-        self.idle = Some(stream).filter(|_| is_reusable);
+        self.idle = Some(poll.stream).filter(|_| is_reusable);
         Ok(seq)
     }
 
     /// Takes the idle connection if it can be reused, or else a new one.
-    fn take_connection(&mut self) -> Result<TcpStream, ChangeLogError> {
+    fn take_connection(&mut self) -> Result<Option<TcpStream>, ChangeLogError> {
         // A connection that was closed in between, or has unexpected data, can't be reused.
         let mut unexpected = [0];
         let is_reusable = |stream: &TcpStream| {
             { stream }.read(&mut unexpected).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
         };
         match self.idle.take().filter(is_reusable) {
-            Some(stream) => Ok(stream),
+            Some(stream) => Ok(Some(stream)),
             None => self.connect(),
         }
     }
--- a/crates/dispatcher/src/change_log/poll_state.rs
+++ b/crates/dispatcher/src/change_log/poll_state.rs
@@ -2,7 +2,7 @@
 use super::connections::PollLimits;
 use super::time_limits::{
     CATCH_UP_WAIT, MAX_RETRY_DELAY, MIN_RESPONSE_TIMEOUT, MIN_RETRY_DELAY, POLL_WAIT, RESPONSE_DEADLINE,
-    RESPONSE_TIMEOUT_DECAY, STALL_THRESHOLD,
+    RESPONSE_TIMEOUT_DECAY, SLOW_POLL_WAIT, STALL_THRESHOLD,
 };
 use crate::change_decoding::ChangeLogError;
 use cherrypass::time::Span;
@@ -10,11 +10,18 @@
 use rand_pcg::Pcg64Mcg;
 use std::io::ErrorKind;
 
+/// How many late answers in a row show that the log is slow.
+const OVERDUE_IF_SLOW: u32 = 2;
+
 /// The state of the polls so far.
 pub(super) struct PollState {
     retry_delay: Span,
     response_timeout: Span,
     is_failing: bool,
+    /// Whether answers come later than the limits of a quick log.
+    is_slow: bool,
+    /// Polls that were not answered within the limits since a quick answer.
+    overdue_in_a_row: u32,
     /// Whether the log's last change is older than the last known one.
     is_behind: bool,
     /// Whether the log tells known changes again.
@@ -30,6 +37,8 @@
             retry_delay: MIN_RETRY_DELAY,
             response_timeout: MIN_RESPONSE_TIMEOUT,
             is_failing: false,
+            is_slow: false,
+            overdue_in_a_row: 0,
             is_behind: false,
             is_repeating: false,
             has_stalled: false,
@@ -39,8 +48,10 @@
 }
 
 impl PollState {
-    pub(super) fn reset_retry_delay(&mut self) {
+    /// Forgets what was learned of the log's speed, as it has moved.
+    pub(super) fn address_changed(&mut self) {
         self.retry_delay = MIN_RETRY_DELAY;
+        self.note_failure();
     }
 
     pub(super) fn known_invalid(&self) -> Option<u64> {
@@ -49,11 +60,38 @@
 
     /// The time limits of the next poll. After a failure, or with an expired lease, the answer is wanted at once.
     pub(super) fn limits(&self, is_lease_valid: bool) -> PollLimits {
-        let is_wanted_at_once = self.is_failing || self.has_stalled || !is_lease_valid;
-        let wait = if is_wanted_at_once { CATCH_UP_WAIT } else { POLL_WAIT };
+        let wait = match is_lease_valid {
+            true if self.is_slow => SLOW_POLL_WAIT,
+            true if !self.is_failing && !self.has_stalled && self.overdue_in_a_row == 0 => POLL_WAIT,
+            _ => CATCH_UP_WAIT,
+        };
         PollLimits { wait, response_timeout: self.response_timeout }
     }
 
+    /// Notes that an answer did not begin within the limits. Returns whether that shows now that the log is slow: the
+    /// first late answer may be due to its connection.
+    pub(super) fn note_overdue(&mut self) -> bool {
+        self.overdue_in_a_row += 1;
+        let is_slow = self.overdue_in_a_row >= OVERDUE_IF_SLOW;
+        is_slow && !std::mem::replace(&mut self.is_slow, is_slow)
+    }
+
+    /// Notes how long after its request a complete answer began.
+    pub(super) fn note_answer_time(&mut self, answer_time: Span, limits: PollLimits) {
+        let is_quick = answer_time <= limits.wait + MIN_RESPONSE_TIMEOUT;
+        // On a slow log an answer that comes within the wait has changes, and its delay is not known.
+        if is_quick && (!limits.is_for_slow_log() || answer_time >= limits.wait) {
+            self.is_slow = false;
+            self.overdue_in_a_row = 0;
+        }
+    }
+
+    /// Notes that an answer broke off or that the log was not reached: what was learned of its speed is void.
+    pub(super) fn note_failure(&mut self) {
+        self.is_slow = false;
+        self.overdue_in_a_row = 0;
+    }
+
     pub(super) fn note_duration(&mut self, duration: Span) {
         self.has_stalled = duration > STALL_THRESHOLD;
     }
