Messages in part have a bound in sum, and their buffers are as long as their content

Cause: messages in part were bounded for each connection alone, and their buffers doubled. Past it the message that has been incomplete for longest, of those over an equal part, is dropped; what is open on its connection is answered first. Buffers grow by 4 kB, and what a read did not fill is released. Two codec tests: single bytes, and a request that holds its own memory alone.

--- a/crates/dispatcher/src/capacity.rs
+++ b/crates/dispatcher/src/capacity.rs
@@ -21,6 +21,12 @@
     }
 }
 
+impl Reservation {
+    pub fn amount(&self) -> usize {
+        self.1
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.0 .0.fetch_sub(self.1, Relaxed);
--- a/crates/dispatcher/src/client_input.rs
+++ b/crates/dispatcher/src/client_input.rs
@@ -5,7 +5,7 @@
 //! ahead continues where the reader stopped, in the middle of a message too, and decodes as the reader does.
 use crate::clock;
 use crate::connection::{CloseReason, Connection, UnreadInput};
-use crate::msgpack::{self, Message};
+use crate::msgpack::{self, Framing, Message};
 use bytes::BytesMut;
 use cherrypass::time::{Span, Time};
 use std::collections::BTreeMap;
@@ -21,6 +21,8 @@
 /// A client in the middle of a message is still writing until it has sent nothing for this long, even if all that has
 /// arrived was read: what it has written arrives bit by bit as its connection's window opens.
 const WRITE_PAUSE: Span = Span::millis(10);
+/// The buffer of a message that comes in parts grows by this.
+const BUFFER_STEP_BYTES: usize = 4 * 1024;
 /// With this many open requests, finished ones are removed.
 const PRUNE_OPEN_AT: usize = 64;
 
@@ -58,8 +60,16 @@
 
 impl ClientInput {
     pub fn new(connection: Arc<Connection>) -> ClientInput {
-        let (buffer, open_requests) = Default::default();
-        let state = InputState { connection: connection.clone(), buffer, looked_at: Time(0), open_requests };
+        let (buffer, framing, open_requests) = Default::default();
+        let looked_at = Time(0);
+        let state = InputState {
+            connection: connection.clone(),
+            buffer,
+            framing,
+            looked_at,
+            is_abandoned: false,
+            open_requests,
+        };
         ClientInput { connection, state: Mutex::new(state) }
     }
 
@@ -82,6 +92,7 @@
         let now = clock::now();
         match self.connection.unread_input() {
             UnreadInput::Closed => return LookAhead::Closed,
+            _ if state.is_abandoned => return LookAhead::Backlog,
             UnreadInput::None => state.note_nothing_unread(now),
             UnreadInput::Bytes if !state.is_recent(now) => state.look_at_unread(now),
             UnreadInput::Bytes => {}
@@ -105,10 +116,13 @@
 #[derive(Debug)]
 pub struct InputState {
     connection: Arc<Connection>,
-    /// The beginning of a message of which the rest was not read yet.
+    /// The beginning of a message of which the rest was not read yet, and how far its end was looked for.
     buffer: BytesMut,
+    framing: Framing,
     /// All that the client had written by this time was read or looked at.
     looked_at: Time,
+    /// Whether the message that has come in part was dropped, so that nothing after it can be decoded.
+    is_abandoned: bool,
     /// Requests that may be open, by id.
     open_requests: BTreeMap<u32, Weak<AtomicBool>>,
 }
@@ -116,11 +130,16 @@
 impl InputState {
     /// Reads once, at most this many bytes, and takes all complete messages; none if nothing has arrived.
     pub fn read(&mut self, max_bytes: usize) -> Result<Option<ReceivedMessages>, CloseReason> {
-        let old_length = self.buffer.len();
-        let Some(received_at) = self.connection.try_read(&mut self.buffer, max_bytes)? else {
+        if self.is_abandoned {
+            let discarded = self.connection.discard(&mut vec![0; max_bytes]);
+            return discarded.map(|_| None).ok_or(CloseReason::ClosedByPeer);
+        }
+        let mut bytes = BytesMut::new();
+        let Some(received_at) = self.connection.try_read(&mut bytes, max_bytes)? else {
             return Ok(None);
         };
-        let is_all = self.buffer.len() - old_length < max_bytes;
+        let is_all = bytes.len() < max_bytes;
+        self.append(bytes);
         let messages = self.take_messages()?;
         if is_all {
             self.note_nothing_unread(received_at);
@@ -128,16 +147,42 @@
         Ok(Some(ReceivedMessages { messages, received_at }))
     }
 
+    /// The memory that a message takes which has come in part.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Drops what has come of a message. Nothing that comes later is decoded.
+    pub fn abandon(&mut self) {
+        self.buffer = BytesMut::new();
+        self.is_abandoned = true;
+    }
+
+    /// Adds bytes that were read, in a buffer that is little longer than its content.
+    fn append(&mut self, bytes: BytesMut) {
+        if self.buffer.is_empty() {
+            self.buffer = bytes;
+            return;
+        }
+        let length = self.buffer.len() + bytes.len();
+        if length > self.buffer.capacity() {
+            let mut longer = BytesMut::with_capacity(length.next_multiple_of(BUFFER_STEP_BYTES));
+            longer.extend_from_slice(&self.buffer);
+            self.buffer = longer;
+        }
+        self.buffer.extend_from_slice(&bytes);
+    }
+
     /// Takes all complete messages that were read.
     fn take_messages(&mut self) -> Result<Vec<Message>, CloseReason> {
         let mut messages = Vec::new();
-        while let Some(message) = msgpack::next(&mut self.buffer)? {
+        while let Some(message) = msgpack::next_framed(&mut self.buffer, &mut self.framing)? {
             messages.push(message);
         }
         self.connection.messages_taken(&self.buffer, !messages.is_empty());
-        if self.buffer.is_empty() {
-            // Releases the memory of large messages on idle connections.
-            self.buffer = BytesMut::new();
+        if !messages.is_empty() || self.buffer.capacity() > self.buffer.len() + BUFFER_STEP_BYTES {
+            // Releases the memory of the messages that were taken, and what the read did not fill.
+            self.buffer = BytesMut::from(&self.buffer[..]);
         }
         Ok(messages)
     }
@@ -175,8 +220,9 @@
         let mut bytes = BytesMut::with_capacity(self.buffer.len() + LOOK_AHEAD_BYTES);
         bytes.extend_from_slice(&self.buffer);
         let unread = self.connection.peek(&mut bytes, LOOK_AHEAD_BYTES);
+        let mut framing = self.framing.clone();
         // The reader ends the connection on a message that can't be decoded; nothing after that counts.
-        while let Ok(Some(message)) = msgpack::next(&mut bytes) {
+        while let Ok(Some(message)) = msgpack::next_framed(&mut bytes, &mut framing) {
             if let Message::Withdraw(ids) = message {
                 self.withdraw(&ids);
             }
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -14,6 +14,7 @@
 pub use self::client::{RouterSenders, READ_BYTES};
 pub use self::shutdown::{Shutdown, Stage};
 use self::state::{Clients, EVENTS_PER_WAIT, LISTENER, SWEEP_INTERVAL};
+use crate::capacity::Gauge;
 use crate::clock;
 use cherrypass::time::{Span, Time};
 use nix::errno::Errno;
@@ -27,11 +28,19 @@
 /// How often the queue and messages that are not forwarded yet are checked.
 const QUEUE_POLL_INTERVAL: Span = Span::millis(2);
 
+/// Limits of client connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    pub max_clients: usize,
+    pub write_timeout: Span,
+    /// Maximum bytes of messages that have come in part.
+    pub max_partial_bytes: usize,
+}
+
 /// Accepts and reads client connections until the process ends.
 pub fn listen(
     listener: TcpListener,
-    max_clients: usize,
-    write_timeout: Span,
+    limits: ClientLimits,
     router: RouterSenders,
     shutdown: Arc<Shutdown>,
 ) -> io::Result<()> {
@@ -40,11 +49,14 @@
     epoll.add(&listener, EpollEvent::new(EpollFlags::EPOLLIN, LISTENER))?;
     let (admitted, lingering, queue, next_id, unforwarded) = Default::default();
     let (accept_paused_until, accept_failures) = (None, None);
+    let ClientLimits { max_clients, write_timeout, max_partial_bytes } = limits;
     let mut clients = Clients {
         listener,
         epoll,
         max_clients,
         write_timeout,
+        partial_messages: Gauge::default(),
+        max_partial_bytes,
         router,
         shutdown,
         admitted,
--- a/crates/dispatcher/src/clients/client.rs
+++ b/crates/dispatcher/src/clients/client.rs
@@ -1,6 +1,6 @@
 //! The reading side of a client connection.
 use crate::cancellation::CancelToken;
-use crate::capacity::Gauge;
+use crate::capacity::{Gauge, Reservation};
 use crate::client_input::{ClientInput, InputState, ReceivedMessages};
 use crate::clock;
 use crate::connection::{CloseReason, Connection};
@@ -50,6 +50,10 @@
     visit_count: u64,
     /// Whether the router was asked to finish the open visits.
     is_closing: bool,
+    /// The memory of a message that has come in part.
+    partial_message: Option<Reservation>,
+    /// Whether that message was dropped for want of memory.
+    is_abandoned: bool,
 }
 
 /// Readability, and a close by the peer even behind unread bytes.
@@ -73,6 +77,8 @@
             last_id: 0,
             visit_count: 0,
             is_closing: false,
+            partial_message: None,
+            is_abandoned: false,
         }
     }
 
@@ -98,6 +104,9 @@
         if self.connection.is_shut_down() {
             return Some(self.connection.close_reason());
         }
+        if self.is_abandoned {
+            return Some(CloseReason::NoRoomForMessage);
+        }
         let silent = (!self.has_sent).then(|| now - self.opened_at);
         let partial = self.connection.partial_for(now);
         let unused = self.unused_for(now).filter(|_| partial.is_none());
@@ -120,6 +129,28 @@
         }
     }
 
+    /// Reserves the memory of a message that has come in part.
+    pub(super) fn reserve_partial_message(&mut self, partial_messages: &Gauge) {
+        let held_bytes = self.input.lock().held_bytes();
+        self.partial_message = (held_bytes > 0).then(|| partial_messages.reserve(held_bytes));
+    }
+
+    /// The memory of a message that has come in part, and how long it has been incomplete.
+    pub(super) fn partial_message(&self, now: Time) -> Option<(usize, Span)> {
+        let held_bytes = self.partial_message.as_ref()?.amount();
+        Some((held_bytes, self.connection.partial_for(now)?))
+    }
+
+    /// Drops a message that has come in part. The requests before it are answered, and then the connection is closed.
+    pub(super) fn abandon_partial_message(&mut self) {
+        self.input.lock().abandon();
+        self.partial_message = None;
+        self.is_abandoned = true;
+        if !std::mem::replace(&mut self.is_closing, true) {
+            self.unforwarded.push_back(FromClient::Closing);
+        }
+    }
+
     /// Shuts down the writing direction and logs the close.
     pub(super) fn close(&self, reason: CloseReason) {
         self.connection.shut_down_write(reason);
--- a/crates/dispatcher/src/clients/closing.rs
+++ b/crates/dispatcher/src/clients/closing.rs
@@ -22,6 +22,8 @@
                 Some(client) if reason == CloseReason::MessageTimeout && client.is_in_use() => {
                     client.finish_open_visits(now, &self.router)
                 }
+                // Its open visits are being answered.
+                Some(client) if reason == CloseReason::NoRoomForMessage && client.is_in_use() => {}
                 _ => self.close_unused(key, reason),
             }
         }
--- a/crates/dispatcher/src/clients/reading.rs
+++ b/crates/dispatcher/src/clients/reading.rs
@@ -1,5 +1,6 @@
 //! Reads from admitted clients and forwards their messages to the router.
 use super::state::Clients;
+use crate::clock;
 use crate::connection::CloseReason;
 use crate::inbox::Input;
 use crossbeam_channel::TrySendError;
@@ -23,6 +24,27 @@
         if !client.unforwarded.is_empty() {
             self.unforwarded.push_back(key);
         }
+        client.reserve_partial_message(&self.partial_messages);
+        while self.partial_messages.amount() > self.max_partial_bytes && self.abandon_longest_partial() {}
+        true
+    }
+
+    /// Drops the message that has been incomplete for longest, of those that take more than an equal part of the memory
+    /// for them. Returns whether there was one.
+    fn abandon_longest_partial(&mut self) -> bool {
+        let now = clock::now();
+        let equal_part = self.max_partial_bytes / self.max_clients.max(1);
+        let partial = self.admitted.iter().filter_map(|(key, client)| {
+            let (bytes, incomplete_for) = client.partial_message(now)?;
+            (bytes > equal_part).then_some((incomplete_for, *key))
+        });
+        let Some((_, key)) = partial.max() else { return false };
+        let Some(client) = self.admitted.get_mut(&key) else { return false };
+        let was_forwarded = client.unforwarded.is_empty();
+        client.abandon_partial_message();
+        if was_forwarded && !client.unforwarded.is_empty() {
+            self.unforwarded.push_back(key);
+        }
         true
     }
 
--- a/crates/dispatcher/src/clients/state.rs
+++ b/crates/dispatcher/src/clients/state.rs
@@ -1,6 +1,7 @@
 //! The state of the client thread: admitted clients, the queue and connections that are being closed.
 use super::client::{Client, RouterSenders};
 use super::shutdown::Shutdown;
+use crate::capacity::Gauge;
 use crate::connection::Connection;
 use cherrypass::time::{Span, Time};
 use nix::sys::epoll::Epoll;
@@ -19,6 +20,9 @@
     pub(super) epoll: Epoll,
     pub(super) max_clients: usize,
     pub(super) write_timeout: Span,
+    /// Memory of messages that have come in part, and its bound.
+    pub(super) partial_messages: Gauge,
+    pub(super) max_partial_bytes: usize,
     pub(super) router: RouterSenders,
     pub(super) shutdown: Arc<Shutdown>,
     pub(super) admitted: BTreeMap<u64, Client>,
--- a/crates/dispatcher/src/connection.rs
+++ b/crates/dispatcher/src/connection.rs
@@ -26,6 +26,7 @@
     IdsUsedUp,
     UnusableAnswer,
     TooManyOpen,
+    NoRoomForMessage,
     MessageTimeout,
     Silent,
     Evicted,
@@ -55,6 +56,7 @@
             CloseReason::IdsUsedUp => "ids-used-up",
             CloseReason::UnusableAnswer => "spoilt",
             CloseReason::TooManyOpen => "too-many-open",
+            CloseReason::NoRoomForMessage => "no-room-for-message",
             CloseReason::MessageTimeout => "half-message",
             CloseReason::Silent => "mute",
             CloseReason::Evicted => "room-needed",
@@ -238,7 +240,8 @@
         match result {
             Ok(0) => {
                 self.mark_peer_closed();
-                Err(if old_length > 0 { CloseReason::ClosedInMessage } else { CloseReason::ClosedByPeer })
+                let is_in_message = self.partial_since.load(Relaxed) > 0;
+                Err(if is_in_message { CloseReason::ClosedInMessage } else { CloseReason::ClosedByPeer })
             }
             Ok(_) => {
                 let now = clock::now();
--- a/crates/dispatcher/src/startup.rs
+++ b/crates/dispatcher/src/startup.rs
@@ -1,6 +1,6 @@
 //! Starts the threads of one dispatcher.
 use crate::change_log::{self, FollowOptions};
-use crate::clients::{self, RouterSenders, Shutdown};
+use crate::clients::{self, ClientLimits, RouterSenders, Shutdown};
 use crate::config::Config;
 use crate::connection::spawn;
 use crate::durable_state::{StateRecorder, StateStore};
@@ -101,9 +101,13 @@
     router: RouterSenders,
     shutdown: Arc<Shutdown>,
 ) -> io::Result<()> {
-    let (max_clients, write_timeout) = (config.max_clients, config.longest_deadline().max(MIN_WRITE_TIMEOUT));
+    let limits = ClientLimits {
+        max_clients: config.max_clients,
+        write_timeout: config.longest_deadline().max(MIN_WRITE_TIMEOUT),
+        max_partial_bytes: config.max_partial_bytes,
+    };
     spawn("listener", move || {
-        if let Err(error) = clients::listen(listener, max_clients, write_timeout, router, shutdown) {
+        if let Err(error) = clients::listen(listener, limits, router, shutdown) {
             tracing::error!("the client listener failed, no clients are served: {error}");
         }
     })?;
--- a/crates/dispatcher/tests/codecs.rs
+++ b/crates/dispatcher/tests/codecs.rs
@@ -4,7 +4,7 @@
 use cherrypass_dispatcher::cancellation::{CancelToken, Liveness};
 use cherrypass_dispatcher::client_input::ClientInput;
 use cherrypass_dispatcher::connection::Connection;
-use cherrypass_dispatcher::msgpack::{self, Message};
+use cherrypass_dispatcher::msgpack::{self, Framing, Message};
 use cherrypass_dispatcher::resp::{self, Parsed};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -202,3 +202,45 @@
         }
     }
 }
+
+/// A request of which the head has many fields without a meaning.
+fn request_with_other_fields(count: u16) -> Vec<u8> {
+    let mut bytes = b"\x94\x00\x01\xa5video\x92\xde".to_vec();
+    bytes.extend((count + 5).to_be_bytes());
+    (0..count).for_each(|_| bytes.extend(b"\xa1a\xa1b"));
+    bytes.extend(b"\xa3txn\xb00000000000000001\xa5limit\xa41500\xa4item\xb00000000000000001");
+    bytes.extend(b"\xa5block\xa10\xa6family\xa10\xc4\x03xyz");
+    bytes
+}
+
+/// Guards against a message that is looked through from its start with each byte that comes, which took the reading
+/// thread from other clients: going on gives the same messages.
+#[test]
+fn a_message_in_single_bytes_is_decoded_as_in_one_piece() {
+    let messages = [
+        request_with_other_fields(300),
+        b"\x93\x02\xa8withdraw\x92\x01\xce\x00\x00\x00\x02".to_vec(),
+        b"\x94\x00\x07\xa6status\xc0".to_vec(),
+        b"\x94\x00\x08\xa5video\x92\x80\xdc\x00\x02\x90\xcb\x00\x00\x00\x00\x00\x00\x00\x00".to_vec(),
+    ];
+    let bytes = messages.concat();
+    let mut whole = BytesMut::from(&bytes[..]);
+    let expected: Vec<Message> = std::iter::from_fn(|| msgpack::next(&mut whole).unwrap()).collect();
+    assert_eq!((expected.len(), whole.len()), (messages.len(), 0));
+    let (mut buffer, mut framing, mut decoded) = (BytesMut::new(), Framing::default(), Vec::new());
+    for byte in bytes {
+        buffer.extend_from_slice(&[byte]);
+        decoded.extend(msgpack::next_framed(&mut buffer, &mut framing).unwrap());
+    }
+    assert_eq!(decoded, expected);
+}
+
+/// Guards against an open request that holds the memory of all that its client wrote beside it.
+#[test]
+fn a_request_holds_its_own_memory_alone() {
+    let mut buffer = BytesMut::from(&request_with_other_fields(15_000)[..]);
+    let Ok(Some(Message::Visit(_, request))) = msgpack::next(&mut buffer) else { panic!("no request") };
+    assert_eq!((&request.txn[..], &request.body[..]), (&b"0000000000000001"[..], &b"xyz"[..]));
+    let parts = [&request.txn, &request.class, &request.item, &request.body];
+    assert!(parts.iter().all(|part| part.is_unique()));
+}
--- a/crates/dispatcher/tests/discovery/bed.rs
+++ b/crates/dispatcher/tests/discovery/bed.rs
@@ -271,7 +271,16 @@
 
     /// Answers the request with an object.
     pub fn answer(&self) {
-        let parts = [&self.words[1][..], "DONE", "ver=4be0c192,born=1764576000123", "x"];
+        self.write(["DONE", "ver=4be0c192,born=1764576000123", "x"]);
+    }
+
+    /// Answers the request with this word and these fields.
+    pub fn answer_with(&self, word: &str, fields: &str) {
+        self.write([word, fields, ""]);
+    }
+
+    fn write(&self, [word, fields, body]: [&str; 3]) {
+        let parts = [&self.words[1][..], word, fields, body];
         let parts: Vec<String> = parts.iter().map(|part| format!("${}\r\n{part}\r\n", part.len())).collect();
         let _ = (&self.stream).write_all(format!("*4\r\n{}", parts.concat()).as_bytes());
     }
@@ -484,11 +493,18 @@
 
     /// Sends a request for an object; answers are read with [`Client::answer`].
     pub fn send_request(&mut self, object: u64) -> std::io::Result<()> {
+        self.send_request_within(object, 5_000)
+    }
+
+    /// Requests an object, with this time for the answer.
+    pub fn send_request_within(&mut self, object: u64, limit_ms: u32) -> std::io::Result<()> {
+        let limit = limit_ms.to_string();
         use rmp::encode::*;
         self.last_id += 1;
         let txn = format!("{:08x}{:08x}", self.stream.local_addr()?.port(), self.last_id);
         let item = format!("{object:016x}");
-        let fields = [("txn", &txn[..]), ("limit", "5000"), ("item", &item), ("block", "0"), ("family", "7")];
+        let fields =
+            [("txn", &txn[..]), ("limit", &limit[..]), ("item", &item), ("block", "0"), ("family", "7")];
         let mut out = vec![0x94, 0];
         write_uint(&mut out, u64::from(self.last_id)).unwrap();
         write_str(&mut out, "video").unwrap();
