An id whose client left runs once: it is not taken again before its request's time is over

What callers saw: an at-most-once request ran twice. Its client left (close, reset, withdraw) while an attempt ran, and the same id came again on a new connection. Cause: the id was free as soon as the visit was closed; the second attempt went to the host on another connection, beside the first one, which a cancel does not undo. Change: ids of visits that were left with an attempt decided are kept until their time is over (DepartedIds, at most 1/64 of the memory), and a request with such an id is answered as one with an open visit's: BadRequest, field txn. By the protocol each request has a new id.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -84,6 +84,8 @@
     pub max_answer_bytes: usize,
     /// Maximum bytes that open visits may hold.
     pub max_visit_bytes: usize,
+    /// Ids that are remembered of requests whose clients left them.
+    pub max_departed_ids: usize,
     /// Maximum bytes of clients' messages that have come in part.
     pub max_partial_bytes: usize,
     /// Maximum bytes of one change of the change log; decoded, it takes several times as much memory.
@@ -198,6 +200,7 @@
             max_unread_bytes: 2 * sixteenth,
             max_answer_bytes: 3 * sixteenth,
             max_visit_bytes: sixteenth,
+            max_departed_ids: (sixteenth / 4 / STATE_ENTRY_BYTES).max(1),
             max_partial_bytes: 2 * sixteenth,
             max_change_bytes: sixteenth / 4,
         })
--- a/crates/dispatcher/src/router.rs
+++ b/crates/dispatcher/src/router.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod client_messages;
 mod decisions;
+mod departed_ids;
 mod hand_off_ends;
 mod hand_off_fields;
 mod hand_offs;
--- a/crates/dispatcher/src/router/request_checks.rs
+++ b/crates/dispatcher/src/router/request_checks.rs
@@ -50,7 +50,7 @@
     is_txn_in_use: bool,
 ) -> Option<&'static str> {
     if is_txn_in_use {
-        // A second visit with the same id could get the first one's answers.
+        // A second visit with the same id could get the first one's answers, or run beside it.
         Some("txn")
     } else if request.time_limit > class_deadline + TIME_LIMIT_MARGIN {
         Some("limit")
--- a/crates/dispatcher/src/router/state.rs
+++ b/crates/dispatcher/src/router/state.rs
@@ -1,4 +1,5 @@
 //! The router's state: clients, open visits, hand-offs in flight, hosts and timers.
+use super::departed_ids::DepartedIds;
 use crate::attempt_log::AttemptLog;
 use crate::cancellation::CancelToken;
 use crate::capacity::{Gauge, HostCapacity, Reservation};
@@ -137,6 +138,7 @@
     pub(super) visits: BTreeMap<VisitId, OpenVisit>,
     /// Transaction ids of open visits.
     pub(super) txns: BTreeMap<Txn, ClientId>,
+    pub(super) departed_ids: DepartedIds,
     pub(super) hand_offs: BTreeMap<HandOffId, PendingHandOff>,
     pub(super) hosts: BTreeMap<HostId, HostEntry>,
     pub(super) list: HostList,
@@ -183,6 +185,7 @@
         timers.push(now + SWEEP_INTERVAL, Timer::Sweep);
         let lease = ChangeLogLease::new(config.change_log_lease);
         let host_actors = Hosts::start(config.host_connections, capacity, sender, lease.clone())?;
+        let departed_ids = DepartedIds::new(config.max_departed_ids);
         let settings = &config.settings;
         let list =
             HostList::new(settings.cold_cache.ramp.max(settings.cold_parent.ramp), settings.has_weights);
@@ -197,6 +200,7 @@
             clients: BTreeMap::new(),
             visits: BTreeMap::new(),
             txns: BTreeMap::new(),
+            departed_ids,
             hand_offs: BTreeMap::new(),
             hosts: BTreeMap::new(),
             list,
--- a/crates/dispatcher/src/router/visits.rs
+++ b/crates/dispatcher/src/router/visits.rs
@@ -79,7 +79,8 @@
             entry.outlet.connection.shut_down_write(reason);
             return;
         }
-        let class = match request_checks::class_of(request, &self.config, txn_owner.is_some()) {
+        let is_txn_in_use = txn_owner.is_some() || self.departed_ids.contains(arrived.received_at, txn);
+        let class = match request_checks::class_of(request, &self.config, is_txn_in_use) {
             Ok(class) => class,
             Err(field) => {
                 self.send_to_client(client, msgpack::bad_request(request_id, field), None, None);
@@ -124,7 +125,9 @@
 
     /// Closes a visit whose client has left.
     pub(super) fn abandon_visit(&mut self, visit: VisitId) {
-        self.close_visit(visit, false);
+        if let Some(open) = self.close_visit(visit, false).filter(|open| open.hand_off_count > 0) {
+            self.departed_ids.insert(clock::now(), Txn::parse(&open.request.txn), open.deadline());
+        }
         self.engine.close_visit(visit);
     }
 
--- a/crates/dispatcher/tests/sockets.rs
+++ b/crates/dispatcher/tests/sockets.rs
@@ -12,6 +12,7 @@
 #[test_case(include_str!("sockets/outcomes.txt"); "outcomes")]
 #[test_case(include_str!("sockets/host_lost.txt"); "host_lost")]
 #[test_case(include_str!("sockets/client_leaves.txt"); "client_leaves")]
+#[test_case(include_str!("sockets/client_returns.txt"); "client_returns")]
 #[test_case(include_str!("sockets/copies.txt"); "copies")]
 #[test_case(include_str!("sockets/list.txt"); "list")]
 #[test_case(include_str!("sockets/late_connect_host_drains.txt"); "late_connect_host_drains")]
