A late answer of the process before does not show a copy at a host's new process

Cause: an answer to an attempt that was sent before the listed start of the host's process confirmed a copy there, as confirmations are told apart by when they come, not by whom. Change: only answers to attempts sent since the listed start confirm a copy.

--- a/src/decision_engine.rs
+++ b/src/decision_engine.rs
@@ -142,7 +142,8 @@
         self.record_link_load(now, &sent, &end);
         self.record_end(now, &sent, &end);
         self.attribute_errors(now, &sent, &end);
-        if end.outcome == Outcome::Served && sent.host == sent.copy.cache {
+        let is_by_cache = sent.host == sent.copy.cache && self.is_of_current_process(&sent);
+        if end.outcome == Outcome::Served && is_by_cache {
             self.cached_copies.confirm(now, sent.copy);
         }
         if end.is_final {
@@ -153,6 +154,13 @@
         self.undecided.extend((open.in_flight == 0).then_some(end.visit));
     }
 
+    /// Whether a hand-off was sent to the process that runs at the host now. A late answer of the one before says
+    /// nothing of what the new one holds.
+    fn is_of_current_process(&self, sent: &SentHandOff) -> bool {
+        let started_at = self.hosts.get(&sent.host).and_then(|host| host.entry.started_at);
+        started_at.is_none_or(|started_at| started_at <= sent.sent_at)
+    }
+
     /// Updates what is known of the host and of the source by the end of a hand-off.
     fn record_end(&mut self, now: Time, sent: &SentHandOff, end: &HandOffEnd) {
         let is_counted_elsewhere = self.update_host_stats(now, sent, end);
--- a/tests/state_bounds.rs
+++ b/tests/state_bounds.rs
@@ -226,6 +226,18 @@
     }
 }
 
+fn ended(visit: VisitId, outcome: Outcome) -> HandOffEnd {
+    HandOffEnd {
+        visit,
+        number: HandOffNumber(0),
+        outcome,
+        note: Note::Unspecified,
+        duration: Span::millis(1),
+        report: Report::default(),
+        is_final: true,
+    }
+}
+
 /// Sends visits for ever new objects to a cache that ends each with this outcome; returns the most copies and the
 /// last number of copies that the module had entries for.
 fn copies_after_hand_offs(outcome: Outcome, state_limits: StateLimits) -> (usize, usize) {
@@ -238,18 +250,7 @@
         engine.visit_arrived(now, visit(number, u64::from(number) << 20, now + Span::millis(2_500)));
         while let Some(decision) = engine.next_decision(now) {
             let Decision::HandOff { visit, .. } = decision else { continue };
-            engine.hand_off_ended(
-                now,
-                HandOffEnd {
-                    visit,
-                    number: HandOffNumber(0),
-                    outcome,
-                    note: Note::Unspecified,
-                    duration: Span::millis(1),
-                    report: Report::default(),
-                    is_final: true,
-                },
-            );
+            engine.hand_off_ended(now, ended(visit, outcome));
         }
         most = most.max(engine.state_size().copies);
     }
@@ -272,3 +273,21 @@
 fn served_copies_are_known() {
     assert_eq!(copies_after_hand_offs(Outcome::Served, StateLimits::MAX), (5_000, 5_000));
 }
+
+/// Guards against a new process that is taken for the one before at its address: an answer that the old one gave, and
+/// that comes after the list has told the new one's start, does not show a copy at the new one.
+#[test_case(None, 1; "the same process")]
+#[test_case(Some(Time(500)), 1; "started before the hand-off")]
+#[test_case(Some(Time(2_000)), 0; "started after the hand-off")]
+fn a_late_answer_tells_nothing_of_a_new_process(started_at: Option<Time>, copies: usize) {
+    let mut engine = DecisionEngine::new(engine_settings(StateLimits::MAX), 1, Time(0));
+    let cache = listing(HostId(1), KindId(0));
+    engine.update_hosts(Time(0), &[cache], true);
+    let sent_at = Time(1_000);
+    engine.visit_arrived(sent_at, visit(1, 7, sent_at + Span::millis(2_500)));
+    let mut decisions = std::iter::from_fn(|| engine.next_decision(sent_at));
+    assert!(decisions.any(|decision| matches!(decision, Decision::HandOff { .. })));
+    engine.update_hosts(Time(3_000), &[Listing { started_at, ..cache }], true);
+    engine.hand_off_ended(Time(4_000), ended(VisitId(1), Outcome::Served));
+    assert_eq!(engine.state_size().copies, copies);
+}
