Without carriers a follower reads the change log within 6 s, before changes count as told

Cause: the default fallback_ms of 5 s and a random time up to as long again come to 10 s after the last proof; by the protocol page a change counts as told 7 s after it was made. Change: the default is 3 s, so 3 to 6 s.

--- a/crates/fleet/src/delivery/settings.rs
+++ b/crates/fleet/src/delivery/settings.rs
@@ -19,7 +19,8 @@
     /// A carrier that has not been heard for this long is replaced.
     pub carrier_timeout: Span,
     /// A follower without proof from a carrier for this long reads the log itself; up to as long again at
-    /// random, so that followers that lose their carriers do not all read the log at once.
+    /// random, so that followers that lose their carriers do not all read the log at once. With that it has to stay
+    /// under the time after which a change counts as announced.
     pub fallback_delay: Span,
     /// A carrier without an answer of the log for this long accepts no new follower. A follower whose carrier
     /// proves nothing looks for another one after twice as long: by then, if the log itself is lost, all
@@ -45,7 +46,7 @@
             batch_interval: Span::millis(250),
             heartbeat: Span::millis(250),
             carrier_timeout: Span::millis(800),
-            fallback_delay: Span::millis(5_000),
+            fallback_delay: Span::millis(3_000),
             max_log_age: Span::millis(1_000),
             follower_timeout: Span::millis(10_000),
             message_bytes: 1_400,
--- a/crates/fleet/tests/delivery_messages.rs
+++ b/crates/fleet/tests/delivery_messages.rs
@@ -277,3 +277,26 @@
     });
     assert!(known_up_to.unwrap() <= now, "{known_up_to:?}");
 }
+
+/// Guards against a drain that is known too late: with no carrier left, each follower reads the log itself before what
+/// it tells counts as announced, 7 s after it was made, with time left for its polls.
+#[test]
+fn without_carriers_the_log_is_read_before_changes_count_as_announced() {
+    let counted_as_announced = NOW + Span::millis(7_000);
+    let left_for_polls = Span::millis(500);
+    for seed in 0..200 {
+        let settings = Settings::default();
+        let mut follower = Follower::new(settings, FOLLOWER, &[MemberId(1)], ChangeNumber(0), seed, NOW);
+        let mut now = NOW;
+        while !follower.reads_log() {
+            now = now + Span::millis(50);
+            follower.tick(now);
+            let _ = sent_by_follower(&mut follower);
+            assert!(
+                now + left_for_polls < counted_as_announced,
+                "seed {seed}: not read after {:?}",
+                now - NOW
+            );
+        }
+    }
+}
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -208,7 +208,7 @@
 }
 
 fn default_fallback_after() -> Span {
-    Span::millis(5_000)
+    Span::millis(3_000)
 }
 
 fn default_max_proof_age() -> Span {
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -50,7 +50,7 @@
     let found = read(&fleet(&format!("me: 'd4711', {delivery}"))).unwrap().fleet.unwrap();
     let delivery = found.delivery.unwrap();
     assert_eq!((delivery.followers_per_carrier, delivery.unproven), (1_024, UnprovenCopies::Strict));
-    assert_eq!((delivery.fallback_after, delivery.max_proof_age), (Span::millis(5_000), Span::millis(1_100)));
+    assert_eq!((delivery.fallback_after, delivery.max_proof_age), (Span::millis(3_000), Span::millis(1_100)));
     assert_eq!(read(&fleet("limits: { origin: 40 }")).unwrap().fleet.unwrap().delivery, None);
 }
 
