An answer that arrives at a sound pace is not cut at the connect timeout

Change: past that time it ends an answer without a byte for half of the connect timeout, or with fewer bytes than the largest answer needs to be complete within the longest deadline.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -58,6 +58,9 @@
     pub streams_per_connection: usize,
     /// Connections to all hosts.
     pub max_connections: usize,
+    /// Bytes a second of an answer that takes longer than `connect_timeout` to arrive: with fewer the largest one would
+    /// not be complete within any deadline.
+    pub min_answer_pace: f64,
 }
 
 /// The decoded configuration.
@@ -102,6 +105,8 @@
 const MIN_SOCKETS: f64 = 16.0;
 /// Memory of an entry of the decision module's maps, with what the map itself takes for it.
 const STATE_ENTRY_BYTES: usize = 128;
+/// Deadlines below this count as this where the pace of answers is derived from them.
+const MIN_DEADLINE: Span = Span::millis(100);
 /// Maximum length of an invalid value in a message.
 const MAX_SHOWN_CHARS: usize = 60;
 
@@ -168,7 +173,9 @@
             let deadline = settings::number(class, "/deadline").ok_or_else(|| missing("deadline"))?;
             Ok(Span(deadline as u64))
         };
-        let class_deadlines = services.iter().enumerate().map(deadline).collect::<Result<_, Error>>()?;
+        let class_deadlines =
+            services.iter().enumerate().map(deadline).collect::<Result<Vec<Span>, Error>>()?;
+        let longest_deadline = class_deadlines.iter().copied().max().unwrap_or(Span::ZERO).max(MIN_DEADLINE);
         let drain_grace = settings::number(settings_json, "/rules/drain_grace").unwrap_or_default();
         let state_limits = state_limits(sixteenth);
         let settings = Settings { state_limits, ..settings::read(settings_json)? };
@@ -194,6 +201,7 @@
                     .saturating_sub(max_clients + RESERVED_DESCRIPTORS)
                     .min(4 * sixteenth / MAX_HOST_MESSAGE_BYTES)
                     .max(1),
+                min_answer_pace: MAX_HOST_MESSAGE_BYTES as f64 / longest_deadline.as_seconds(),
             },
             class_deadlines,
             max_clients,
--- a/crates/dispatcher/src/connection.rs
+++ b/crates/dispatcher/src/connection.rs
@@ -8,7 +8,7 @@
 use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::OnceLock;
 use std::thread::{Builder, JoinHandle};
 use std::time::Duration;
@@ -113,6 +113,8 @@
     /// Time of the last read, and of the first byte of an incomplete message (0: none).
     last_read_at: AtomicU64,
     partial_since: AtomicU64,
+    /// Bytes of the incomplete message.
+    partial_bytes: AtomicUsize,
 }
 
 impl AsFd for Connection {
@@ -125,7 +127,8 @@
     pub fn new(stream: TcpStream) -> Connection {
         let (last_read_at, partial_since) = (AtomicU64::new(clock::now().0), AtomicU64::new(0));
         let (close_reason, peer_closed) = (OnceLock::new(), AtomicBool::new(false));
-        Connection { stream, close_reason, peer_closed, last_read_at, partial_since }
+        let partial_bytes = AtomicUsize::new(0);
+        Connection { stream, close_reason, peer_closed, last_read_at, partial_since, partial_bytes }
     }
 
     /// Sets the socket options. Reads get no timeout, since the kernel interrupts all that have one when a
@@ -216,9 +219,15 @@
         Some(self.partial_since.load(Relaxed)).filter(|at| *at > 0).map(|at| now - Time(at))
     }
 
+    /// Bytes of an incomplete message that have arrived.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial_bytes.load(Relaxed)
+    }
+
     /// Called by the reader after it has taken all complete messages: `buffer` is what remains, `has_taken`
     /// whether there was one.
     pub fn messages_taken(&self, buffer: &[u8], has_taken: bool) {
+        self.partial_bytes.store(buffer.len(), Relaxed);
         if buffer.is_empty() {
             self.partial_since.store(0, Relaxed);
         } else if has_taken {
--- a/crates/dispatcher/src/hosts/closing.rs
+++ b/crates/dispatcher/src/hosts/closing.rs
@@ -2,12 +2,16 @@
 use super::host::Host;
 use super::pool::PooledConnection;
 use crate::clock;
-use crate::connection::CloseReason;
+use crate::config::HostConnectionLimits;
+use crate::connection::{CloseReason, Connection};
 use crate::ids::{ConnectionId, HandOffId};
 use crate::inbox::{FromHost, Input};
 use cherrypass::calls::Outcome;
 use cherrypass::time::Time;
 
+/// Share of the connect timeout without a byte after which a late answer has stopped.
+const MAX_SILENCE_SHARE: f64 = 0.5;
+
 impl Host {
     /// Reports the hand-offs of a connection that has closed.
     pub(super) fn connection_closed(&mut self, id: ConnectionId, reason: CloseReason, at: Time) {
@@ -87,7 +91,7 @@
                 continue;
             };
             // An incomplete answer that stalls or trickles blocks all answers after it.
-            if connection.partial_for(now).is_some_and(|span| span > self.shared.limits.connect_timeout) {
+            if is_answer_stalled(connection, now, &self.shared.limits) {
                 pooled.close(CloseReason::MessageTimeout);
             } else if pooled.in_flight.is_empty() && now - pooled.last_used > idle {
                 pooled.close(CloseReason::Idle);
@@ -95,3 +99,14 @@
         }
     }
 }
+
+/// Whether an incomplete answer takes longer than the connect timeout, and has stopped or comes too slowly to be complete
+/// in time. One that goes on at a sound pace is waited for: its hand-off has its own deadline.
+fn is_answer_stalled(connection: &Connection, now: Time, limits: &HostConnectionLimits) -> bool {
+    let Some(partial_for) = connection.partial_for(now).filter(|span| *span > limits.connect_timeout) else {
+        return false;
+    };
+    let late_seconds = partial_for.as_seconds() - limits.connect_timeout.as_seconds();
+    let has_stopped = now - connection.last_read_at() > limits.connect_timeout.times(MAX_SILENCE_SHARE);
+    has_stopped || (connection.partial_bytes() as f64) < limits.min_answer_pace * late_seconds
+}
--- a/crates/dispatcher/tests/discovery/bed.rs
+++ b/crates/dispatcher/tests/discovery/bed.rs
@@ -274,6 +274,10 @@
         self.write(["DONE", "ver=4be0c192,born=1764576000123", "x"]);
     }
 
+    pub fn write_bytes(&self, bytes: &[u8]) -> std::io::Result<()> {
+        (&self.stream).write_all(bytes)
+    }
+
     /// Answers the request with this word and these fields.
     pub fn answer_with(&self, word: &str, fields: &str) {
         self.write([word, fields, ""]);
@@ -555,9 +559,12 @@
         let answer = match read_marker(from).unwrap() {
             rmp::Marker::True => Answer::Ready(true),
             rmp::Marker::False => Answer::Ready(false),
-            rmp::Marker::Bin8 => {
-                let mut bytes = vec![0; usize::from(from.read_u8()?)];
-                from.read_exact(&mut bytes)?;
+            marker @ (rmp::Marker::Bin8 | rmp::Marker::Bin32) => {
+                let mut length = [0; 4];
+                let unused = if marker == rmp::Marker::Bin8 { 3 } else { 0 };
+                from.read_exact(&mut length[unused..])?;
+                let length = u32::from_be_bytes(length) as usize;
+                from.read_exact(&mut vec![0; length])?;
                 Answer::Served
             }
             other => panic!("unexpected {other:?}"),
--- a/crates/dispatcher/tests/hand_off_ids.rs
+++ b/crates/dispatcher/tests/hand_off_ids.rs
@@ -105,6 +105,7 @@
             idle_timeout: Span::millis(60_000),
             streams_per_connection: 32,
             max_connections,
+            min_answer_pace: 20_000.0,
         };
         let (sender, from_actor) = unbounded();
         let capacity = HostCapacity::new(max_connections, 1 << 20);
