--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -5,12 +5,14 @@
 mod answer_stream;
 mod changes;
 mod connections;
+mod pending_poll;
 mod poll_state;
 mod time_limits;
 
 pub use self::answer::read_answer;
 pub use self::changes::OnChange;
-use self::connections::{Connections, PendingPoll, PollStart};
+use self::connections::Connections;
+use self::pending_poll::{PendingPoll, PollStart};
 use self::poll_state::PollState;
 pub(crate) use self::time_limits::CHECK_INTERVAL;
 pub use self::time_limits::MAX_ANNOUNCEMENT_DELAY;
--- a/crates/dispatcher/src/change_log/connections.rs
+++ b/crates/dispatcher/src/change_log/connections.rs
@@ -2,10 +2,8 @@
 use super::answer::read_answer;
 use super::answer_stream::{ready, AnswerStream};
 use super::changes::OnChange;
-use super::time_limits::{
-    CHECK_INTERVAL, CONNECT_TIMEOUT, MAX_ANSWER_DELAY, MAX_PENDING_POLLS, POLL_WAIT, REDIAL_AFTER,
-    RESPONSE_DEADLINE, TRANSFER_TIMEOUT,
-};
+use super::pending_poll::{PendingPoll, PollLimits, PollStart};
+use super::time_limits::{CHECK_INTERVAL, CONNECT_TIMEOUT, MAX_PENDING_POLLS, REDIAL_AFTER};
 use crate::change_decoding::ChangeLogError;
 use crate::change_log_lease::ChangeLogLease;
 use crate::clock;
@@ -16,7 +14,6 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Instant;
 
 /// How often polls that are not answered are looked at while another connection is being established.
 const PENDING_CHECK_INTERVAL: Span = Span::millis(10);
@@ -37,76 +34,6 @@
     }
 }
 
-/// The time limits of a poll.
-#[derive(Clone, Copy)]
-pub(super) struct PollLimits {
-    /// The wait requested of the log.
-    pub(super) wait: Span,
-    /// Time after the requested wait until the answer has to begin.
-    pub(super) response_timeout: Span,
-}
-
-impl PollLimits {
-    pub(super) fn is_for_slow_log(&self) -> bool {
-        self.wait > POLL_WAIT
-    }
-
-    /// How long after the request the answer has to begin. On a slow log the next poll begins at the end of the wait.
-    fn patience(&self) -> Span {
-        if self.is_for_slow_log() {
-            self.wait
-        } else {
-            (self.wait + self.response_timeout).min(RESPONSE_DEADLINE)
-        }
-    }
-}
-
-/// A poll that was requested and is not answered yet.
-pub(super) struct PendingPoll {
-    stream: TcpStream,
-    /// The last known change when it was requested.
-    pub(super) since: u64,
-    pub(super) started: PollStart,
-    pub(super) requested_at: Time,
-    pub(super) limits: PollLimits,
-    /// Whether the answer did not begin within the limits.
-    pub(super) is_overdue: bool,
-}
-
-/// When a poll began, before a connection was established for it.
-#[derive(Clone, Copy)]
-pub(super) struct PollStart {
-    pub(super) at: Time,
-    pub(super) instant: Instant,
-}
-
-impl PollStart {
-    pub(super) fn now() -> PollStart {
-        PollStart { at: clock::now(), instant: Instant::now() }
-    }
-}
-
-impl PendingPoll {
-    /// When the answer should have begun, so that another poll is due.
-    pub(super) fn overdue_at(&self) -> Time {
-        self.requested_at + self.limits.patience()
-    }
-
-    /// The end of the wait that was asked for: an answer without changes tells that the log had none by then.
-    pub(super) fn end_of_wait(&self) -> Time {
-        self.requested_at + self.limits.wait
-    }
-
-    /// When an answer that begins now has to be complete.
-    fn end_deadline(&self, now: Time) -> Time {
-        if self.is_overdue || self.limits.is_for_slow_log() {
-            now + TRANSFER_TIMEOUT
-        } else {
-            self.requested_at + RESPONSE_DEADLINE
-        }
-    }
-}
-
 /// The connections to the change log, with the polls on them.
 pub(super) struct Connections {
     address: SocketAddr,
@@ -148,7 +75,7 @@
     /// When another poll may begin: while as many as allowed are pending, once the oldest one can be given up.
     pub(super) fn room_for_poll_at(&self) -> Time {
         let oldest = self.pending.front().filter(|_| self.pending.len() >= MAX_PENDING_POLLS);
-        oldest.map_or(Time(0), |poll| poll.end_of_wait() + MAX_ANSWER_DELAY)
+        oldest.map_or(Time(0), PendingPoll::may_be_given_up_at)
     }
 
     /// Marks the poll that was requested last as overdue.
--- a/crates/dispatcher/src/change_log/poll_state.rs
+++ b/crates/dispatcher/src/change_log/poll_state.rs
@@ -1,5 +1,5 @@
 //! What earlier polls tell about the change log: adapts time limits and delays, and logs changes of state.
-use super::connections::PollLimits;
+use super::pending_poll::PollLimits;
 use super::time_limits::{
     CATCH_UP_WAIT, MAX_RETRY_DELAY, MIN_RESPONSE_TIMEOUT, MIN_RETRY_DELAY, POLL_WAIT, RESPONSE_DEADLINE,
     RESPONSE_TIMEOUT_DECAY, SLOW_POLL_WAIT, STALL_THRESHOLD,
--- a/crates/dispatcher/tests/announced_changes.rs
+++ b/crates/dispatcher/tests/announced_changes.rs
@@ -1,17 +1,18 @@
 //! Which changes count as announced after the change log has failed. Guards against copies that are older than a purge
 //! that the log broke off in, or stopped in: the page's terms for each failure were not passed on.
+#[path = "support/following.rs"]
+mod support;
+
 use cherrypass::time::{Span, Time};
-use cherrypass_dispatcher::change_log::{follow, FollowOptions};
-use cherrypass_dispatcher::change_log_lease::ChangeLogLease;
 use cherrypass_dispatcher::clock;
-use cherrypass_dispatcher::config::WireNames;
 use cherrypass_dispatcher::inbox::{AnnouncedChanges, Input, NewAddress};
-use crossbeam_channel::{unbounded, Receiver, Sender};
+use crossbeam_channel::Receiver;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::thread::{sleep, spawn};
 use std::time::Duration;
+use support::{start_following, Following};
 use test_case::test_case;
 
 /// From the page: after a break, and after the end of the wait that was asked for.
@@ -55,26 +56,6 @@
     (address, polls)
 }
 
-fn start_following(address: SocketAddr) -> (Sender<NewAddress>, Receiver<Input>) {
-    let (router, inputs) = unbounded();
-    let (addresses, new_addresses) = unbounded();
-    let names = WireNames { classes: Vec::new(), locations: Vec::new(), kinds: Vec::new() };
-    spawn(move || {
-        follow(FollowOptions {
-            address,
-            new_addresses,
-            names,
-            last_change: 0,
-            max_change_bytes: 1 << 20,
-            seed: 1,
-            router,
-            lease: ChangeLogLease::new(LEASE),
-            delivery: None,
-        })
-    });
-    (addresses, inputs)
-}
-
 /// The next announcement; readings before it are passed over.
 fn next_announcement(inputs: &Receiver<Input>) -> AnnouncedChanges {
     loop {
@@ -124,7 +105,7 @@
 #[test_case(answer_late, true; "answers too late")]
 fn a_failed_poll_announces_what_it_would_have_told(fail: Failure, is_from_end_of_wait: bool) {
     let (address, polls) = start_log();
-    let (_addresses, inputs) = start_following(address);
+    let Following { addresses: _addresses, inputs } = start_following(address, LEASE, None);
     for _ in 0..2 {
         let poll = polls.recv_timeout(TIMEOUT).unwrap();
         let end_of_wait = poll.at + poll.wait;
@@ -142,7 +123,7 @@
 #[test]
 fn a_reload_announces_what_the_new_log_has() {
     let (address, polls) = start_log();
-    let (addresses, inputs) = start_following(address);
+    let Following { addresses, inputs } = start_following(address, LEASE, None);
     drop(polls.recv_timeout(TIMEOUT).unwrap());
     let unreachable = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let signalled_at = [Time(5_000_000), Time(6_000_000)];
@@ -163,7 +144,7 @@
     if !answers {
         address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     }
-    let (_addresses, inputs) = start_following(address);
+    let Following { addresses: _addresses, inputs } = start_following(address, LEASE, None);
     spawn(move || polls.iter().for_each(|poll| write(&poll.stream, COMPLETE)));
     sleep(QUIET);
     let readings: Vec<Input> = inputs.try_iter().collect();
--- a/crates/dispatcher/tests/following.rs
+++ b/crates/dispatcher/tests/following.rs
@@ -1,19 +1,21 @@
 //! How often the change log is polled if each answer has a change: without carriers, by a carrier, and by a
 //! dispatcher that has lost its carriers.
+#[allow(dead_code)]
+#[path = "support/following.rs"]
+mod support;
+
 use cherrypass::time::Span;
 use cherrypass_dispatcher::carried_changes::Delivery;
-use cherrypass_dispatcher::change_log::{follow, FollowOptions};
-use cherrypass_dispatcher::change_log_lease::ChangeLogLease;
-use cherrypass_dispatcher::config::WireNames;
 use cherrypass_dispatcher::inbox::{Change, Input};
 use cherrypass_peers::delivery::DeliveryEvent;
-use crossbeam_channel::{never, unbounded, Receiver};
+use crossbeam_channel::{unbounded, Receiver};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
+use support::start_following;
 use test_case::test_case;
 
 /// Time after an answer until the log has the next change.
@@ -44,27 +46,6 @@
     (address, requests)
 }
 
-/// Follows a log; returns the router's inputs.
-fn start_following(address: SocketAddr, delivery: Option<Delivery>) -> Receiver<Input> {
-    let (router, inputs) = unbounded();
-    let names = WireNames { classes: Vec::new(), locations: Vec::new(), kinds: Vec::new() };
-    let (new_addresses, max_change_bytes, seed) = (never(), 1 << 20, 1);
-    spawn(move || {
-        follow(FollowOptions {
-            address,
-            new_addresses,
-            names,
-            last_change: 0,
-            max_change_bytes,
-            seed,
-            router,
-            lease: ChangeLogLease::new(LEASE),
-            delivery,
-        })
-    });
-    inputs
-}
-
 /// The numbers of the purges that arrive during the test.
 fn purges(inputs: &Receiver<Input>) -> Vec<u64> {
     let until = Instant::now() + TEST_DURATION;
@@ -86,7 +67,7 @@
     delivery_events.send(DeliveryEvent::ReadLogDirectly(true)).unwrap();
     let to_fleet = || Box::new(|_| {});
     let delivery = is_carrier.map(|is_carrier| Delivery { from_fleet, to_fleet: to_fleet(), is_carrier });
-    let inputs = start_following(address, delivery);
+    let inputs = start_following(address, LEASE, delivery).inputs;
     let found = purges(&inputs);
     let requests = requests.load(SeqCst);
     assert!((min..=max).contains(&requests), "polled {requests} times");
--- a/crates/dispatcher/tests/slow_change_log.rs
+++ b/crates/dispatcher/tests/slow_change_log.rs
@@ -1,16 +1,18 @@
 //! A change log that is slow: each answer comes late, and each change is known one answer's time after it was made.
+#[allow(dead_code)]
+#[path = "support/following.rs"]
+mod support;
+
 use cherrypass::time::Span;
-use cherrypass_dispatcher::change_log::{follow, FollowOptions};
-use cherrypass_dispatcher::change_log_lease::ChangeLogLease;
-use cherrypass_dispatcher::config::WireNames;
 use cherrypass_dispatcher::inbox::{Change, Input};
-use crossbeam_channel::{unbounded, Receiver};
+use crossbeam_channel::Receiver;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
+use support::start_following;
 use test_case::test_case;
 
 const LEASE: Span = Span::millis(250);
@@ -102,25 +104,6 @@
     }
 }
 
-fn start_following(address: SocketAddr) -> Receiver<Input> {
-    let (router, inputs) = unbounded();
-    let names = WireNames { classes: Vec::new(), locations: Vec::new(), kinds: Vec::new() };
-    spawn(move || {
-        follow(FollowOptions {
-            address,
-            new_addresses: unbounded().1,
-            names,
-            last_change: 0,
-            max_change_bytes: 1 << 20,
-            seed: 1,
-            router,
-            lease: ChangeLogLease::new(LEASE),
-            delivery: None,
-        })
-    });
-    inputs
-}
-
 /// When each purge was passed on.
 fn note_purges(inputs: Receiver<Input>) -> Arc<Mutex<Vec<Instant>>> {
     let known: Arc<Mutex<Vec<Instant>>> = Arc::default();
@@ -149,7 +132,8 @@
 #[test_case(&[1_900], Settled::BeforeTheDelay, 2 * 1_900; "1900 ms after what it tells")]
 fn each_change_is_known_one_answer_time_after_it_was_made(late: &[u64], settled: Settled, max_delay: u64) {
     let (log, address) = Log::start(late, settled);
-    let known = note_purges(start_following(address));
+    let following = start_following(address, LEASE, None);
+    let known = note_purges(following.inputs.clone());
     let start = Instant::now();
     while start.elapsed() < SLOW_FOR {
         sleep(CHANGE_INTERVAL);
@@ -177,7 +161,7 @@
 #[test_case(60_000, MAX_CALLS; "silent")]
 fn a_slow_log_is_not_asked_more_often(late: u64, max_calls: usize) {
     let (log, address) = Log::start(&[late], Settled::AtItsEnd);
-    let _inputs = start_following(address);
+    let _following = start_following(address, LEASE, None);
     sleep(SLOW_FOR);
     let (calls, max_open_calls) = (log.calls.load(SeqCst), log.max_open_calls.load(SeqCst));
     assert!(calls <= max_calls, "{calls} calls");
