A late answer of the change log is read while the next connection does not come up

Found by reading the change once more: where another poll was due, the follower went on to establish its connection, and left as soon as an earlier poll was answered, without reading that answer, until the connection was up or given up. Change: what is answered is read before a poll begins.

--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -115,13 +115,11 @@
             self.send(Input::ChangesAnnounced(announced_by_reload(reload)))?;
         }
         let (now, poll_due_at) = (clock::now(), self.poll_due_at());
-        if poll_due_at.is_some_and(|at| now >= at) {
-            return self.begin_poll();
-        }
         let overdue_at = self.unanswered_poll().map(PendingPoll::overdue_at);
         let until = poll_due_at.into_iter().chain(overdue_at).fold(now + CHECK_INTERVAL, Time::min);
         match self.connections.wait_for_answer(until) {
             Ok(Some(poll)) => self.read_answer(poll),
+            Ok(None) if poll_due_at.is_some_and(|at| now >= at) => self.begin_poll(),
             Ok(None) => self.check_overdue(clock::now()),
             Err(error) => self.handle_failure(&error.into(), clock::now()),
         }
--- a/crates/dispatcher/tests/discovery/bed.rs
+++ b/crates/dispatcher/tests/discovery/bed.rs
@@ -476,7 +476,7 @@
 
 /// A client connection; request ids increase by one.
 pub struct Client {
-    stream: TcpStream,
+    pub stream: TcpStream,
     last_id: u32,
 }
 
--- a/crates/dispatcher/tests/memory.rs
+++ b/crates/dispatcher/tests/memory.rs
@@ -229,6 +229,24 @@
     });
 }
 
+/// Starts a dispatcher with two caches and an origin, and a change log that has nothing to tell.
+fn start_dispatcher(sockets: u32) -> Dispatcher {
+    let hosts = FakeHosts::new();
+    let (a, b, origin) = (hosts.start("a"), hosts.start("b"), hosts.start("o"));
+    let known = body(&[list(
+        1,
+        true,
+        &[("a", a, "in_service"), ("b", b, "in_service"), ("o", origin, "in_service")],
+    )]);
+    answer_as_hosts_do(hosts);
+    let log = FakeChangeLog::start();
+    let config = config("127.0.0.1:0", log.address, &known, MEMORY_MB);
+    let dispatcher = Dispatcher::start(&config.replace("\"sockets\":256", &format!("\"sockets\":{sockets}")));
+    let polls = log.into_polls();
+    spawn(move || polls.iter().for_each(|poll| drop(poll.try_write(http(&body(&[])).as_bytes()))));
+    dispatcher
+}
+
 /// Guards against memory that clients can have the dispatcher hold without bound: it was killed at its limit, with all
 /// that it had taken (`review/7`).
 #[test_case(256, &[(Misbehaviour::OpensLongHeads, 20)]; "heads of very many short fields")]
@@ -245,19 +263,7 @@
 ]; "all at once")]
 fn memory_stays_under_its_limit(sockets: u32, clients: &[(Misbehaviour, u64)]) {
     let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    let hosts = FakeHosts::new();
-    let (a, b, origin) = (hosts.start("a"), hosts.start("b"), hosts.start("o"));
-    let known = body(&[list(
-        1,
-        true,
-        &[("a", a, "in_service"), ("b", b, "in_service"), ("o", origin, "in_service")],
-    )]);
-    answer_as_hosts_do(hosts);
-    let log = FakeChangeLog::start();
-    let config = config("127.0.0.1:0", log.address, &known, MEMORY_MB);
-    let dispatcher = Dispatcher::start(&config.replace("\"sockets\":256", &format!("\"sockets\":{sockets}")));
-    let polls = log.into_polls();
-    spawn(move || polls.iter().for_each(|poll| drop(poll.try_write(http(&body(&[])).as_bytes()))));
+    let dispatcher = start_dispatcher(sockets);
     let (is_over, usual) = (Arc::new(AtomicBool::new(false)), Arc::new(UsualClient::default()));
     let address = dispatcher.listen;
     let (own, over) = (usual.clone(), is_over.clone());
@@ -286,3 +292,29 @@
     let keeps_hosts_busy = clients.iter().any(|(misbehaviour, _)| misbehaviour.keeps_hosts_busy());
     assert!(served > 0 && (served == sent || keeps_hosts_busy), "{served} of {sent} were served");
 }
+
+/// Guards against requests that are lost with a message that is dropped for want of memory: what its client has open is
+/// answered first, and then the connection ends.
+#[test]
+fn a_dropped_message_takes_no_open_request_with_it() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let dispatcher = start_dispatcher(1_024);
+    let mut client = Client::connect(dispatcher.listen).unwrap();
+    client.send_request(SLOW_OBJECTS).unwrap();
+    let request =
+        |id| Request { id, txn: 7, object: 7, limit_ms: 3_000, short_fields: SHORT_FIELDS }.encode();
+    client.stream.write_all(&request(2)[..40_000]).unwrap();
+    let others: Vec<TcpStream> = (0..150)
+        .map(|_| {
+            let mut stream = TcpStream::connect(dispatcher.listen).unwrap();
+            stream.write_all(&request(1)[..40_000]).unwrap();
+            stream
+        })
+        .collect();
+    dispatcher.wait_for_log_line("no-room-for-message");
+    assert!(matches!(client.answer(), Ok(Answer::Error(_))), "the open request was not answered");
+    let mut rest = Vec::new();
+    client.stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    assert_eq!(client.stream.read_to_end(&mut rest).unwrap_or(1), 0, "the connection is still open");
+    drop(others);
+}
--- a/crates/dispatcher/tests/slow_change_log.rs
+++ b/crates/dispatcher/tests/slow_change_log.rs
@@ -167,3 +167,24 @@
     assert!(calls <= max_calls, "{calls} calls");
     assert!(max_open_calls <= MAX_OPEN_CALLS || late > 9_000, "{max_open_calls} calls open at once");
 }
+
+/// Guards against an answer that comes and is not read because the connection for the next poll does not come up.
+#[test]
+fn a_late_answer_is_read_while_the_next_connection_does_not_come_up() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    let known = note_purges(start_following(address, LEASE, None).inputs);
+    let (mut stream, _) = listener.accept().unwrap();
+    let polled_at = Instant::now();
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    let _filler: Vec<TcpStream> = std::iter::from_fn(connect).collect();
+    let late = Duration::from_millis(900);
+    sleep(late.saturating_sub(polled_at.elapsed()));
+    let body = r#"{"seq":1,"results":[{"seq":1,"invalidate":{"bucket":1,"time":1}}]}"#;
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    sleep(TOLERANCE);
+    assert_eq!(known.lock().unwrap().len(), 1, "the answer was not read");
+}
