--- a/crates/dispatcher/src/change_log.rs
+++ b/crates/dispatcher/src/change_log.rs
@@ -219,7 +219,7 @@
         }
     }
 
-    /// A poll that began at this time has failed, or is not answered in time.
+    /// A poll that began at this time has failed.
     fn handle_failure(&mut self, fault: &ChangeLogError, started_at: Time) -> Result<(), RouterStopped> {
         self.state.note_failure();
         self.state.note_result(Some(fault), self.last_change);
